--- a/include/eelgrassbridge/base/time.hpp
+++ b/include/eelgrassbridge/base/time.hpp
@@ -23,8 +23,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, Duration>;
   // The name is fixed by the standard library's clock requirements.
-  static constexpr bool is_steady =
-      true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   static time_point now();
 };
