Route a request through a daemon to its target or another daemon

Cause: nothing served a request yet. Change: the caller HTTP server with workers made on demand and a refusing overflow worker, the request handler, hand-over to the local target with the group, epoch and absolute deadline, forwarding to the owner's daemon, and a fixed view for a single daemon. A test drives it over real sockets.

--- /dev/null
+++ b/include/eelgrassbridge/daemon/http_server.hpp
@@ -0,0 +1,36 @@
+// The HTTP side of a daemon: callers, forwarding daemons, metrics, operators.
+#ifndef EELGRASSBRIDGE_DAEMON_HTTP_SERVER_HPP
+#define EELGRASSBRIDGE_DAEMON_HTTP_SERVER_HPP
+
+#include <memory>
+#include <thread>
+
+#include "eelgrassbridge/base/error.hpp"
+#include "eelgrassbridge/daemon/request_context.hpp"
+
+namespace httplib {
+class Server;
+}  // namespace httplib
+
+namespace eelgrassbridge::daemon {
+
+/// @brief A listening server with its accepting thread and worker pool.
+struct HttpServer {
+  HttpServer();
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  std::unique_ptr<httplib::Server> server;
+  std::thread acceptor;
+};
+
+/// @brief Binds the address of the settings and starts to serve.
+base::Result<void> StartHttpServer(HttpServer& server, RequestContext& context);
+
+/// @brief Stops accepting, lets running requests finish and joins all threads.
+void StopHttpServer(HttpServer& server);
+
+}  // namespace eelgrassbridge::daemon
+
+#endif  // EELGRASSBRIDGE_DAEMON_HTTP_SERVER_HPP
--- /dev/null
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -0,0 +1,180 @@
+// Connection reuse and the mapping of HTTP client errors to error kinds.
+#include "eelgrassbridge/daemon/http_exchange.hpp"
+
+#include <httplib.h>
+#include <spdlog/fmt/fmt.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+/// The library waits in whole milliseconds and may give up just before the
+/// deadline.
+constexpr base::Duration kTimeoutGranularity = base::milliseconds{5};
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::unique_ptr<httplib::Client> TakeConnection(
+    ConnectionPool& pool,
+    const settings::Address& address) {
+  std::vector<IdleConnection> stale;
+  std::unique_ptr<httplib::Client> client;
+  {
+    const base::TimePoint oldest =
+        base::BootClock::now() - pool.options.idle_limit;
+    const std::scoped_lock lock(pool.mutex);
+    std::vector<IdleConnection>& idle = pool.idle[address];
+    if (!idle.empty() && idle.back().used_at >= oldest) {
+      client = std::move(idle.back().client);
+      idle.pop_back();
+    } else {
+      // The last one is the one used last: all are too old. They are closed
+      // after the lock is released.
+      stale.swap(idle);
+    }
+  }
+  if (client == nullptr) {
+    client = std::make_unique<httplib::Client>(address.ip, address.port);
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(true);
+    client->set_decompress(false);
+    client->set_connection_timeout(pool.options.connect_timeout);
+  }
+  return client;
+}
+
+void ReturnConnection(ConnectionPool& pool,
+                      const settings::Address& address,
+                      std::unique_ptr<httplib::Client> client) {
+  const std::scoped_lock lock(pool.mutex);
+  std::vector<IdleConnection>& idle = pool.idle[address];
+  if (idle.size() < pool.options.max_idle_per_address) {
+    idle.push_back({std::move(client), base::BootClock::now()});
+  }
+}
+
+httplib::Request ToLibraryRequest(const ExchangeRequest& request) {
+  httplib::Request converted;
+  converted.method = request.method;
+  converted.path = request.target;
+  for (const Header& header : request.headers) {
+    converted.headers.emplace(header.name, header.value);
+  }
+  // The library adds the encodings it can decode itself unless the header is
+  // present; the answer is passed on undecoded, so only the caller's count.
+  if (!converted.has_header("Accept-Encoding")) {
+    converted.headers.emplace("Accept-Encoding", "identity");
+  }
+  converted.body = request.body;
+  return converted;
+}
+
+/// Without a length or chunks the end of the connection would end the body, so
+/// an answer that was cut off would look whole.
+bool HasKnownEnd(const httplib::Response& response, std::string_view method) {
+  return response.has_header("Content-Length") ||
+         response.has_header("Transfer-Encoding") || method == "HEAD" ||
+         response.status == 204 || response.status == 304;
+}
+
+base::Error ToError(httplib::Error error,
+                    base::TimePoint deadline,
+                    const ExchangeErrors& errors) {
+  switch (error) {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+      return {errors.unreachable, "no connection could be made"};
+    default:
+      break;
+  }
+  if (base::BootClock::now() + kTimeoutGranularity >= deadline) {
+    return {errors.timeout, "no whole answer before the deadline"};
+  }
+  return {errors.lost, fmt::format("the connection ended before the answer: {}",
+                                   httplib::to_string(error))};
+}
+
+}  // namespace
+
+ConnectionPool::ConnectionPool() = default;
+ConnectionPool::~ConnectionPool() = default;
+
+std::string_view FindHeader(const std::vector<Header>& headers,
+                            std::string_view name) {
+  const auto found = std::ranges::find_if(headers, [&](const Header& header) {
+    return EqualsIgnoringCase(header.name, name);
+  });
+  return found == headers.end() ? std::string_view{} : found->value;
+}
+
+bool IsHopHeader(std::string_view name) {
+  // The last four are added by the HTTP library to requests it received.
+  static constexpr std::array<std::string_view, 15> kNames{
+      "Connection",  "Keep-Alive",          "Proxy-Connection",
+      "TE",          "Transfer-Encoding",   "Upgrade",
+      "Trailer",     "Content-Length",      "Host",
+      "Expect",      "Proxy-Authorization", "REMOTE_ADDR",
+      "REMOTE_PORT", "LOCAL_ADDR",          "LOCAL_PORT"};
+  return std::ranges::any_of(kNames, [&](std::string_view hop) {
+    return EqualsIgnoringCase(hop, name);
+  });
+}
+
+base::Result<ExchangeAnswer> Exchange(ConnectionPool& pool,
+                                      const settings::Address& address,
+                                      const ExchangeRequest& request,
+                                      base::TimePoint deadline,
+                                      const ExchangeErrors& errors) {
+  const base::Duration left = deadline - base::BootClock::now();
+  if (left <= base::Duration::zero()) {
+    return base::Fail(errors.unreachable, "no time left to send the request");
+  }
+  std::unique_ptr<httplib::Client> client = TakeConnection(pool, address);
+  client->set_read_timeout(left);
+  client->set_write_timeout(left);
+
+  httplib::Request outgoing = ToLibraryRequest(request);
+  ExchangeAnswer answer;
+  bool too_large = false;
+  outgoing.content_receiver = [&](const char* data, std::size_t size,
+                                  std::uint64_t, std::uint64_t) {
+    too_large = answer.body.size() + size > pool.options.max_answer_bytes;
+    if (too_large || base::BootClock::now() >= deadline) {
+      return false;
+    }
+    answer.body.append(data, size);
+    return true;
+  };
+  httplib::Response incoming;
+  httplib::Error error = httplib::Error::Success;
+  const bool is_whole = client->send(outgoing, incoming, error);
+  if (!is_whole) {
+    if (too_large) {
+      return base::Fail(base::ErrorKind::kAnswerCut,
+                        "the answer is larger than the configured limit");
+    }
+    return base::outcome::failure(ToError(error, deadline, errors));
+  }
+  if (!HasKnownEnd(incoming, request.method)) {
+    return base::Fail(base::ErrorKind::kAnswerCut,
+                      "the answer has neither a length nor chunks");
+  }
+  answer.status = incoming.status;
+  for (const auto& [name, value] : incoming.headers) {
+    if (!IsHopHeader(name)) {
+      answer.headers.push_back({name, value});
+    }
+  }
+  ReturnConnection(pool, address, std::move(client));
+  return answer;
+}
+
+}  // namespace eelgrassbridge::daemon
--- /dev/null
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -0,0 +1,258 @@
+// Set-up of the HTTP library's server and conversion of its types.
+#include "eelgrassbridge/daemon/http_server.hpp"
+
+#include <httplib.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <atomic>
+
+#include "eelgrassbridge/daemon/connection_workers.hpp"
+#include "eelgrassbridge/daemon/request_handler.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+/// Longer than the idle limit of a daemon's own client connections (3 s), so
+/// that the client side closes first.
+constexpr time_t kKeepAliveSeconds = 10;
+constexpr std::size_t kKeepAliveRequests = 1'000'000'000;
+constexpr time_t kReadTimeoutSeconds = 10;
+/// Request bodies held at once; with 16 MiB a body this leaves room for the
+/// rest of the daemon inside 128 MB.
+constexpr std::int64_t kMaxBufferedBodyBytes = 64LL * 1024 * 1024;
+
+/// @brief Part of the budget for request bodies, held while a body is held.
+struct BodyBudget {
+  BodyBudget(RequestContext& owner, std::int64_t wanted)
+      : context(owner), bytes(wanted) {
+    this->is_granted =
+        this->context.buffered_body_bytes.fetch_add(this->bytes) +
+            this->bytes <=
+        kMaxBufferedBodyBytes;
+  }
+  BodyBudget(const BodyBudget&) = delete;
+  BodyBudget& operator=(const BodyBudget&) = delete;
+  ~BodyBudget() { this->context.buffered_body_bytes.fetch_sub(this->bytes); }
+
+  RequestContext& context;
+  std::int64_t bytes;
+  bool is_granted = false;
+};
+
+CallerRequest ToCallerRequest(const httplib::Request& request) {
+  CallerRequest converted;
+  converted.method = request.method;
+  converted.target = request.target;
+  for (const auto& [name, value] : request.headers) {
+    // The library has decoded the body already.
+    if (!IsHopHeader(name) && name != "Content-Encoding") {
+      converted.headers.push_back({name, value});
+    }
+  }
+  return converted;
+}
+
+void WriteAnswer(const RequestContext& context,
+                 CallerAnswer answer,
+                 httplib::Response& response,
+                 bool must_close) {
+  response.status = answer.status;
+  std::string content_type;
+  for (Header& header : answer.headers) {
+    if (header.name == "Content-Type") {
+      content_type = header.value;
+    } else {
+      response.headers.emplace(std::move(header.name), std::move(header.value));
+    }
+  }
+  response.headers.emplace(kOutcomeHeader,
+                           std::string(base::OutcomeName(answer.outcome)));
+  if (must_close || context.draining.load()) {
+    response.headers.emplace("Connection", "close");
+  }
+  if (answer.body.empty()) {
+    response.set_content("", content_type);
+    return;
+  }
+  // A content provider keeps the library from compressing a body that the
+  // target may have encoded already.
+  auto body = std::make_shared<std::string>(std::move(answer.body));
+  response.set_content_provider(
+      body->size(), content_type,
+      [body](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
+        return sink.write(body->data() + offset, length);
+      });
+}
+
+void Refuse(const RequestContext& context,
+            base::ErrorKind kind,
+            std::string_view detail,
+            httplib::Response& response) {
+  // The body was not read, so the connection cannot carry another request.
+  WriteAnswer(context, ErrorAnswer(kind, detail), response, true);
+}
+
+bool IsRefusedAtOnce(const RequestContext& context,
+                     const httplib::Request& request,
+                     httplib::Response& response) {
+  if (IsOverflowWorker()) {
+    Refuse(context, base::ErrorKind::kOverloaded,
+           "all connections of this daemon are in use", response);
+    return true;
+  }
+  if (!request.ranges.empty()) {
+    // The library would cut the answer to the range a second time.
+    Refuse(context, base::ErrorKind::kBadRequest, "Range is not supported",
+           response);
+    return true;
+  }
+  return false;
+}
+
+void HandleWithoutBody(RequestContext& context,
+                       const httplib::Request& request,
+                       httplib::Response& response) {
+  if (IsRefusedAtOnce(context, request, response)) {
+    return;
+  }
+  if (request.get_header_value<std::uint64_t>("Content-Length") > 0 ||
+      request.has_header("Transfer-Encoding")) {
+    Refuse(context, base::ErrorKind::kBadRequest,
+           "a body is accepted with POST, PUT, PATCH and DELETE only",
+           response);
+    return;
+  }
+  WriteAnswer(context, HandleRequest(context, ToCallerRequest(request)),
+              response, false);
+}
+
+void HandleWithBody(RequestContext& context,
+                    const httplib::Request& request,
+                    httplib::Response& response,
+                    const httplib::ContentReader& reader) {
+  if (IsRefusedAtOnce(context, request, response)) {
+    return;
+  }
+  if (request.is_multipart_form_data()) {
+    // The library takes multipart bodies apart and does not give the bytes.
+    Refuse(context, base::ErrorKind::kBadRequest,
+           "multipart/form-data is not supported; send the bytes themselves",
+           response);
+    return;
+  }
+  const std::uint64_t max = context.settings.max_body_bytes;
+  const std::uint64_t announced =
+      request.has_header("Content-Length")
+          ? request.get_header_value<std::uint64_t>("Content-Length")
+          : max;
+  if (announced > max) {
+    Refuse(context, base::ErrorKind::kBodyTooLarge,
+           fmt::format("a body has at most {} bytes", max), response);
+    return;
+  }
+  const BodyBudget budget(context, static_cast<std::int64_t>(announced));
+  if (!budget.is_granted) {
+    Refuse(context, base::ErrorKind::kOverloaded,
+           "this daemon holds too many request bodies", response);
+    return;
+  }
+  CallerRequest converted = ToCallerRequest(request);
+  bool is_too_large = false;
+  const bool is_whole = reader([&](const char* data, std::size_t size) {
+    is_too_large = converted.body.size() + size > max;
+    if (!is_too_large) {
+      converted.body.append(data, size);
+    }
+    return !is_too_large;
+  });
+  if (is_too_large) {
+    Refuse(context, base::ErrorKind::kBodyTooLarge,
+           fmt::format("a body has at most {} bytes", max), response);
+    return;
+  }
+  if (!is_whole) {
+    Refuse(context, base::ErrorKind::kBadRequest,
+           "the request body ended early", response);
+    return;
+  }
+  WriteAnswer(context, HandleRequest(context, std::move(converted)), response,
+              false);
+}
+
+void AddStatusHandlers(httplib::Server& server, RequestContext& context) {
+  server.Get("/metrics", [&](const httplib::Request&, httplib::Response& res) {
+    res.set_content(base::PrometheusText(context.counters),
+                    "text/plain; version=0.0.4");
+  });
+  server.Get("/health", [](const httplib::Request&, httplib::Response& res) {
+    res.set_content("ok\n", "text/plain");
+  });
+  server.Get("/ready", [&](const httplib::Request&, httplib::Response& res) {
+    const auto view = context.routing.view.load();
+    const bool is_ready =
+        view != nullptr && view->ready && !context.draining.load();
+    res.status = is_ready ? 200 : 503;
+    res.set_content(is_ready ? "ready\n" : "not ready\n", "text/plain");
+  });
+}
+
+void AddCallerHandlers(httplib::Server& server, RequestContext& context) {
+  const auto without_body = [&](const httplib::Request& request,
+                                httplib::Response& response) {
+    HandleWithoutBody(context, request, response);
+  };
+  const auto with_body = [&](const httplib::Request& request,
+                             httplib::Response& response,
+                             const httplib::ContentReader& reader) {
+    HandleWithBody(context, request, response, reader);
+  };
+  constexpr const char* kPattern = "/s/.*";
+  server.Get(kPattern, without_body);
+  server.Options(kPattern, without_body);
+  server.Post(kPattern, with_body);
+  server.Put(kPattern, with_body);
+  server.Patch(kPattern, with_body);
+  server.Delete(kPattern, with_body);
+}
+
+}  // namespace
+
+RequestContext::RequestContext(const settings::Settings& daemon_settings)
+    : settings(daemon_settings), target(daemon_settings.target) {}
+
+HttpServer::HttpServer() = default;
+HttpServer::~HttpServer() = default;
+
+base::Result<void> StartHttpServer(HttpServer& server,
+                                   RequestContext& context) {
+  server.server = std::make_unique<httplib::Server>();
+  httplib::Server& library = *server.server;
+  library.set_tcp_nodelay(true);
+  library.set_keep_alive_max_count(kKeepAliveRequests);
+  library.set_keep_alive_timeout(kKeepAliveSeconds);
+  library.set_read_timeout(kReadTimeoutSeconds);
+  const std::uint32_t workers = context.settings.http_workers;
+  library.new_task_queue = [workers] { return new ConnectionWorkers(workers); };
+  AddStatusHandlers(library, context);
+  AddCallerHandlers(library, context);
+  const settings::Address& address = context.settings.http;
+  if (!library.bind_to_port(address.ip, address.port)) {
+    return base::Fail(
+        base::ErrorKind::kSettingsInvalid,
+        fmt::format("http: cannot listen on {}:{}", address.ip, address.port));
+  }
+  server.acceptor = std::thread([&library] { library.listen_after_bind(); });
+  return base::outcome::success();
+}
+
+void StopHttpServer(HttpServer& server) {
+  if (server.server != nullptr) {
+    server.server->stop();
+  }
+  if (server.acceptor.joinable()) {
+    server.acceptor.join();
+  }
+}
+
+}  // namespace eelgrassbridge::daemon
