Public headers of routing and limits

Cause: the request path is written against them at the same time. Change: headers only; the implementations follow.

--- /dev/null
+++ b/include/eelgrassbridge/limits/account_limiter.hpp
@@ -0,0 +1,123 @@
+// Limits of client accounts, entries and request kinds, shared by all daemons
+// without a central counter: each daemon admits its share of a limit,
+// proportional to its part of the demand known from gossip.
+#ifndef EELGRASSBRIDGE_LIMITS_ACCOUNT_LIMITER_HPP
+#define EELGRASSBRIDGE_LIMITS_ACCOUNT_LIMITER_HPP
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "eelgrassbridge/base/error.hpp"
+#include "eelgrassbridge/base/identifier.hpp"
+#include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/catalogue/catalogue.hpp"
+
+namespace eelgrassbridge::limits {
+
+struct AccountLimiterOptions {
+  /// Part of a limit that is divided evenly, so that a daemon whose demand is
+  /// not known elsewhere yet can admit something.
+  double floor_part = 0.2;
+  /// Longest burst, as time at the admitted rate.
+  base::Duration burst{base::milliseconds{1000}};
+  /// A share falls at once but rises only after this time, in which the
+  /// others hear of the change; so the sum stays at the limit meanwhile.
+  base::Duration spread_delay{base::milliseconds{5000}};
+  /// Time constant of the demand estimate.
+  base::Duration demand_window{base::milliseconds{5000}};
+  /// Limits with state; further ones are refused, oldest idle are dropped.
+  std::size_t max_entries = 10'000;
+};
+
+/// @brief One limit that a request is subject to. Names come from
+/// AccountLimitName and the like, so different kinds of limits never collide.
+struct LimitRef {
+  std::string_view name;
+  std::uint32_t requests_per_second = 0;
+  std::uint32_t in_flight = 0;
+};
+
+/// @brief Demand of one daemon for one limit, as gossip carries it.
+struct Demand {
+  std::string name;
+  double requests_per_second = 0;
+};
+
+namespace detail {
+
+struct LimitState {
+  double tokens = 0;
+  bool primed = false;
+  base::TimePoint refilled_at{};
+  std::uint32_t in_flight = 0;
+  /// EWMA of offered requests per second, and the value last published.
+  double offered = 0;
+  base::TimePoint offered_at{};
+  double published = 0;
+  std::unordered_map<base::DaemonId, double> peers;
+  double peers_sum = 0;
+  /// Smallest shares of the current and the previous half of spread_delay.
+  double least_now = 1;
+  double least_before = 1;
+  base::TimePoint half_began{};
+};
+
+}  // namespace detail
+
+/// @brief Shares and buckets of one daemon.
+///
+/// Invariant: with the same published demands at all daemons, the shares of
+/// one limit add up to at most 1.
+struct AccountLimiter {
+  AccountLimiterOptions options;
+  /// Daemons that may admit requests, this one included.
+  std::uint32_t daemons = 1;
+  std::unordered_map<std::string, detail::LimitState> limits;
+};
+
+std::string AccountLimitName(std::string_view account);
+std::string ServiceLimitName(std::string_view service);
+std::string KindLimitName(std::string_view service, std::string_view kind);
+
+/// @brief Share of a limit for a daemon with that part of the demand.
+double ShareOf(double own_demand,
+               double total_demand,
+               std::uint32_t daemons,
+               double floor_part);
+
+/// @brief Takes one request from all limits, or from none and returns
+/// account_limit. On success, Release must be called once with the same span.
+std::optional<base::ErrorKind> TakeAll(AccountLimiter& limiter,
+                                       std::span<const LimitRef> limits,
+                                       base::TimePoint now);
+
+/// @brief Ends what TakeAll began.
+void Release(AccountLimiter& limiter, std::span<const LimitRef> limits);
+
+/// @brief Own demand for the next gossip message; remembers it as published.
+std::vector<Demand> PublishDemand(AccountLimiter& limiter, base::TimePoint now);
+
+/// @brief Demand heard from another daemon; names left out keep their value.
+void MergeDemand(AccountLimiter& limiter,
+                 base::DaemonId peer,
+                 std::span<const Demand> demands,
+                 base::TimePoint now);
+
+/// @brief A daemon was lost or left: its demand counts no more.
+void ForgetPeer(AccountLimiter& limiter, base::DaemonId peer);
+
+/// @brief Number of daemons that may admit requests, this one included.
+void SetDaemonCount(AccountLimiter& limiter, std::uint32_t daemons);
+
+/// @brief Time until the limits would admit one more request, for Retry-After.
+base::Duration RetryAfter(const AccountLimiter& limiter,
+                          std::span<const LimitRef> limits);
+
+}  // namespace eelgrassbridge::limits
+
+#endif  // EELGRASSBRIDGE_LIMITS_ACCOUNT_LIMITER_HPP
--- /dev/null
+++ b/include/eelgrassbridge/routing/target_choice.hpp
@@ -0,0 +1,118 @@
+// Choice of a target for a request of an undivided service: two random
+// choices within the nearest tier, compared by load and latency.
+//
+// One table belongs to one service; the daemon guards it with a mutex. The
+// choice looks at a few entries only, whatever the number of targets.
+#ifndef EELGRASSBRIDGE_ROUTING_TARGET_CHOICE_HPP
+#define EELGRASSBRIDGE_ROUTING_TARGET_CHOICE_HPP
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "eelgrassbridge/base/identifier.hpp"
+#include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/routing/latency_score.hpp"
+
+namespace eelgrassbridge::routing {
+
+/// @brief Distance of a target; nearer tiers are preferred.
+enum class Locality : std::uint8_t {
+  kDataCentre,
+  kRegion,
+  kOtherRegion,
+};
+inline constexpr std::size_t kLocalityCount = 3;
+
+struct ChoiceOptions {
+  LatencyScoreOptions latency;
+  /// Random draws in a tier before all of it is searched.
+  std::uint32_t draws = 6;
+  /// Time constant with which a report loses its effect.
+  base::Duration report_decay{base::milliseconds{2000}};
+};
+
+/// @brief A target as routing knows it from membership and the catalogue.
+struct TargetMember {
+  /// The daemon beside the target.
+  base::DaemonId id;
+  Locality locality = Locality::kDataCentre;
+  /// Home regions, drain and take-out already applied.
+  bool may_get_work = false;
+};
+
+/// @brief What an answer tells about its target.
+struct AnswerReport {
+  enum class Kind : std::uint8_t {
+    kAnswered,
+    kOverloaded,
+    kFailed,
+    kCancelled
+  };
+  Kind kind = Kind::kAnswered;
+  base::Duration latency{};
+  /// In-flight count that the peer piggybacked on the reply, if any.
+  std::optional<std::uint32_t> peer_in_flight;
+};
+
+struct TargetState {
+  TargetMember member;
+  /// Requests of this daemon that wait for an answer.
+  std::uint32_t own_in_flight = 0;
+  /// Last in-flight count heard from the peer.
+  std::uint32_t peer_in_flight = 0;
+  base::TimePoint peer_heard_at{};
+  LatencyScore latency;
+  /// Send times of unanswered requests are not kept; the oldest one counts
+  /// as a latency sample while it waits.
+  base::TimePoint oldest_sent{};
+  /// Distrust from load and health reports: 0 is none.
+  double distrust = 0;
+  base::TimePoint distrust_at{};
+  /// Until then the target is not chosen while another may be.
+  base::TimePoint avoid_until{};
+};
+
+struct TargetTable {
+  ChoiceOptions options;
+  std::vector<TargetState> targets;
+  std::unordered_map<base::DaemonId, std::uint32_t> index;
+  /// Positions of the targets that may get work, by locality.
+  std::array<std::vector<std::uint32_t>, kLocalityCount> tiers;
+};
+
+/// @brief Replaces the members; state of those that stay is kept.
+void SetMembers(TargetTable& table, std::span<const TargetMember> members);
+
+/// @brief The target for a new attempt, none if none may take it. `exclude`
+/// lists targets already tried.
+std::optional<base::DaemonId> ChooseTarget(
+    const TargetTable& table,
+    std::uint64_t random,
+    std::span<const base::DaemonId> exclude,
+    base::TimePoint now,
+    Locality farthest = Locality::kOtherRegion);
+
+/// @brief A request is sent to a target.
+void NoteSent(TargetTable& table, base::DaemonId target, base::TimePoint now);
+
+/// @brief Its answer or failure; once for each NoteSent.
+void NoteAnswer(TargetTable& table,
+                base::DaemonId target,
+                const AnswerReport& report,
+                base::TimePoint now);
+
+/// @brief A load or health report about a target, from 0 (idle) to 1 (full or
+/// sick). It can lower the trust in the target and never raises it above what
+/// own answers give.
+void NoteLoadReport(TargetTable& table,
+                    base::DaemonId target,
+                    double load,
+                    base::TimePoint now);
+
+}  // namespace eelgrassbridge::routing
+
+#endif  // EELGRASSBRIDGE_ROUTING_TARGET_CHOICE_HPP
