Add admission, id records and target choice to the request path

Cause: the request path admitted by a bare slot count and kept no ids. Change: the local target uses the limiter with its ramp and fair queue; records of request ids by group; tables of targets by service and residency; suspects of poison requests.

--- a/include/eelgrassbridge/daemon/caller_request.hpp
+++ b/include/eelgrassbridge/daemon/caller_request.hpp
@@ -30,9 +30,11 @@
 inline constexpr std::string_view kGroupHeader = "Eelgrassbridge-Group";
 inline constexpr std::string_view kNotAfterHeader = "Eelgrassbridge-Not-After";
 inline constexpr std::string_view kNotRunHeader = "Eelgrassbridge-Not-Run";
-
-/// @brief Forwards a request may take between daemons.
-inline constexpr std::uint32_t kMaxHops = 2;
+/// Requests on the answering daemon's target, for the choice among targets.
+inline constexpr std::string_view kInFlightHeader = "Eelgrassbridge-In-Flight";
+/// Identity of the run of a target that died, with the error target_lost.
+inline constexpr std::string_view kTargetRunHeader =
+    "Eelgrassbridge-Target-Run";
 
 struct CallerRequest {
   std::string method;
--- a/include/eelgrassbridge/daemon/local_target.hpp
+++ b/include/eelgrassbridge/daemon/local_target.hpp
@@ -5,18 +5,28 @@
 #ifndef EELGRASSBRIDGE_DAEMON_LOCAL_TARGET_HPP
 #define EELGRASSBRIDGE_DAEMON_LOCAL_TARGET_HPP
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <mutex>
+#include <string>
+#include <unordered_map>
 
 #include "eelgrassbridge/catalogue/catalogue.hpp"
 #include "eelgrassbridge/daemon/caller_request.hpp"
 #include "eelgrassbridge/daemon/group_gate.hpp"
 #include "eelgrassbridge/daemon/http_exchange.hpp"
+#include "eelgrassbridge/limits/target_limiter.hpp"
 #include "eelgrassbridge/settings/settings.hpp"
 
 namespace eelgrassbridge::daemon {
 
+/// @brief A worker that waits for a slot. Guarded by LocalTarget::mutex.
+struct SlotWaiter {
+  std::condition_variable dispatched;
+  std::optional<limits::Dispatch> dispatch;
+};
+
 struct LocalTarget {
   explicit LocalTarget(const settings::TargetSettings& target_settings);
 
@@ -24,11 +34,15 @@
   ConnectionPool connections;
 
   std::mutex mutex;
-  std::condition_variable slot_freed;
-  /// Guarded by mutex. Never above settings.slots.
-  std::uint32_t in_flight = 0;
-  /// Guarded by mutex. Requests waiting for a slot.
-  std::uint32_t waiting = 0;
+  /// Guarded by mutex.
+  limits::TargetLimiter limiter;
+  /// Guarded by mutex. Each waiter lives on the stack of its worker and takes
+  /// itself out before it returns.
+  std::unordered_map<limits::Ticket, SlotWaiter*> waiters;
+  /// Guarded by mutex. Instance id as last seen; empty before the first poll.
+  std::string instance_id;
+  /// Requests on the target now, for answers to other daemons.
+  std::atomic<std::uint32_t> in_flight = 0;
 };
 
 /// @brief How a request is run on the target.
@@ -37,6 +51,7 @@
   GroupGate* gate = nullptr;
   base::Duration run_limit = base::seconds{1};
   base::TimePoint deadline;
+  catalogue::PriorityClass priority = catalogue::PriorityClass::kNormal;
 };
 
 /// @brief Waits for a slot, hands the request over and reads the whole answer.
@@ -45,6 +60,16 @@
                          const CallerRequest& request,
                          const RunOptions& options);
 
+/// @brief Takes note of the instance id that the target reports now; a fresh
+/// one restarts the cold-start ramp. Returns whether it was fresh.
+bool NoteTargetInstance(LocalTarget& target, std::string_view instance_id);
+
+/// @brief Asks the target for its instance id.
+base::Result<std::string> AskTargetInstance(LocalTarget& target);
+
+/// @brief Stops admission; waiting requests are refused as not run.
+void StopAdmission(LocalTarget& target);
+
 }  // namespace eelgrassbridge::daemon
 
 #endif  // EELGRASSBRIDGE_DAEMON_LOCAL_TARGET_HPP
--- /dev/null
+++ b/include/eelgrassbridge/daemon/planned_request.hpp
@@ -0,0 +1,28 @@
+// A request with all that the catalogue says about it.
+#ifndef EELGRASSBRIDGE_DAEMON_PLANNED_REQUEST_HPP
+#define EELGRASSBRIDGE_DAEMON_PLANNED_REQUEST_HPP
+
+#include <optional>
+#include <string>
+
+#include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/catalogue/catalogue.hpp"
+#include "eelgrassbridge/daemon/caller_request.hpp"
+#include "eelgrassbridge/limits/request_id.hpp"
+#include "eelgrassbridge/routing/request_plan.hpp"
+
+namespace eelgrassbridge::daemon {
+
+/// @brief Borrowed for the time of one request; the catalogue is kept alive by
+/// the view that the handler holds.
+struct PlannedRequest {
+  const CallerRequest& request;
+  routing::EntryFacts entry;
+  std::string residency;
+  std::optional<limits::RequestId> id;
+  base::TimePoint deadline;
+};
+
+}  // namespace eelgrassbridge::daemon
+
+#endif  // EELGRASSBRIDGE_DAEMON_PLANNED_REQUEST_HPP
--- a/include/eelgrassbridge/daemon/request_context.hpp
+++ b/include/eelgrassbridge/daemon/request_context.hpp
@@ -2,18 +2,69 @@
 #ifndef EELGRASSBRIDGE_DAEMON_REQUEST_CONTEXT_HPP
 #define EELGRASSBRIDGE_DAEMON_REQUEST_CONTEXT_HPP
 
+#include <array>
 #include <atomic>
 #include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
 
 #include "eelgrassbridge/base/counters.hpp"
 #include "eelgrassbridge/base/latency.hpp"
 #include "eelgrassbridge/daemon/http_exchange.hpp"
 #include "eelgrassbridge/daemon/local_target.hpp"
+#include "eelgrassbridge/daemon/request_id_records.hpp"
 #include "eelgrassbridge/daemon/routing_view.hpp"
+#include "eelgrassbridge/limits/account_limiter.hpp"
+#include "eelgrassbridge/limits/retry_budget.hpp"
+#include "eelgrassbridge/routing/cross_region_meter.hpp"
+#include "eelgrassbridge/routing/poison_quarantine.hpp"
+#include "eelgrassbridge/routing/target_choice.hpp"
 #include "eelgrassbridge/settings/settings.hpp"
 
 namespace eelgrassbridge::daemon {
 
+/// @brief Suspects of this daemon; control exchanges them by gossip.
+struct PoisonState {
+  std::mutex mutex;
+  routing::PoisonQuarantine quarantine;
+  /// Lets requests skip hashing and the lock while nothing is suspected.
+  std::atomic<bool> has_suspects = false;
+};
+
+/// @brief Shares of account and entry limits; control exchanges demands.
+struct AccountState {
+  std::mutex mutex;
+  limits::AccountLimiter limiter;
+};
+
+/// @brief Targets of one undivided service for one residency.
+struct ChoiceTable {
+  /// The view's peers that the table was made from.
+  std::shared_ptr<const std::unordered_map<base::DaemonId, PeerView>> peers;
+  bool draining = false;
+  routing::TargetTable targets;
+};
+
+struct ChoiceState {
+  std::mutex mutex;
+  /// Key: "service/residency".
+  std::map<std::string, ChoiceTable, std::less<>> tables;
+  limits::RetryBudget retry_budget;
+};
+
+/// @brief Counters that every request touches, looked up once.
+struct RequestCounters {
+  explicit RequestCounters(base::CounterRegistry& registry);
+
+  base::Counter& answered;
+  std::array<base::Counter*, base::kErrorKindCount> failed{};
+  base::Counter& forwarded;
+  base::Counter& retried;
+  base::Counter& target_deaths;
+};
+
 /// @brief Shared by the workers of the caller HTTP server; lives as long as
 /// the server.
 struct RequestContext {
@@ -23,7 +74,13 @@
   RoutingViewSlot routing;
   LocalTarget target;
   ConnectionPool peers;
+  RequestIdRecords request_ids;
+  PoisonState poison;
+  AccountState accounts;
+  ChoiceState choice;
+  routing::CrossRegionMeter cross_region;
   base::CounterRegistry counters;
+  RequestCounters request_counters;
   base::Latency latency;
   /// Bytes of request bodies held in memory now; bounded so that uploads
   /// cannot exceed the daemon's memory.
--- /dev/null
+++ b/include/eelgrassbridge/daemon/target_selection.hpp
@@ -0,0 +1,48 @@
+// Choice among the targets of an undivided service, kept current with the
+// routing view.
+#ifndef EELGRASSBRIDGE_DAEMON_TARGET_SELECTION_HPP
+#define EELGRASSBRIDGE_DAEMON_TARGET_SELECTION_HPP
+
+#include <optional>
+#include <span>
+
+#include "eelgrassbridge/daemon/planned_request.hpp"
+#include "eelgrassbridge/daemon/request_context.hpp"
+
+namespace eelgrassbridge::daemon {
+
+/// @brief The daemon whose target should run the request; none if no target
+/// may take it.
+std::optional<base::DaemonId> SelectTarget(
+    RequestContext& context,
+    const RoutingView& view,
+    const PlannedRequest& planned,
+    std::span<const base::DaemonId> exclude,
+    routing::Locality farthest = routing::Locality::kOtherRegion);
+
+/// @brief Daemons that may run a request of that service and residency, this
+/// one included.
+std::vector<base::DaemonId> EligibleDaemons(const RequestContext& context,
+                                            const RoutingView& view,
+                                            const PlannedRequest& planned);
+
+/// @brief Tells the choice that a request goes to that daemon.
+void NoteAttempt(RequestContext& context,
+                 const PlannedRequest& planned,
+                 base::DaemonId target);
+
+/// @brief Tells the choice how it ended; once for each NoteAttempt.
+void NoteAttemptEnd(RequestContext& context,
+                    const PlannedRequest& planned,
+                    base::DaemonId target,
+                    const CallerAnswer& answer,
+                    base::Duration latency);
+
+/// @brief Whether the retry budget allows one more attempt at that target.
+bool TakeRetry(RequestContext& context,
+               const PlannedRequest& planned,
+               base::DaemonId target);
+
+}  // namespace eelgrassbridge::daemon
+
+#endif  // EELGRASSBRIDGE_DAEMON_TARGET_SELECTION_HPP
--- a/src/eelgrassbridge/daemon/caller_request.cpp
+++ b/src/eelgrassbridge/daemon/caller_request.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "eelgrassbridge/routing/request_plan.hpp"
+
 namespace eelgrassbridge::daemon {
 
 namespace {
@@ -78,7 +80,7 @@
                       "a key has at most 1024 bytes; an account and a request "
                       "id have at most 256");
   }
-  BOOST_OUTCOME_TRY(hops, ReadNumber(request.headers, kHopsHeader, kMaxHops));
+  BOOST_OUTCOME_TRY(hops, ReadNumber(request.headers, kHopsHeader, routing::kMaxHops));
   request.hops = hops.value_or(0);
   BOOST_OUTCOME_TRY(
       deadline, ReadNumber(request.headers, kDeadlineHeader, kMaxDeadlineMs));
--- a/src/eelgrassbridge/daemon/http_server.cpp
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -218,9 +218,6 @@
 
 }  // namespace
 
-RequestContext::RequestContext(const settings::Settings& daemon_settings)
-    : settings(daemon_settings), target(daemon_settings.target) {}
-
 HttpServer::HttpServer() = default;
 HttpServer::~HttpServer() = default;
 
--- a/src/eelgrassbridge/daemon/local_target.cpp
+++ b/src/eelgrassbridge/daemon/local_target.cpp
@@ -2,56 +2,106 @@
 #include "eelgrassbridge/daemon/local_target.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace eelgrassbridge::daemon {
 
 namespace {
 
-/// Waiting requests for each slot; more would wait longer than their deadline.
-constexpr std::uint32_t kQueuePerSlot = 16;
+constexpr base::Duration kInstanceTimeout = base::milliseconds{300};
 
-/// @brief A slot of the target, held until destruction.
+/// @brief A slot of the target and when it was taken.
 struct Slot {
-  explicit Slot(LocalTarget& owner) : target(owner) {}
-  Slot(const Slot&) = delete;
-  Slot& operator=(const Slot&) = delete;
-  ~Slot() {
-    {
-      const std::scoped_lock lock(this->target.mutex);
-      --this->target.in_flight;
+  std::uint64_t generation = 0;
+  base::TimePoint taken_at;
+};
+
+/// Tells each worker whose request may run now or is refused. Call with the
+/// mutex held after each change of the limiter.
+void DispatchWaiters(LocalTarget& target) {
+  const base::TimePoint now = base::BootClock::now();
+  while (auto dispatch = limits::NextDispatch(target.limiter, now)) {
+    const auto waiter = target.waiters.find(dispatch->ticket);
+    if (waiter != target.waiters.end()) {
+      waiter->second->dispatch = *dispatch;
+      waiter->second->dispatched.notify_one();
     }
-    this->target.slot_freed.notify_one();
   }
+}
 
-  LocalTarget& target;
-};
+base::Result<Slot> ToSlot(const std::optional<limits::Dispatch>& dispatch) {
+  if (!dispatch) {
+    return base::Fail(base::ErrorKind::kDeadlineBeforeRun,
+                      "no slot of the target became free in time");
+  }
+  if (dispatch->refusal) {
+    return base::Fail(*dispatch->refusal,
+                      "the target takes no more requests now");
+  }
+  return Slot{dispatch->generation, base::BootClock::now()};
+}
+
+base::Result<Slot> WaitInQueue(LocalTarget& target,
+                               limits::Ticket ticket,
+                               base::TimePoint deadline,
+                               std::unique_lock<std::mutex>& lock) {
+  SlotWaiter waiter;
+  target.waiters.emplace(ticket, &waiter);
+  DispatchWaiters(target);
+  const auto is_dispatched = [&] { return waiter.dispatch.has_value(); };
+  const base::Duration left = deadline - base::BootClock::now();
+  if (!waiter.dispatched.wait_for(lock, left, is_dispatched)) {
+    limits::Withdraw(target.limiter, ticket);
+    DispatchWaiters(target);
+  }
+  target.waiters.erase(ticket);
+  return ToSlot(waiter.dispatch);
+}
 
-base::Result<void> WaitForSlot(LocalTarget& target, base::TimePoint deadline) {
+base::Result<Slot> TakeSlot(LocalTarget& target,
+                            const limits::AdmissionRequest& request) {
   std::unique_lock lock(target.mutex);
-  if (target.in_flight >= target.settings.slots) {
-    if (target.waiting >= target.settings.slots * kQueuePerSlot) {
-      return base::Fail(base::ErrorKind::kOverloaded,
-                        "the queue of the target is full");
-    }
-    ++target.waiting;
-    const base::Duration left = deadline - base::BootClock::now();
-    const bool has_slot = target.slot_freed.wait_for(
-        lock, left, [&] { return target.in_flight < target.settings.slots; });
-    --target.waiting;
-    if (!has_slot) {
-      return base::Fail(base::ErrorKind::kDeadlineBeforeRun,
-                        "no slot of the target became free in time");
-    }
+  const base::TimePoint now = base::BootClock::now();
+  const limits::Admission admission =
+      limits::Admit(target.limiter, request, now);
+  switch (admission.state) {
+    case limits::Admission::State::kRun:
+      return Slot{admission.generation, now};
+    case limits::Admission::State::kQueued:
+      return WaitInQueue(target, admission.ticket, request.deadline, lock);
+    case limits::Admission::State::kRefused:
+      break;
+  }
+  return base::Fail(admission.refusal, "the target takes no more requests now");
+}
+
+void FreeSlot(LocalTarget& target, const Slot& slot, limits::RunEnd end) {
+  const base::Duration latency = base::BootClock::now() - slot.taken_at;
+  const std::scoped_lock lock(target.mutex);
+  limits::Finish(target.limiter, end, latency, slot.generation);
+  DispatchWaiters(target);
+}
+
+limits::RunEnd EndOf(const CallerAnswer& answer) {
+  if (!answer.error) {
+    return limits::RunEnd::kAnswered;
+  }
+  switch (*answer.error) {
+    case base::ErrorKind::kTargetRefused:
+      return limits::RunEnd::kRefused;
+    case base::ErrorKind::kTargetLost:
+    case base::ErrorKind::kTargetUnreachable:
+      return limits::RunEnd::kLost;
+    default:
+      return limits::RunEnd::kFailed;
   }
-  ++target.in_flight;
-  return base::outcome::success();
 }
 
 /// The target and this daemon share the VM's clock, so an absolute wall-clock
 /// time stops a hand-over that was delayed after the lease was checked.
-std::int64_t NotAfter(base::TimePoint now, base::TimePoint deadline) {
-  const auto left =
-      std::chrono::duration_cast<base::milliseconds>(deadline - now);
+std::int64_t ToUnixMilliseconds(base::TimePoint time) {
+  const auto left = std::chrono::duration_cast<base::milliseconds>(
+      time - base::BootClock::now());
   return base::UnixMilliseconds() + left.count();
 }
 
@@ -65,21 +115,23 @@
                    lease_end + options.run_limit});
 }
 
+bool IsSetByDaemon(std::string_view name) {
+  return name == kNotAfterHeader || name == kEpochHeader ||
+         name == kGroupHeader || name == kHopsHeader;
+}
+
 ExchangeRequest MakeExchange(const CallerRequest& request,
                              const RunOptions& options,
-                             base::TimePoint now,
                              base::TimePoint run_deadline) {
   ExchangeRequest exchange{request.method, request.target, {}, request.body};
   for (const Header& header : request.headers) {
-    const bool is_replaced = header.name == kNotAfterHeader ||
-                             header.name == kEpochHeader ||
-                             header.name == kGroupHeader;
-    if (!is_replaced) {
+    if (!IsSetByDaemon(header.name)) {
       exchange.headers.push_back(header);
     }
   }
-  exchange.headers.push_back({std::string(kNotAfterHeader),
-                              std::to_string(NotAfter(now, run_deadline))});
+  exchange.headers.push_back(
+      {std::string(kNotAfterHeader),
+       std::to_string(ToUnixMilliseconds(run_deadline))});
   if (options.gate != nullptr) {
     exchange.headers.push_back(
         {std::string(kEpochHeader), std::to_string(options.gate->epoch)});
@@ -103,20 +155,9 @@
   return converted;
 }
 
-}  // namespace
-
-LocalTarget::LocalTarget(const settings::TargetSettings& target_settings)
-    : settings(target_settings) {
-  this->connections.options.max_idle_per_address = target_settings.connections;
-}
-
-CallerAnswer RunOnTarget(LocalTarget& target,
-                         const CallerRequest& request,
-                         const RunOptions& options) {
-  if (auto slot = WaitForSlot(target, options.deadline); !slot) {
-    return ErrorAnswer(slot.error().kind, slot.error().detail);
-  }
-  const Slot slot(target);
+CallerAnswer HandOver(LocalTarget& target,
+                      const CallerRequest& request,
+                      const RunOptions& options) {
   const base::TimePoint now = base::BootClock::now();
   if (options.gate != nullptr && !IsLeaseValid(*options.gate, now)) {
     return ErrorAnswer(base::ErrorKind::kNoOwner,
@@ -124,7 +165,7 @@
   }
   const base::TimePoint run_deadline = RunDeadline(options, now);
   auto answer = Exchange(target.connections, target.settings.address,
-                         MakeExchange(request, options, now, run_deadline),
+                         MakeExchange(request, options, run_deadline),
                          run_deadline, kTargetErrors);
   if (!answer) {
     return ErrorAnswer(answer.error().kind, answer.error().detail);
@@ -132,4 +173,66 @@
   return FromTarget(std::move(answer).value());
 }
 
+limits::TargetLimiterOptions LimiterOptions(
+    const settings::TargetSettings& target) {
+  limits::TargetLimiterOptions options;
+  options.slots = target.slots;
+  options.connections = target.connections;
+  return options;
+}
+
+}  // namespace
+
+LocalTarget::LocalTarget(const settings::TargetSettings& target_settings)
+    : settings(target_settings),
+      limiter(limits::MakeTargetLimiter(LimiterOptions(target_settings))) {
+  this->connections.options.max_idle_per_address = target_settings.connections;
+}
+
+CallerAnswer RunOnTarget(LocalTarget& target,
+                         const CallerRequest& request,
+                         const RunOptions& options) {
+  auto slot =
+      TakeSlot(target, {options.priority, request.account, options.deadline});
+  if (!slot) {
+    return ErrorAnswer(slot.error().kind, slot.error().detail);
+  }
+  target.in_flight.fetch_add(1);
+  CallerAnswer answer = HandOver(target, request, options);
+  target.in_flight.fetch_sub(1);
+  FreeSlot(target, slot.value(), EndOf(answer));
+  return answer;
+}
+
+bool NoteTargetInstance(LocalTarget& target, std::string_view instance_id) {
+  const std::scoped_lock lock(target.mutex);
+  const bool is_fresh =
+      !target.instance_id.empty() && target.instance_id != instance_id;
+  target.instance_id = instance_id;
+  limits::NoteInstance(target.limiter, instance_id);
+  DispatchWaiters(target);
+  return is_fresh;
+}
+
+base::Result<std::string> AskTargetInstance(LocalTarget& target) {
+  const ExchangeRequest request{"GET", "/target/instance", {}, {}};
+  BOOST_OUTCOME_TRY(
+      answer,
+      Exchange(target.connections, target.settings.address, request,
+               base::BootClock::now() + kInstanceTimeout, kTargetErrors));
+  const auto parsed = nlohmann::json::parse(answer.body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("instance") ||
+      !parsed["instance"].is_string()) {
+    return base::Fail(base::ErrorKind::kAnswerCut,
+                      "the target gave no instance id");
+  }
+  return parsed["instance"].get<std::string>();
+}
+
+void StopAdmission(LocalTarget& target) {
+  const std::scoped_lock lock(target.mutex);
+  limits::SetAccepting(target.limiter, false);
+  DispatchWaiters(target);
+}
+
 }  // namespace eelgrassbridge::daemon
--- /dev/null
+++ b/src/eelgrassbridge/daemon/target_selection.cpp
@@ -0,0 +1,158 @@
+// Tables of targets by service and residency, made from the view's peers.
+#include "eelgrassbridge/daemon/target_selection.hpp"
+
+#include <charconv>
+#include <random>
+
+#include "eelgrassbridge/routing/residency_check.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+std::string TableName(const PlannedRequest& planned) {
+  return planned.entry.service->name + "/" + planned.residency;
+}
+
+routing::Locality LocalityOf(const settings::Settings& own,
+                             const PeerView& peer) {
+  if (peer.region != own.region) {
+    return routing::Locality::kOtherRegion;
+  }
+  return peer.data_centre == own.data_centre ? routing::Locality::kDataCentre
+                                             : routing::Locality::kRegion;
+}
+
+bool IsServedHere(const RequestContext& context,
+                  const PlannedRequest& planned) {
+  return context.settings.target.service == planned.entry.service->name;
+}
+
+std::vector<routing::TargetMember> Members(const RequestContext& context,
+                                           const RoutingView& view,
+                                           const PlannedRequest& planned) {
+  std::vector<routing::TargetMember> members;
+  if (IsServedHere(context, planned)) {
+    members.push_back(
+        {view.self, routing::Locality::kDataCentre, !view.draining});
+  }
+  if (view.peers == nullptr) {
+    return members;
+  }
+  for (const auto& [id, peer] : *view.peers) {
+    if (id != view.self && peer.service == planned.entry.service->name &&
+        routing::IsHomeRegion(*planned.entry.home_regions, peer.region)) {
+      members.push_back(
+          {id, LocalityOf(context.settings, peer), peer.may_get_work});
+    }
+  }
+  return members;
+}
+
+/// Call with the mutex held.
+ChoiceTable& CurrentTable(RequestContext& context,
+                          const RoutingView& view,
+                          const PlannedRequest& planned) {
+  ChoiceTable& table = context.choice.tables[TableName(planned)];
+  const bool is_current = !table.targets.targets.empty() &&
+                          table.peers == view.peers &&
+                          table.draining == view.draining;
+  if (!is_current) {
+    table.peers = view.peers;
+    table.draining = view.draining;
+    routing::SetMembers(table.targets, Members(context, view, planned));
+  }
+  return table;
+}
+
+std::uint64_t RandomNumber() {
+  thread_local std::mt19937_64 engine{std::random_device{}()};
+  return engine();
+}
+
+std::optional<std::uint32_t> InFlightOf(const CallerAnswer& answer) {
+  const std::string_view text = FindHeader(answer.headers, kInFlightHeader);
+  std::uint32_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc{}) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+routing::AnswerReport::Kind KindOf(const CallerAnswer& answer) {
+  if (!answer.error) {
+    return routing::AnswerReport::Kind::kAnswered;
+  }
+  switch (*answer.error) {
+    case base::ErrorKind::kOverloaded:
+    case base::ErrorKind::kDeadlineBeforeRun:
+    case base::ErrorKind::kTargetRefused:
+      return routing::AnswerReport::Kind::kOverloaded;
+    case base::ErrorKind::kIdRequired:
+    case base::ErrorKind::kAccountLimit:
+    case base::ErrorKind::kQuarantined:
+      return routing::AnswerReport::Kind::kCancelled;
+    default:
+      return routing::AnswerReport::Kind::kFailed;
+  }
+}
+
+}  // namespace
+
+std::optional<base::DaemonId> SelectTarget(
+    RequestContext& context,
+    const RoutingView& view,
+    const PlannedRequest& planned,
+    std::span<const base::DaemonId> exclude,
+    routing::Locality farthest) {
+  const std::scoped_lock lock(context.choice.mutex);
+  const ChoiceTable& table = CurrentTable(context, view, planned);
+  return routing::ChooseTarget(table.targets, RandomNumber(), exclude,
+                               base::BootClock::now(), farthest);
+}
+
+std::vector<base::DaemonId> EligibleDaemons(const RequestContext& context,
+                                            const RoutingView& view,
+                                            const PlannedRequest& planned) {
+  std::vector<base::DaemonId> daemons;
+  for (const routing::TargetMember& member : Members(context, view, planned)) {
+    if (member.may_get_work) {
+      daemons.push_back(member.id);
+    }
+  }
+  return daemons;
+}
+
+void NoteAttempt(RequestContext& context,
+                 const PlannedRequest& planned,
+                 base::DaemonId target) {
+  const std::scoped_lock lock(context.choice.mutex);
+  routing::NoteSent(context.choice.tables[TableName(planned)].targets, target,
+                    base::BootClock::now());
+  limits::NoteFirstAttempt(context.choice.retry_budget,
+                           planned.entry.kind->priority, target);
+}
+
+void NoteAttemptEnd(RequestContext& context,
+                    const PlannedRequest& planned,
+                    base::DaemonId target,
+                    const CallerAnswer& answer,
+                    base::Duration latency) {
+  const routing::AnswerReport report{KindOf(answer), latency,
+                                     InFlightOf(answer)};
+  const std::scoped_lock lock(context.choice.mutex);
+  routing::NoteAnswer(context.choice.tables[TableName(planned)].targets, target,
+                      report, base::BootClock::now());
+}
+
+bool TakeRetry(RequestContext& context,
+               const PlannedRequest& planned,
+               base::DaemonId target) {
+  const std::scoped_lock lock(context.choice.mutex);
+  return limits::TakeExtraAttempt(context.choice.retry_budget,
+                                  planned.entry.kind->priority, target);
+}
+
+}  // namespace eelgrassbridge::daemon
