First implementations of routing and limits

Cause: the request path needs callable decisions. Request plans tell apart kept answers and runs, so a quarantine never answers 'not run' for an id that has run.

--- a/include/eelgrassbridge/limits/account_limiter.hpp
+++ b/include/eelgrassbridge/limits/account_limiter.hpp
@@ -5,6 +5,7 @@
 #define EELGRASSBRIDGE_LIMITS_ACCOUNT_LIMITER_HPP
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -30,7 +31,9 @@
   base::Duration spread_delay{base::milliseconds{5000}};
   /// Time constant of the demand estimate.
   base::Duration demand_window{base::milliseconds{5000}};
-  /// Limits with state; further ones are refused, oldest idle are dropped.
+  /// Limits with state. Names come from the catalogue, so this only bounds
+  /// the memory against a faulty peer; requests under further names are
+  /// refused.
   std::size_t max_entries = 10'000;
 };
 
@@ -50,41 +53,67 @@
 
 namespace detail {
 
+/// Lookup by string_view without making a string.
+struct NameHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view name) const {
+    return std::hash<std::string_view>{}(name);
+  }
+};
+
+/// Smallest value of the current and the previous half of the spread delay.
+struct DelayedRise {
+  double least_now = 0;
+  double least_before = 0;
+  base::TimePoint half_began{};
+  bool primed = false;
+};
+
 struct LimitState {
   double tokens = 0;
-  bool primed = false;
   base::TimePoint refilled_at{};
   std::uint32_t in_flight = 0;
+  /// The limits that the admitted values below were computed from.
+  std::uint32_t rate_limit = 0;
+  std::uint32_t in_flight_limit = 0;
   /// EWMA of offered requests per second, and the value last published.
   double offered = 0;
   base::TimePoint offered_at{};
   double published = 0;
   std::unordered_map<base::DaemonId, double> peers;
-  double peers_sum = 0;
-  /// Smallest shares of the current and the previous half of spread_delay.
-  double least_now = 1;
-  double least_before = 1;
-  base::TimePoint half_began{};
+  /// Share of the rate, and number in flight, that this daemon admits. Not
+  /// primed: only heard of from peers so far.
+  DelayedRise rate_share;
+  DelayedRise running;
 };
 
 }  // namespace detail
 
 /// @brief Shares and buckets of one daemon.
 ///
-/// Invariant: with the same published demands at all daemons, the shares of
-/// one limit add up to at most 1.
+/// Invariant: with the same published demands and the same member list at all
+/// daemons, the admitted rates of one limit add up to at most the limit, and
+/// so do the admitted numbers in flight.
 struct AccountLimiter {
   AccountLimiterOptions options;
-  /// Daemons that may admit requests, this one included.
+  base::DaemonId self;
+  /// Daemons that may admit requests, this one included, and the position of
+  /// this one in the order of ids.
   std::uint32_t daemons = 1;
-  std::unordered_map<std::string, detail::LimitState> limits;
+  std::uint32_t position = 0;
+  std::unordered_map<std::string,
+                     detail::LimitState,
+                     detail::NameHash,
+                     std::equal_to<>>
+      limits;
 };
 
 std::string AccountLimitName(std::string_view account);
 std::string ServiceLimitName(std::string_view service);
 std::string KindLimitName(std::string_view service, std::string_view kind);
 
-/// @brief Share of a limit for a daemon with that part of the demand.
+/// @brief Share of a limit for a daemon with that part of the demand. Over all
+/// daemons the shares add up to 1.
 double ShareOf(double own_demand,
                double total_demand,
                std::uint32_t daemons,
@@ -99,7 +128,9 @@
 /// @brief Ends what TakeAll began.
 void Release(AccountLimiter& limiter, std::span<const LimitRef> limits);
 
-/// @brief Own demand for the next gossip message; remembers it as published.
+/// @brief Own demands that changed by more than a tenth, for the next gossip
+/// message; remembers them as published. Call about once a second, also to let
+/// shares rise.
 std::vector<Demand> PublishDemand(AccountLimiter& limiter, base::TimePoint now);
 
 /// @brief Demand heard from another daemon; names left out keep their value.
@@ -109,10 +140,17 @@
                  base::TimePoint now);
 
 /// @brief A daemon was lost or left: its demand counts no more.
-void ForgetPeer(AccountLimiter& limiter, base::DaemonId peer);
-
-/// @brief Number of daemons that may admit requests, this one included.
-void SetDaemonCount(AccountLimiter& limiter, std::uint32_t daemons);
+void ForgetPeer(AccountLimiter& limiter,
+                base::DaemonId peer,
+                base::TimePoint now);
+
+/// @brief The member list changed: this daemon, how many may admit requests
+/// (this one included), and the position of this one in the order of ids.
+void SetFleet(AccountLimiter& limiter,
+              base::DaemonId self,
+              std::uint32_t position,
+              std::uint32_t daemons,
+              base::TimePoint now);
 
 /// @brief Time until the limits would admit one more request, for Retry-After.
 base::Duration RetryAfter(const AccountLimiter& limiter,
--- a/include/eelgrassbridge/limits/cold_start_ramp.hpp
+++ b/include/eelgrassbridge/limits/cold_start_ramp.hpp
@@ -51,9 +51,12 @@
 /// @brief Changes what the target bears; lowers the level if necessary.
 void SetCapacity(ColdStartRamp& ramp, std::uint32_t capacity);
 
-/// @brief A whole answer of a request that was sent in that generation.
+/// @brief A whole answer of a request that was sent in that generation, with
+/// the number in flight when it came. Answers at less than the level say
+/// nothing about what the target bears at the level and are not counted.
 void NoteSuccess(ColdStartRamp& ramp,
                  base::Duration latency,
+                 std::uint32_t in_flight,
                  std::uint64_t generation);
 
 /// @brief The target refused a request of that generation: halves the level.
--- a/include/eelgrassbridge/limits/request_id_record.hpp
+++ b/include/eelgrassbridge/limits/request_id_record.hpp
@@ -23,9 +23,9 @@
 namespace eelgrassbridge::limits {
 
 struct RequestIdRecordOptions {
-  std::size_t max_ids = 1024;
+  std::size_t max_ids = 4096;
   /// Bytes of kept answers, with a fixed allowance for each id.
-  std::size_t max_bytes = 1 << 20;
+  std::size_t max_bytes = std::size_t{2} << 20;
   /// Predecessor epochs whose ids are kept after planned moves.
   std::size_t max_predecessors = 2;
 };
@@ -84,6 +84,8 @@
   std::vector<IdGeneration> predecessors;
   /// Set by ExportRecord: this daemon begins nothing more under the epoch.
   bool closed = false;
+  /// Over all generations; within the options' bounds, except that bytes may
+  /// exceed theirs while only requests in progress are left.
   std::size_t ids = 0;
   std::size_t bytes = 0;
 };
@@ -103,6 +105,12 @@
 /// @brief A fresh id.
 RequestId Issue(RequestIdRecord& record);
 
+/// @brief What Begin would answer; lets a resend have its kept answer without
+/// waiting for a slot.
+BeginResult Peek(const RequestIdRecord& record,
+                 const RequestId& id,
+                 const base::Hash128Value& fingerprint);
+
 /// @brief Records the id right before the hand-over. On RunIt, EndAnswered,
 /// EndUnknown or EndNotRun must follow exactly once.
 BeginResult Begin(RequestIdRecord& record,
--- a/include/eelgrassbridge/limits/target_limiter.hpp
+++ b/include/eelgrassbridge/limits/target_limiter.hpp
@@ -21,6 +21,7 @@
 #include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/catalogue/catalogue.hpp"
 #include "eelgrassbridge/limits/cold_start_ramp.hpp"
+#include "eelgrassbridge/limits/target_queue.hpp"
 
 namespace eelgrassbridge::limits {
 
@@ -36,9 +37,6 @@
   RampOptions ramp;
 };
 
-/// @brief Names one admitted or queued request.
-using Ticket = std::uint64_t;
-
 struct AdmissionRequest {
   catalogue::PriorityClass priority = catalogue::PriorityClass::kNormal;
   std::string_view account;
@@ -73,27 +71,6 @@
   kLost,       ///< The target died.
 };
 
-namespace detail {
-
-struct Waiting {
-  Ticket ticket = 0;
-  base::TimePoint deadline;
-};
-
-/// One client account's waiting requests of one class, oldest first.
-struct AccountQueue {
-  std::string account;
-  std::deque<Waiting> waiting;
-};
-
-/// Waiting requests of one class: accounts take turns in list order.
-struct ClassQueue {
-  std::deque<AccountQueue> turns;
-  std::uint32_t size = 0;
-};
-
-}  // namespace detail
-
 /// @brief State of the admission to one target.
 ///
 /// Invariants: in_flight <= max(slots, what was in flight when a bound fell);
@@ -112,6 +89,8 @@
   std::deque<Dispatch> refused;
   /// EWMA of run times; zero before the first answer.
   double run_time_us = 0;
+  /// No queued request expires before this time.
+  base::TimePoint next_expiry = base::TimePoint::max();
 };
 
 TargetLimiter MakeTargetLimiter(const TargetLimiterOptions& options);
--- a/include/eelgrassbridge/routing/poison_quarantine.hpp
+++ b/include/eelgrassbridge/routing/poison_quarantine.hpp
@@ -32,8 +32,8 @@
   /// Fingerprints with state; when full, the oldest suspect is dropped first,
   /// and a quarantined one only if there are no suspects.
   std::size_t capacity = 4096;
-  /// Answered runs on their own that clear a suspect.
-  std::uint32_t clearing_answers = 1;
+  /// Deaths kept of one fingerprint; two uncleared ones quarantine it.
+  std::size_t most_deaths = 8;
 };
 
 enum class PoisonVerdict : std::uint8_t {
@@ -44,31 +44,42 @@
   kQuarantined,
 };
 
+/// @brief The death of one run of a target.
+struct TargetDeath {
+  /// TargetRunIdentity, so that a death heard twice counts once.
+  std::uint64_t target_run = 0;
+  /// A later run on its own was answered, so the cause was another request.
+  bool cleared = false;
+
+  bool operator==(const TargetDeath&) const = default;
+};
+
 /// @brief A suspect as gossip carries it (SuspectRequest).
 struct SuspectRecord {
   Fingerprint fingerprint;
-  /// Number of the runs of targets that died of it, by identity: a hash of
-  /// daemon id and instance id, so that a death heard twice counts once.
-  std::vector<std::uint64_t> deaths;
+  std::vector<TargetDeath> deaths;
   /// Time since the last death; clocks of VMs are not comparable.
   base::Duration age{};
-  /// Answered while it ran alone, after the deaths listed.
-  bool cleared = false;
 
   bool operator==(const SuspectRecord&) const = default;
 };
 
 namespace detail {
 struct SuspectState {
-  std::vector<std::uint64_t> deaths;
+  std::vector<TargetDeath> deaths;
   base::TimePoint last_death{};
-  bool cleared = false;
+  /// Runs on its own now; the deaths known at its start may be cleared by it.
   bool running = false;
+  std::size_t deaths_at_start = 0;
   bool to_spread = false;
-  std::uint32_t answers = 0;
 };
 }  // namespace detail
 
+/// @brief Suspects of one daemon.
+///
+/// Invariants: deaths are only added or cleared, never removed before the hold
+/// ends, so merging in any order gives the same result; a quarantined
+/// fingerprint is never started, so it is never cleared.
 struct PoisonQuarantine {
   PoisonOptions options;
   std::map<Fingerprint, detail::SuspectState> suspects;
--- a/include/eelgrassbridge/routing/request_plan.hpp
+++ b/include/eelgrassbridge/routing/request_plan.hpp
@@ -18,8 +18,7 @@
 
 namespace eelgrassbridge::routing {
 
-/// @brief Forwards that a request may still need in the longest case: entry to
-/// a stale owner, stale owner's answer, entry to the owner.
+/// @brief Most forwards of one request.
 inline constexpr std::uint32_t kMaxHops = 2;
 
 /// @brief The parsed request.
@@ -47,15 +46,15 @@
   bool draining = false;
   std::string_view own_region;
   const catalogue::Catalogue* catalogue = nullptr;
-  /// Divided services: owner of the group as known here, none if unknown, and
-  /// whether this daemon has an open gate for it.
+  /// Divided services: owner of the group as known here (none if unknown),
+  /// whether this daemon has an open gate for it, and whether the owner is an
+  /// alive peer in a home region.
   base::DaemonId owner;
   bool owned_here = false;
-  /// Region of the owner, of the id's issuer or of the admitting daemon is
-  /// checked through `is_forwardable`: peers that may be sent this request
-  /// (alive and in a home region).
-  bool owner_forwardable = false;
-  /// Undivided services: ChooseTarget's answer among the home regions.
+  bool owner_reachable = false;
+  /// Undivided services: whether the target here serves this service, and
+  /// ChooseTarget's answer among the home regions.
+  bool served_here = false;
   std::optional<base::DaemonId> chosen;
   /// Whether the issuer of the id is this daemon or an alive peer at home.
   bool issuer_reachable = false;
@@ -67,6 +66,9 @@
 struct ServeHere {
   /// Take TryStartAlone before the hand-over.
   bool alone = false;
+  /// Only a kept answer may be given; if the record says "run", end the id as
+  /// not run and refuse as quarantined.
+  bool kept_only = false;
   bool operator==(const ServeHere&) const = default;
 };
 
--- a/include/eelgrassbridge/routing/residency_check.hpp
+++ b/include/eelgrassbridge/routing/residency_check.hpp
@@ -9,7 +9,7 @@
 
 namespace eelgrassbridge::routing {
 
-/// @brief Whether a region is among the home regions (sorted).
+/// @brief Whether a region is among the home regions.
 bool IsHomeRegion(std::span<const std::string> home_regions,
                   std::string_view region);
 
--- a/include/eelgrassbridge/routing/target_choice.hpp
+++ b/include/eelgrassbridge/routing/target_choice.hpp
@@ -66,14 +66,16 @@
   std::uint32_t peer_in_flight = 0;
   base::TimePoint peer_heard_at{};
   LatencyScore latency;
-  /// Send times of unanswered requests are not kept; the oldest one counts
-  /// as a latency sample while it waits.
-  base::TimePoint oldest_sent{};
+  /// Time of the last answer, or of the first request in flight. A silent
+  /// target counts as at least as slow as its silence.
+  base::TimePoint silent_since{};
   /// Distrust from load and health reports: 0 is none.
   double distrust = 0;
   base::TimePoint distrust_at{};
   /// Until then the target is not chosen while another may be.
   base::TimePoint avoid_until{};
+  /// Failures in a row.
+  std::uint32_t failures = 0;
 };
 
 struct TargetTable {
--- /dev/null
+++ b/src/eelgrassbridge/limits/target_limiter.cpp
@@ -0,0 +1,236 @@
+// Admission, queueing and dispatch for one target.
+#include "eelgrassbridge/limits/target_limiter.hpp"
+
+#include <algorithm>
+
+#include "eelgrassbridge/limits/target_queue.hpp"
+
+namespace eelgrassbridge::limits {
+
+namespace {
+
+using base::ErrorKind;
+using base::TimePoint;
+
+constexpr double kRunTimeWeight = 0.1;
+
+bool HasFreeSlot(const TargetLimiter& limiter) {
+  return limiter.in_flight < Bound(limiter);
+}
+
+std::uint64_t Occupy(TargetLimiter& limiter) {
+  ++limiter.in_flight;
+  return limiter.ramp.generation;
+}
+
+Admission Refused(ErrorKind kind) {
+  return {Admission::State::kRefused, 0, 0, kind};
+}
+
+/// Whether a request that waits for `turns` others can still be run in time.
+bool CanMeet(const TargetLimiter& limiter,
+             TimePoint deadline,
+             std::uint32_t turns,
+             TimePoint now) {
+  const double wait = limiter.run_time_us * turns / Bound(limiter);
+  return now + base::Duration{static_cast<std::int64_t>(wait +
+                                                        limiter.run_time_us)} <=
+         deadline;
+}
+
+void RefuseQueued(TargetLimiter& limiter, Ticket ticket, ErrorKind kind) {
+  limiter.refused.push_back({ticket, kind, 0});
+}
+
+/// Makes room for a request in a full queue by refusing one of a lower class,
+/// or one of the client account with the longest queue of the same class.
+bool Displace(TargetLimiter& limiter, const AdmissionRequest& request) {
+  const auto own = static_cast<std::size_t>(request.priority);
+  for (std::size_t i = kPriorityClassCount; i-- > own;) {
+    detail::ClassQueue& queue = limiter.classes[i];
+    const std::size_t least =
+        i == own ? detail::WaitingOf(queue, request.account) + 1 : 0;
+    if (const auto ticket = detail::TakeFromLongest(queue, least)) {
+      --limiter.queued;
+      RefuseQueued(limiter, *ticket, ErrorKind::kOverloaded);
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Refuses all queued requests whose deadline has passed.
+void Expire(TargetLimiter& limiter, TimePoint now) {
+  if (now < limiter.next_expiry) {
+    return;
+  }
+  limiter.next_expiry = TimePoint::max();
+  for (detail::ClassQueue& queue : limiter.classes) {
+    for (const Ticket ticket :
+         detail::TakeExpired(queue, now, limiter.next_expiry)) {
+      --limiter.queued;
+      RefuseQueued(limiter, ticket, ErrorKind::kDeadlineBeforeRun);
+    }
+  }
+}
+
+/// Requests that go before a new one: higher classes, and in its own class the
+/// turns of the other accounts until its own turn comes.
+std::uint32_t TurnsBefore(const TargetLimiter& limiter,
+                          const AdmissionRequest& request) {
+  const auto own = static_cast<std::size_t>(request.priority);
+  std::uint32_t turns = 0;
+  for (std::size_t i = 0; i < own; ++i) {
+    turns += limiter.classes[i].size;
+  }
+  const detail::ClassQueue& queue = limiter.classes[own];
+  const auto rounds =
+      static_cast<std::uint32_t>(detail::WaitingOf(queue, request.account)) + 1;
+  const auto accounts = static_cast<std::uint32_t>(queue.turns.size());
+  return turns + std::min(queue.size, rounds * accounts);
+}
+
+}  // namespace
+
+TargetLimiter MakeTargetLimiter(const TargetLimiterOptions& options) {
+  TargetLimiter limiter;
+  limiter.options = options;
+  limiter.ramp = MakeRamp(options.slots, options.ramp);
+  return limiter;
+}
+
+std::uint32_t Bound(const TargetLimiter& limiter) {
+  return std::max(1U,
+                  std::min({limiter.options.slots, limiter.options.connections,
+                            limiter.ramp.level}));
+}
+
+Admission Admit(TargetLimiter& limiter,
+                const AdmissionRequest& request,
+                TimePoint now) {
+  if (!limiter.accepting) {
+    return Refused(ErrorKind::kDraining);
+  }
+  if (request.deadline <= now) {
+    return Refused(ErrorKind::kDeadlineBeforeRun);
+  }
+  if (limiter.queued == 0 && HasFreeSlot(limiter)) {
+    const std::uint64_t generation = Occupy(limiter);
+    return {Admission::State::kRun, limiter.next_ticket++, generation, {}};
+  }
+  Expire(limiter, now);
+  if (!CanMeet(limiter, request.deadline, TurnsBefore(limiter, request) + 1,
+               now)) {
+    return Refused(ErrorKind::kOverloaded);
+  }
+  if (limiter.queued >= limiter.options.queue_capacity &&
+      !Displace(limiter, request)) {
+    return Refused(ErrorKind::kOverloaded);
+  }
+  const Ticket ticket = limiter.next_ticket++;
+  detail::Push(limiter.classes[static_cast<std::size_t>(request.priority)],
+               request.account, {ticket, request.deadline});
+  ++limiter.queued;
+  limiter.next_expiry = std::min(limiter.next_expiry, request.deadline);
+  return {Admission::State::kQueued, ticket, 0, {}};
+}
+
+std::optional<Dispatch> NextDispatch(TargetLimiter& limiter, TimePoint now) {
+  Expire(limiter, now);
+  while (limiter.refused.empty() && limiter.queued > 0 &&
+         HasFreeSlot(limiter)) {
+    const auto queue = std::find_if(
+        limiter.classes.begin(), limiter.classes.end(),
+        [](const detail::ClassQueue& item) { return item.size > 0; });
+    const detail::Waiting next = detail::PopNext(*queue);
+    --limiter.queued;
+    if (CanMeet(limiter, next.deadline, 0, now)) {
+      return Dispatch{next.ticket, std::nullopt, Occupy(limiter)};
+    }
+    RefuseQueued(limiter, next.ticket, ErrorKind::kDeadlineBeforeRun);
+  }
+  if (limiter.refused.empty()) {
+    return std::nullopt;
+  }
+  const Dispatch dispatch = limiter.refused.front();
+  limiter.refused.pop_front();
+  return dispatch;
+}
+
+bool Withdraw(TargetLimiter& limiter, Ticket ticket) {
+  for (detail::ClassQueue& queue : limiter.classes) {
+    if (detail::Remove(queue, ticket)) {
+      --limiter.queued;
+      return true;
+    }
+  }
+  return false;
+}
+
+void Finish(TargetLimiter& limiter,
+            RunEnd end,
+            base::Duration latency,
+            std::uint64_t generation) {
+  const std::uint32_t in_flight = limiter.in_flight;
+  limiter.in_flight -= std::min(1U, in_flight);
+  switch (end) {
+    case RunEnd::kAnswered: {
+      const auto sample = static_cast<double>(latency.count());
+      limiter.run_time_us += (limiter.run_time_us == 0 ? 1 : kRunTimeWeight) *
+                             (sample - limiter.run_time_us);
+      NoteSuccess(limiter.ramp, latency, in_flight, generation);
+      break;
+    }
+    case RunEnd::kRefused:
+      NoteRefusal(limiter.ramp, generation);
+      break;
+    case RunEnd::kLost:
+      if (generation == limiter.ramp.generation) {
+        Restart(limiter.ramp);
+      }
+      break;
+    case RunEnd::kFailed:
+    case RunEnd::kCancelled:
+      break;
+  }
+}
+
+void SetAccepting(TargetLimiter& limiter, bool accepting) {
+  limiter.accepting = accepting;
+  if (accepting) {
+    return;
+  }
+  for (detail::ClassQueue& queue : limiter.classes) {
+    while (queue.size > 0) {
+      RefuseQueued(limiter, detail::PopNext(queue).ticket,
+                   ErrorKind::kDraining);
+    }
+  }
+  limiter.queued = 0;
+}
+
+void SetTargetBounds(TargetLimiter& limiter,
+                     std::uint32_t slots,
+                     std::uint32_t connections) {
+  limiter.options.slots = slots;
+  limiter.options.connections = connections;
+  SetCapacity(limiter.ramp, slots);
+}
+
+bool NoteInstance(TargetLimiter& limiter, std::string_view instance_id) {
+  return SetInstance(limiter.ramp, instance_id);
+}
+
+bool TryOpenConnection(TargetLimiter& limiter) {
+  if (limiter.open_connections >= limiter.options.connections) {
+    return false;
+  }
+  ++limiter.open_connections;
+  return true;
+}
+
+void CloseConnection(TargetLimiter& limiter) {
+  limiter.open_connections -= std::min(1U, limiter.open_connections);
+}
+
+}  // namespace eelgrassbridge::limits
