Read settings and catalogues from YAML with all errors at once

Cause: the daemon and the operator commands need checked input; a wrong file must be refused as a whole, with every problem named. Change: a bounded YAML tree built from yaml-cpp's parser events (no aliases, anchors or tags; limits on bytes, values and depth) and checked field readers in base, used by settings::ReadSettings and catalogue::ReadCatalogue; catalogue validation, JSON form, diff and UnsafeReasons; example files of both sites. The catalogue file has no out-of-service marks, so an edit of the file cannot bring a data centre back by omission.

--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -48,6 +48,8 @@
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
     target_link_libraries(${name}_test PRIVATE eelgrassbridge_${name}
                           ${RAPIDCHECK_LIBRARY})
+    target_compile_definitions(${name}_test PRIVATE
+      EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     add_test(NAME ${name}_test COMMAND ${name}_test)
     # RapidCheck draws its seed from the environment; a fixed seed keeps
     # verdicts the same from run to run.
--- /dev/null
+++ b/include/eelgrassbridge/catalogue/validate.hpp
@@ -0,0 +1,28 @@
+// Checks of a whole catalogue, whatever form it was read from.
+#ifndef EELGRASSBRIDGE_CATALOGUE_VALIDATE_HPP
+#define EELGRASSBRIDGE_CATALOGUE_VALIDATE_HPP
+
+#include "eelgrassbridge/base/problem.hpp"
+#include "eelgrassbridge/catalogue/catalogue.hpp"
+
+namespace eelgrassbridge::catalogue {
+
+/// @brief Appends every problem: names, uniqueness, regions that exist and
+/// bounds on numbers.
+void Validate(const Catalogue& catalogue, base::Problems& problems);
+
+/// @brief The same with a fresh list; empty when the catalogue is valid.
+std::vector<base::Problem> Validate(const Catalogue& catalogue);
+
+/// @brief Bounds that Validate checks.
+inline constexpr std::uint32_t kMaxInstances = 100'000;
+inline constexpr std::uint32_t kMaxGroupsPerInstance = 64;
+inline constexpr std::uint32_t kMaxAvailabilityPpm = 1'000'000;
+inline constexpr double kMaxWorth = 1e6;
+inline constexpr base::Duration kMinDeadline = base::milliseconds{1};
+inline constexpr base::Duration kMaxDeadline = base::seconds{600};
+inline constexpr std::uint64_t kMaxBodyBytes = 1ULL << 30U;
+
+}  // namespace eelgrassbridge::catalogue
+
+#endif  // EELGRASSBRIDGE_CATALOGUE_VALIDATE_HPP
--- /dev/null
+++ b/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
@@ -0,0 +1,156 @@
+// Guards the catalogue's YAML and JSON readers, the diff and the refusal of
+// changes that would stop service.
+#include "eelgrassbridge/catalogue/read_catalogue.hpp"
+
+#include <doctest/doctest.h>
+
+#include "eelgrassbridge/catalogue/catalogue_json.hpp"
+#include "eelgrassbridge/catalogue/diff.hpp"
+
+namespace eelgrassbridge::catalogue {
+
+namespace {
+
+Catalogue Example(const char* site) {
+  const auto read =
+      ReadCatalogueFile(std::string(EELGRASSBRIDGE_SOURCE_DIR "/examples/") +
+                        site + "/catalogue.yaml");
+  REQUIRE_MESSAGE(read.has_value(), read.error().detail);
+  return read.value();
+}
+
+std::string ErrorOf(std::string_view yaml) {
+  const auto read = ReadCatalogue(yaml, "c.yaml");
+  REQUIRE_FALSE(read.has_value());
+  CHECK(read.error().kind == base::ErrorKind::kCatalogueInvalid);
+  return read.error().detail;
+}
+
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("both example catalogues survive the JSON form unchanged") {
+  for (const char* site : {"astillas", "hanbit"}) {
+    Catalogue catalogue = Example(site);
+    CHECK(catalogue.data_centres.size() == 4);
+    catalogue.version = 7;
+    catalogue.changed_by = "ana \"quoted\" \xE6\x97\xA5";
+    catalogue.out_of_service = {
+        {OutOfService::What::kTarget, "booking-1", true}};
+    const auto back = ReadCatalogueJson(WriteCatalogueJson(catalogue));
+    REQUIRE_MESSAGE(back.has_value(), back.error().detail);
+    CHECK(back.value() == catalogue);
+  }
+}
+
+TEST_CASE("problems of fields are reported at once") {
+  const std::string error = ErrorOf(R"(site: x
+data_centres: [{name: a, region: r}]
+services:
+  - name: s/1
+    owner: o
+    regions: [r]
+    priority: urgent
+    run_limit: 5
+    kinds:
+      - {name: k, worth: -1, objective: {availability: 99.9}}
+      - {name: l, deadline: 2h, limits: {max_body_bytes: 1MB}}
+out_of_service: []
+)");
+  for (const std::string_view part :
+       {"c.yaml:4: services[0].name: 's/1'",
+        "c.yaml:7: services[0].priority: 'urgent' is not accepted; accepted is "
+        "critical or normal or bulk",
+        "c.yaml:8: services[0].run_limit: '5'",
+        "c.yaml:10: services[0].kinds[0].worth: '-1'",
+        "c.yaml:10: services[0].kinds[0].objective.availability: '99.9'",
+        "c.yaml:11: services[0].kinds[1].deadline: '2h'",
+        "c.yaml:11: services[0].kinds[1].limits.max_body_bytes: '1MB'",
+        "c.yaml:12: unknown field 'out_of_service'"}) {
+    CHECK_MESSAGE(Has(error, part), part << " not in\n" << error);
+  }
+}
+
+TEST_CASE("problems of the whole are reported at once") {
+  const std::string error = ErrorOf(R"(site: x
+data_centres: [{name: a, region: r}, {name: a, region: r}]
+services:
+  - {name: s, owner: o, regions: [r, q], kinds: [{name: k}, {name: k}]}
+  - {name: t, owner: o, regions: [], kinds: []}
+accounts:
+  - {name: u, home_regions: [q]}
+)");
+  for (const std::string_view part :
+       {"c.yaml:2: data_centres[1].name: the name 'a' is given twice",
+        "c.yaml:4: services[0].regions[0]: no data centre is in region 'q'",
+        "c.yaml:4: services[0].kinds[1].name: the name 'k' is given twice",
+        "c.yaml:5: services[1].regions: accepted is a list of at least one",
+        "c.yaml:5: services[1].kinds: accepted is a list of at least one",
+        "c.yaml:7: accounts[0].home_regions[0]: no data centre"}) {
+    CHECK_MESSAGE(Has(error, part), part << " not in\n" << error);
+  }
+}
+
+TEST_CASE("hostile JSON gives an error") {
+  const std::string good = WriteCatalogueJson(Example("hanbit"));
+  const auto with = [&](std::string_view from, std::string_view to) {
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    return ReadCatalogueJson(text).has_value();
+  };
+  CHECK(ReadCatalogueJson(good).has_value());
+  CHECK_FALSE(with("\"instances\":6", "\"instances\":-6"));
+  CHECK_FALSE(with("\"instances\":6", "\"instances\":4294967302"));
+  CHECK_FALSE(with("\"instances\":6", "\"instances\":6.5"));
+  CHECK_FALSE(with("\"critical\"", "\"urgent\""));
+  CHECK_FALSE(with("\"busan-a\"", "\"busan/a\""));
+  CHECK_FALSE(with("\"sudogwon\"", "\"nowhere\""));
+  CHECK_FALSE(ReadCatalogueJson(std::string(1'000'000, '[')).has_value());
+  CHECK_FALSE(ReadCatalogueJson("null").has_value());
+  CHECK_FALSE(ReadCatalogueJson("{}").has_value());
+}
+
+TEST_CASE("the diff names each change") {
+  const Catalogue before = Example("astillas");
+  Catalogue after = before;
+  CHECK(Diff(before, after).empty());
+  after.accounts[0].home_regions = {"litoral"};
+  after.services[1].kinds.clear();
+  after.services[0].limits.in_flight = 9;
+  after.out_of_service = {{OutOfService::What::kDataCentre, "sur-cerro", true}};
+  std::string text;
+  for (const Change& change : Diff(before, after)) {
+    text += ToString(change) + "\n";
+  }
+  CHECK(text ==
+        "~ service listing limits: 0/s, 0 in flight, 65536 B -> 0/s, 9 in "
+        "flight, 65536 B\n"
+        "- kind booking/book\n"
+        "~ account carpinteria-rosello home_regions: sur -> litoral\n"
+        "+ out-of-service data-centre sur-cerro\n");
+}
+
+TEST_CASE("a change that leaves keys without a home region is unsafe") {
+  const Catalogue before = Example("astillas");
+  Catalogue one = before;
+  one.out_of_service = {{OutOfService::What::kDataCentre, "sur-cerro", false}};
+  CHECK(UnsafeReasons(before, one).empty());
+  Catalogue both = one;
+  both.out_of_service.push_back(
+      {OutOfService::What::kDataCentre, "sur-canelones", false});
+  const auto reasons = UnsafeReasons(one, both);
+  REQUIRE(reasons.size() == 1);
+  CHECK(Has(reasons[0], "keys of account carpinteria-rosello"));
+  // What an earlier, confirmed change brought about must not block later ones.
+  Catalogue later = both;
+  later.reason = "other";
+  CHECK(UnsafeReasons(both, later).empty());
+  Catalogue narrow = both;
+  narrow.services[0].regions = {"sur"};
+  CHECK(Has(UnsafeReasons(both, narrow)[0], "service listing"));
+}
+
+}  // namespace eelgrassbridge::catalogue
--- /dev/null
+++ b/src/eelgrassbridge/settings/read_settings_test.cpp
@@ -0,0 +1,148 @@
+// Guards the settings reader: a wrong file must be refused with all its
+// problems, and no input may crash it.
+#include "eelgrassbridge/settings/read_settings.hpp"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <set>
+
+namespace eelgrassbridge::settings {
+
+namespace {
+
+constexpr std::string_view kGood = R"(site: astillas
+name: listing-1
+region: sur
+data_centre: sur-cerro
+http: 127.0.1.1:8101
+peer: "[::1]:9101"
+target: {address: "127.0.1.1:7101", service: listing}
+store: memory
+)";
+
+std::string ErrorOf(std::string_view yaml) {
+  const auto read = ReadSettings(yaml, "d.yaml");
+  REQUIRE_FALSE(read.has_value());
+  CHECK(read.error().kind == base::ErrorKind::kSettingsInvalid);
+  return read.error().detail;
+}
+
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("a valid file is read with units and defaults") {
+  const auto read = ReadSettings(
+      std::string(kGood) + "drain_timeout: 1500ms\nmax_body_bytes: 2MiB\n" +
+          "operators: [{name: ana, sha256: " + std::string(64, 'a') +
+          ", scopes: [read, take_out], expires: 2027-01-31T00:00:00Z}]\n",
+      "d.yaml");
+  REQUIRE_MESSAGE(read.has_value(), read.error().detail);
+  const Settings& settings = read.value();
+  CHECK(settings.peer == Address{"::1", 9101});
+  CHECK(settings.store.memory);
+  CHECK(settings.drain_timeout == base::milliseconds{1500});
+  CHECK(settings.max_body_bytes == 2U * 1024 * 1024);
+  CHECK(settings.operators[0].expires == 1801353600);
+  CHECK(settings.operators[0].scopes[1] == OperatorScope::kTakeOut);
+}
+
+TEST_CASE("all problems are reported at once with line and accepted values") {
+  const std::string error = ErrorOf(R"(site: Astillas
+name: listing-1
+region: sur
+http: localhost:8101
+peer: 127.0.0.1
+colour: green
+drain_timeout: 30
+max_body_bytes: 16MB
+http_workers: 0
+http_workers: 4
+target: {address: 127.0.0.1:1, service: listing, slots: many}
+store: {address: 127.0.0.1:99999, timeout: 1 s}
+lease: {promise_interval: 1500ms}
+log: {level: loud}
+tls: {key_file: k.pem}
+)");
+  for (const std::string_view part :
+       {"d.yaml:1: site: 'Astillas' is not accepted; accepted is a name",
+        "d.yaml:1: data_centre: the field is missing",
+        "d.yaml:4: http: 'localhost:8101' is not accepted; accepted is an IP",
+        "d.yaml:5: peer: '127.0.0.1'",
+        "d.yaml:6: unknown field 'colour'; accepted are site, name",
+        "d.yaml:7: drain_timeout: '30' is not accepted; accepted is a duration",
+        "d.yaml:8: max_body_bytes: '16MB'", "d.yaml:9: http_workers: '0'",
+        "d.yaml:10: http_workers: the field is given twice",
+        "d.yaml:11: target.slots: 'many'",
+        "d.yaml:12: store.address:", "d.yaml:12: store.timeout: '1 s'",
+        "d.yaml:13: lease.promise_interval: accepted is at most half",
+        "d.yaml:14: log.level: 'loud' is not accepted; accepted is debug or",
+        "d.yaml:15: tls.certificate_file: the field is missing"}) {
+    CHECK_MESSAGE(Has(error, part), part << " not in\n" << error);
+  }
+}
+
+TEST_CASE("a secret key with a typing error is not printed") {
+  const std::string error =
+      ErrorOf(std::string(kGood) +
+              "keys: {public_key: short, secret_key: \"hidden value\"}\n");
+  CHECK(Has(error, "keys.secret_key: accepted is a CURVE key"));
+  CHECK_FALSE(Has(error, "hidden value"));
+}
+
+TEST_CASE("a daemon without keys is refused outside the loopback net") {
+  std::string text(kGood);
+  text.replace(text.find("\"[::1]:9101\""), 12, "10.0.0.1:9101");
+  CHECK(Has(ErrorOf(text), "d.yaml:6: peer: keys is missing"));
+}
+
+// A recursive reader overflows its stack on such input, and an unbounded one
+// takes gigabytes.
+TEST_CASE("huge, deep and self-referring documents give an error") {
+  const std::string deep(1'000'000, '[');
+  CHECK(Has(ErrorOf(deep), "a file may have at most"));
+  CHECK(Has(ErrorOf("a: " + deep.substr(0, 200'000)), "nested deeper"));
+  std::string block;
+  for (int i = 0; i < 400; ++i) {
+    block += std::string(static_cast<std::size_t>(i), ' ') + "a:\n";
+  }
+  CHECK(Has(ErrorOf(block), "nested deeper"));
+  std::string many = "seeds: [";
+  for (int i = 0; i < 20'000; ++i) {
+    many += "a,";
+  }
+  CHECK(Has(ErrorOf(many + "a]"), "more than 5000 values"));
+  CHECK(Has(ErrorOf("a: &x 1\nb: *x\n"), "anchors"));
+  CHECK(Has(ErrorOf("a: *x\n"), "not valid YAML"));
+  CHECK(Has(ErrorOf("a: !!binary x\n"), "tags"));
+  CHECK(Has(ErrorOf("a: [1\n"), "not valid YAML"));
+  CHECK(Has(ErrorOf(""), "empty"));
+  CHECK(Has(ErrorOf("a: 1\n---\nb: 2\n"), "second document"));
+  CHECK(Has(ErrorOf(std::string("a: \0", 4)), "NUL"));
+}
+
+TEST_CASE("the example files are valid and their addresses are distinct") {
+  std::set<Address> addresses;
+  std::size_t files = 0;
+  for (const char* site : {"astillas", "hanbit"}) {
+    for (const auto& entry : std::filesystem::directory_iterator(
+             std::string(EELGRASSBRIDGE_SOURCE_DIR "/examples/") + site)) {
+      if (entry.path().filename() == "catalogue.yaml") {
+        continue;
+      }
+      const auto read = ReadSettingsFile(entry.path().string());
+      REQUIRE_MESSAGE(read.has_value(), read.error().detail);
+      ++files;
+      for (const Address& address : {read.value().http, read.value().peer,
+                                     read.value().target.address}) {
+        CHECK(addresses.insert(address).second);
+      }
+    }
+  }
+  CHECK(files == 13 + 14);
+}
+
+}  // namespace eelgrassbridge::settings
