Plan and run requests with the decisions of routing and limits

Cause: the request path had placeholder admission and no request ids. Change: a request is read, checked against the catalogue, counted against its account's limits at the entry, planned, and run through suspects, request id, gate and target in this order; undivided services choose among targets and retry refusals elsewhere from the retry budget. Measured: daemon_test drives it over sockets, the id flow included: a resend gets the kept answer, an unknown outcome is not run again, an older epoch's id is not run.

--- a/src/eelgrassbridge/daemon/caller_request.cpp
+++ b/src/eelgrassbridge/daemon/caller_request.cpp
@@ -80,7 +80,8 @@
                       "a key has at most 1024 bytes; an account and a request "
                       "id have at most 256");
   }
-  BOOST_OUTCOME_TRY(hops, ReadNumber(request.headers, kHopsHeader, routing::kMaxHops));
+  BOOST_OUTCOME_TRY(
+      hops, ReadNumber(request.headers, kHopsHeader, routing::kMaxHops));
   request.hops = hops.value_or(0);
   BOOST_OUTCOME_TRY(
       deadline, ReadNumber(request.headers, kDeadlineHeader, kMaxDeadlineMs));
--- /dev/null
+++ b/src/eelgrassbridge/daemon/forwarder.cpp
@@ -0,0 +1,75 @@
+// Headers of a forwarded request, and the count of bytes across regions.
+#include "eelgrassbridge/daemon/forwarder.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include "eelgrassbridge/routing/deadline.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+/// Rough size of the request line and headers, which the link carries too.
+constexpr std::uint64_t kHeaderBytes = 400;
+
+ExchangeRequest MakeExchange(const CallerRequest& request,
+                             base::Duration allowed) {
+  ExchangeRequest exchange{request.method, request.target, {}, request.body};
+  for (const Header& header : request.headers) {
+    if (header.name != kHopsHeader && header.name != kDeadlineHeader) {
+      exchange.headers.push_back(header);
+    }
+  }
+  const auto milliseconds =
+      std::chrono::duration_cast<base::milliseconds>(allowed);
+  exchange.headers.push_back(
+      {std::string(kHopsHeader), std::to_string(request.hops + 1)});
+  exchange.headers.push_back(
+      {std::string(kDeadlineHeader), std::to_string(milliseconds.count())});
+  return exchange;
+}
+
+void CountCrossRegion(RequestContext& context,
+                      const PlannedRequest& planned,
+                      const PeerView& peer,
+                      const CallerAnswer& answer) {
+  if (peer.region == context.settings.region) {
+    return;
+  }
+  const auto reason = planned.entry.service->divided_by_key
+                          ? routing::CrossRegionReason::kOwnerElsewhere
+                          : routing::CrossRegionReason::kNoNearerTarget;
+  routing::AddBytes(context.cross_region, reason,
+                    planned.request.body.size() + kHeaderBytes);
+  routing::AddBytes(context.cross_region, routing::CrossRegionReason::kAnswer,
+                    answer.body.size() + kHeaderBytes);
+}
+
+}  // namespace
+
+CallerAnswer ForwardToPeer(RequestContext& context,
+                           const PlannedRequest& planned,
+                           const PeerView& peer) {
+  const auto allowed =
+      routing::TimeForNextHop(planned.deadline, base::BootClock::now());
+  if (!allowed) {
+    return ErrorAnswer(base::ErrorKind::kDeadlineBeforeRun,
+                       "no time is left for another daemon");
+  }
+  context.request_counters.forwarded.fetch_add(1);
+  auto answer = Exchange(context.peers, peer.http,
+                         MakeExchange(planned.request, *allowed),
+                         planned.deadline, kPeerErrors);
+  CallerAnswer converted =
+      answer ? ReadPeerAnswer(std::move(answer).value())
+             : ErrorAnswer(answer.error().kind, answer.error().detail);
+  CountCrossRegion(context, planned, peer, converted);
+  if (FindHeader(converted.headers, kOwnerHeader).empty()) {
+    converted.headers.push_back(
+        {std::string(kOwnerHeader),
+         fmt::format("{}:{}", peer.http.ip, peer.http.port)});
+  }
+  return converted;
+}
+
+}  // namespace eelgrassbridge::daemon
--- /dev/null
+++ b/src/eelgrassbridge/daemon/local_run.cpp
@@ -0,0 +1,161 @@
+// The steps around the hand-over to the local target.
+#include "eelgrassbridge/daemon/local_run.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include "eelgrassbridge/daemon/suspect_watch.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+/// @brief Under which group and epoch the ids of a request are recorded.
+struct IdScope {
+  base::GroupId group;
+  std::uint64_t epoch = 0;
+};
+
+IdScope ScopeOf(const PlannedRequest& planned, const GroupGate* gate) {
+  if (gate != nullptr) {
+    return {gate->group, gate->epoch};
+  }
+  return {UndividedGroup(planned.entry.service->name), 0};
+}
+
+std::string InstanceOf(LocalTarget& target) {
+  const std::scoped_lock lock(target.mutex);
+  return target.instance_id;
+}
+
+/// Enters the gate, runs, and looks whether the target died of it.
+CallerAnswer RunThroughGate(RequestContext& context,
+                            const RoutingView& view,
+                            const PlannedRequest& planned,
+                            GroupGate* gate) {
+  if (gate != nullptr && !TryEnter(*gate, base::BootClock::now())) {
+    return ErrorAnswer(base::ErrorKind::kNoOwner,
+                       "this daemon may not serve the group now");
+  }
+  const std::string instance_before = InstanceOf(context.target);
+  const RunOptions options{gate, planned.entry.service->run_limit,
+                           planned.deadline, planned.entry.kind->priority};
+  CallerAnswer answer = RunOnTarget(context.target, planned.request, options);
+  if (gate != nullptr) {
+    Leave(*gate);
+  }
+  if (answer.error == base::ErrorKind::kTargetLost) {
+    CheckTargetDeath(context, view, planned.request, instance_before);
+    answer.headers.push_back(
+        {std::string(kTargetRunHeader),
+         fmt::format("{:x}",
+                     routing::TargetRunIdentity(view.self, instance_before))});
+  }
+  return answer;
+}
+
+CallerAnswer RunAloneIfSuspect(RequestContext& context,
+                               const RoutingView& view,
+                               const PlannedRequest& planned,
+                               bool alone,
+                               GroupGate* gate) {
+  if (!alone) {
+    return RunThroughGate(context, view, planned, gate);
+  }
+  if (!StartAlone(context, planned.request)) {
+    return ErrorAnswer(base::ErrorKind::kOverloaded,
+                       "a request that may have stopped a target runs one at "
+                       "a time");
+  }
+  CallerAnswer answer = RunThroughGate(context, view, planned, gate);
+  EndAloneRun(context, planned.request,
+              answer.outcome == base::Outcome::kAnswered);
+  return answer;
+}
+
+CallerAnswer FromKept(limits::KeptAnswer kept) {
+  CallerAnswer answer;
+  answer.status = kept.status;
+  answer.outcome = base::Outcome::kAnswered;
+  answer.headers = {{"Content-Type", std::move(kept.content_type)}};
+  answer.body = std::move(kept.body);
+  return answer;
+}
+
+IdEnd EndOf(const CallerAnswer& answer) {
+  if (answer.outcome == base::Outcome::kAnswered) {
+    return IdEndAnswered{
+        {answer.status, std::string(FindHeader(answer.headers, "Content-Type")),
+         answer.body}};
+  }
+  if (answer.outcome == base::Outcome::kNotRun) {
+    return IdEndNotRun{};
+  }
+  return IdEndUnknown{answer.error.value_or(base::ErrorKind::kInternal)};
+}
+
+CallerAnswer RunWithId(RequestContext& context,
+                       const RoutingView& view,
+                       const PlannedRequest& planned,
+                       const routing::ServeHere& plan,
+                       GroupGate* gate) {
+  const IdScope scope = ScopeOf(planned, gate);
+  limits::BeginResult begun =
+      BeginId(context.request_ids, scope.group, view.self, scope.epoch,
+              *planned.id, FingerprintOf(planned.request));
+  if (auto* const kept = std::get_if<limits::KeptAnswer>(&begun)) {
+    return FromKept(std::move(*kept));
+  }
+  if (const auto* const refused = std::get_if<limits::RefuseId>(&begun)) {
+    return ErrorAnswer(refused->kind, "the request id decides the answer");
+  }
+  CallerAnswer answer =
+      plan.kept_only
+          ? ErrorAnswer(base::ErrorKind::kQuarantined,
+                        "targets died while they ran this request")
+          : RunAloneIfSuspect(context, view, planned, plan.alone, gate);
+  EndId(context.request_ids, scope.group, *planned.id, EndOf(answer));
+  return answer;
+}
+
+void AddFreshId(RequestContext& context,
+                const RoutingView& view,
+                const PlannedRequest& planned,
+                const GroupGate* gate,
+                CallerAnswer& answer) {
+  const IdScope scope = ScopeOf(planned, gate);
+  answer.headers.push_back(
+      {std::string(kRequestIdHeader),
+       IssueId(context.request_ids, scope.group, view.self, scope.epoch)});
+}
+
+}  // namespace
+
+CallerAnswer ServeLocally(RequestContext& context,
+                          const RoutingView& view,
+                          const PlannedRequest& planned,
+                          const routing::ServeHere& plan,
+                          GroupGate* gate) {
+  const bool has_id = !planned.entry.kind->idempotent;
+  CallerAnswer answer =
+      has_id ? RunWithId(context, view, planned, plan, gate)
+             : RunAloneIfSuspect(context, view, planned, plan.alone, gate);
+  if (has_id && answer.outcome == base::Outcome::kAnswered) {
+    AddFreshId(context, view, planned, gate, answer);
+  }
+  answer.headers.push_back({std::string(kInFlightHeader),
+                            std::to_string(context.target.in_flight.load())});
+  return answer;
+}
+
+CallerAnswer AskForId(RequestContext& context,
+                      const RoutingView& view,
+                      const PlannedRequest& planned,
+                      const GroupGate* gate) {
+  CallerAnswer answer =
+      ErrorAnswer(base::ErrorKind::kIdRequired,
+                  "send the request again with the id of this answer");
+  AddFreshId(context, view, planned, gate, answer);
+  return answer;
+}
+
+}  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/request_handler.cpp
+++ b/src/eelgrassbridge/daemon/request_handler.cpp
@@ -1,4 +1,5 @@
-// Checks, residency, choice of owner or peer, and bounded waiting for an owner.
+// The order of the steps for one request at one daemon: read it, check it
+// against the catalogue, take the account's limits, plan and run attempts.
 #include "eelgrassbridge/daemon/request_handler.hpp"
 
 #include <spdlog/fmt/fmt.h>
@@ -7,6 +8,9 @@
 #include <thread>
 
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
+#include "eelgrassbridge/daemon/attempt.hpp"
+#include "eelgrassbridge/routing/deadline.hpp"
+#include "eelgrassbridge/routing/residency_check.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -14,129 +18,58 @@
 
 /// Pause between two attempts while a group has no owner that answers.
 constexpr base::Duration kOwnerRetryPause = base::milliseconds{20};
+/// Attempts at different targets of an undivided service.
+constexpr std::size_t kMaxTargetsTried = 3;
 
-/// @brief A request with all that the catalogue says about it.
-struct PlannedRequest {
-  const CallerRequest& request;
-  const catalogue::Service& service;
-  const catalogue::RequestKind& kind;
-  const std::vector<std::string>& home_regions;
-  base::TimePoint deadline;
-};
-
-bool IsHomeRegion(const PlannedRequest& planned, std::string_view region) {
-  return std::ranges::find(planned.home_regions, region) !=
-         planned.home_regions.end();
-}
-
-CallerAnswer WrongRegion(const PlannedRequest& planned,
-                         const RoutingView& view) {
+CallerAnswer WrongRegion(const RoutingView& view,
+                         const std::vector<std::string>& home_regions) {
   CallerAnswer answer =
       ErrorAnswer(base::ErrorKind::kWrongRegion,
                   "the client account may not be served in this region");
-  if (view.peers != nullptr) {
-    for (const auto& [id, peer] : *view.peers) {
-      if (peer.may_get_work && IsHomeRegion(planned, peer.region)) {
-        answer.headers.push_back(
-            {std::string(kOwnerHeader),
-             fmt::format("{}:{}", peer.http.ip, peer.http.port)});
-        break;
-      }
+  if (view.peers == nullptr) {
+    return answer;
+  }
+  for (const auto& [id, peer] : *view.peers) {
+    if (peer.may_get_work && routing::IsHomeRegion(home_regions, peer.region)) {
+      answer.headers.push_back(
+          {std::string(kOwnerHeader),
+           fmt::format("{}:{}", peer.http.ip, peer.http.port)});
+      break;
     }
   }
   return answer;
 }
 
-CallerAnswer Forward(RequestContext& context,
-                     const PlannedRequest& planned,
-                     const PeerView& peer) {
-  const CallerRequest& request = planned.request;
-  if (request.hops >= kMaxHops) {
-    return ErrorAnswer(base::ErrorKind::kTooManyHops,
-                       "the request was forwarded too often");
-  }
-  ExchangeRequest exchange{request.method, request.target, {}, request.body};
-  for (const Header& header : request.headers) {
-    if (header.name != kHopsHeader && header.name != kDeadlineHeader) {
-      exchange.headers.push_back(header);
-    }
-  }
-  const auto left = std::chrono::duration_cast<base::milliseconds>(
-      planned.deadline - base::BootClock::now());
-  exchange.headers.push_back(
-      {std::string(kHopsHeader), std::to_string(request.hops + 1)});
-  exchange.headers.push_back(
-      {std::string(kDeadlineHeader),
-       std::to_string(std::max<std::int64_t>(0, left.count()))});
-  base::GetCounter(context.counters, "forwarded_requests_total").fetch_add(1);
-  auto answer = Exchange(context.peers, peer.http, exchange, planned.deadline,
-                         kPeerErrors);
-  if (!answer) {
-    return ErrorAnswer(answer.error().kind, answer.error().detail);
-  }
-  CallerAnswer converted = ReadPeerAnswer(std::move(answer).value());
-  if (FindHeader(converted.headers, kOwnerHeader).empty()) {
-    converted.headers.push_back(
-        {std::string(kOwnerHeader),
-         fmt::format("{}:{}", peer.http.ip, peer.http.port)});
-  }
-  return converted;
-}
+/// @brief The limits that a request is subject to; the names are kept beside
+/// the references to them.
+struct RequestLimits {
+  std::array<std::string, 3> names;
+  std::vector<limits::LimitRef> refs;
+};
 
-CallerAnswer RunOwned(RequestContext& context,
-                      const PlannedRequest& planned,
-                      GroupGate& gate) {
-  if (!TryEnter(gate, base::BootClock::now())) {
-    return ErrorAnswer(base::ErrorKind::kNoOwner,
-                       "this daemon may not serve the group now");
+void AddLimit(RequestLimits& request_limits,
+              std::size_t place,
+              std::string name,
+              const catalogue::Limits& bound) {
+  if (bound.requests_per_second == 0 && bound.in_flight == 0) {
+    return;
   }
-  CallerAnswer answer =
-      RunOnTarget(context.target, planned.request,
-                  {&gate, planned.service.run_limit, planned.deadline});
-  Leave(gate);
-  return answer;
-}
-
-CallerAnswer TryDivided(RequestContext& context,
-                        const PlannedRequest& planned,
-                        const RoutingView& view) {
-  const base::GroupId group = GroupForKey(
-      view, planned.service, catalogue::ResidencyName(planned.home_regions),
-      planned.request.key);
-  if (const auto gate = view.owned.find(group); gate != view.owned.end()) {
-    return RunOwned(context, planned, *gate->second);
-  }
-  const GroupOwner owner = FindOwner(view, group);
-  if (!owner.owner || owner.owner == view.self || view.peers == nullptr) {
-    return ErrorAnswer(base::ErrorKind::kNoOwner,
-                       "the group of the key has no owner now");
-  }
-  const auto peer = view.peers->find(owner.owner);
-  if (peer == view.peers->end()) {
-    return ErrorAnswer(base::ErrorKind::kNoOwner,
-                       "the owner of the group is not reachable now");
-  }
-  return Forward(context, planned, peer->second);
+  request_limits.names[place] = std::move(name);
+  request_limits.refs.push_back({request_limits.names[place],
+                                 bound.requests_per_second, bound.in_flight});
 }
 
-CallerAnswer TryUndivided(RequestContext& context,
-                          const PlannedRequest& planned,
-                          const RoutingView& view) {
-  const settings::Settings& own = context.settings;
-  if (own.target.service == planned.service.name && !view.draining) {
-    return RunOnTarget(context.target, planned.request,
-                       {nullptr, planned.service.run_limit, planned.deadline});
-  }
-  if (view.peers != nullptr) {
-    for (const auto& [id, peer] : *view.peers) {
-      if (peer.may_get_work && peer.service == planned.service.name &&
-          IsHomeRegion(planned, peer.region)) {
-        return Forward(context, planned, peer);
-      }
-    }
+void FillLimits(RequestLimits& request_limits,
+                const routing::EntryFacts& entry) {
+  if (entry.account != nullptr) {
+    AddLimit(request_limits, 0, limits::AccountLimitName(entry.account->name),
+             entry.account->limits);
   }
-  return ErrorAnswer(base::ErrorKind::kNoTarget,
-                     "no target of the service takes requests now");
+  AddLimit(request_limits, 1, limits::ServiceLimitName(entry.service->name),
+           entry.service->limits);
+  AddLimit(request_limits, 2,
+           limits::KindLimitName(entry.service->name, entry.kind->name),
+           entry.kind->limits);
 }
 
 /// A refusal that is proved not run and that a newer view may cure.
@@ -149,72 +82,160 @@
     case base::ErrorKind::kNotOwner:
     case base::ErrorKind::kPeerUnreachable:
     case base::ErrorKind::kNoTarget:
+    case base::ErrorKind::kDraining:
       return true;
     default:
       return false;
   }
 }
 
-CallerAnswer RunPlanned(RequestContext& context,
+/// A refusal that another target of the service might not give.
+bool IsWorthAnotherTarget(const CallerAnswer& answer) {
+  if (!answer.error || answer.outcome != base::Outcome::kNotRun) {
+    return false;
+  }
+  switch (*answer.error) {
+    case base::ErrorKind::kOverloaded:
+    case base::ErrorKind::kTargetRefused:
+    case base::ErrorKind::kTargetUnreachable:
+    case base::ErrorKind::kPeerUnreachable:
+    case base::ErrorKind::kDraining:
+    case base::ErrorKind::kNotOwner:
+    case base::ErrorKind::kNotReady:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// The daemon died with an idempotent request that may be run again. A target
+/// that died (target_lost) is not in this list: the request is a suspect.
+bool IsRepeatable(const PlannedRequest& planned, const CallerAnswer& answer) {
+  return planned.entry.kind->idempotent &&
+         answer.error == base::ErrorKind::kPeerLost;
+}
+
+bool HasTimeForRetry(const PlannedRequest& planned) {
+  return base::BootClock::now() + kOwnerRetryPause < planned.deadline;
+}
+
+/// Attempts at one owner: waits for a newer view while nobody answers.
+CallerAnswer RunDivided(RequestContext& context,
                         const PlannedRequest& planned) {
   for (;;) {
     const auto view = context.routing.view.load();
-    CallerAnswer answer = planned.service.divided_by_key
-                              ? TryDivided(context, planned, *view)
-                              : TryUndivided(context, planned, *view);
-    const bool is_entry = planned.request.hops == 0;
-    const bool has_time =
-        base::BootClock::now() + kOwnerRetryPause < planned.deadline;
-    if (!IsCuredByNewView(answer) || !is_entry || !has_time) {
+    CallerAnswer answer = AttemptDivided(context, *view, planned);
+    const bool may_retry =
+        planned.request.hops == 0 && HasTimeForRetry(planned);
+    if (!may_retry ||
+        !(IsCuredByNewView(answer) || IsRepeatable(planned, answer))) {
       return answer;
     }
     std::this_thread::sleep_for(kOwnerRetryPause);
   }
 }
 
+/// Attempts at different targets, within the retry budget.
+CallerAnswer RunUndivided(RequestContext& context,
+                          const PlannedRequest& planned) {
+  std::vector<base::DaemonId> tried;
+  for (;;) {
+    const auto view = context.routing.view.load();
+    Attempt attempt = AttemptUndivided(context, *view, planned, tried);
+    if (planned.request.hops > 0 || !HasTimeForRetry(planned)) {
+      return std::move(attempt.answer);
+    }
+    const bool is_refused_elsewhere = IsWorthAnotherTarget(attempt.answer) ||
+                                      IsRepeatable(planned, attempt.answer);
+    if (attempt.target && is_refused_elsewhere) {
+      tried.push_back(*attempt.target);
+      if (tried.size() >= kMaxTargetsTried ||
+          !TakeRetry(context, planned, *attempt.target)) {
+        return std::move(attempt.answer);
+      }
+      context.request_counters.retried.fetch_add(1);
+    } else if (attempt.answer.error == base::ErrorKind::kNoTarget &&
+               tried.empty()) {
+      std::this_thread::sleep_for(kOwnerRetryPause);
+    } else {
+      return std::move(attempt.answer);
+    }
+  }
+}
+
+CallerAnswer RunPlanned(RequestContext& context,
+                        const PlannedRequest& planned) {
+  return planned.entry.service->divided_by_key ? RunDivided(context, planned)
+                                               : RunUndivided(context, planned);
+}
+
+/// The entry daemon alone takes the limits, so that a forwarded request is not
+/// counted twice.
+CallerAnswer RunWithinLimits(RequestContext& context,
+                             const PlannedRequest& planned) {
+  RequestLimits request_limits;
+  if (planned.request.hops == 0) {
+    FillLimits(request_limits, planned.entry);
+  }
+  if (request_limits.refs.empty()) {
+    return RunPlanned(context, planned);
+  }
+  {
+    const std::scoped_lock lock(context.accounts.mutex);
+    const auto refusal = limits::TakeAll(
+        context.accounts.limiter, request_limits.refs, base::BootClock::now());
+    if (refusal) {
+      return ErrorAnswer(*refusal, "a limit of the catalogue is reached");
+    }
+  }
+  CallerAnswer answer = RunPlanned(context, planned);
+  const std::scoped_lock lock(context.accounts.mutex);
+  limits::Release(context.accounts.limiter, request_limits.refs);
+  return answer;
+}
+
 CallerAnswer Plan(RequestContext& context, const CallerRequest& request) {
   const auto view = context.routing.view.load();
-  if (view == nullptr || !view->ready || view->catalogue == nullptr) {
+  if (view == nullptr) {
     return ErrorAnswer(base::ErrorKind::kNotReady,
                        "this daemon has no catalogue yet");
   }
-  const catalogue::Catalogue& catalogue = *view->catalogue;
-  const catalogue::Service* service =
-      catalogue::FindService(catalogue, request.service);
-  if (service == nullptr) {
-    return ErrorAnswer(base::ErrorKind::kUnknownService,
-                       "the catalogue has no such service");
-  }
-  const catalogue::RequestKind* kind =
-      catalogue::FindKind(*service, request.kind);
-  if (kind == nullptr) {
-    return ErrorAnswer(base::ErrorKind::kUnknownKind,
-                       "the service has no such request kind");
-  }
-  const base::Duration allowed =
-      std::min(request.allowed_time.value_or(kind->deadline), kind->deadline);
+  routing::RequestFacts facts;
+  facts.service = request.service;
+  facts.kind = request.kind;
+  facts.account = request.account;
+  routing::RoutingFacts known;
+  known.ready = view->ready;
+  known.own_region = context.settings.region;
+  known.catalogue = view->catalogue.get();
+  const auto entry = routing::FindEntry(facts, known);
+  if (!entry) {
+    if (entry.error().kind == base::ErrorKind::kWrongRegion) {
+      const auto* service =
+          catalogue::FindService(*view->catalogue, request.service);
+      return WrongRegion(
+          *view, catalogue::HomeRegions(
+                     *service, catalogue::FindAccount(*view->catalogue,
+                                                      request.account)));
+    }
+    return ErrorAnswer(entry.error().kind, "the catalogue does not allow it");
+  }
   const PlannedRequest planned{
-      request, *service, *kind,
-      catalogue::HomeRegions(
-          *service, catalogue::FindAccount(catalogue, request.account)),
-      request.received_at + allowed};
-  if (!IsHomeRegion(planned, context.settings.region)) {
-    return WrongRegion(planned, *view);
-  }
-  if (service->divided_by_key && request.key.empty()) {
-    return ErrorAnswer(base::ErrorKind::kBadRequest,
-                       "the service needs the header Eelgrassbridge-Key");
-  }
-  return RunPlanned(context, planned);
+      request, entry.value(),
+      catalogue::ResidencyName(*entry.value().home_regions),
+      limits::ParseRequestId(request.request_id),
+      routing::DeadlineOf(request.allowed_time, *entry.value().kind,
+                          request.received_at)};
+  return RunWithinLimits(context, planned);
 }
 
 void CountOutcome(RequestContext& context, const CallerAnswer& answer) {
-  const std::string_view name =
-      answer.error ? base::ErrorName(*answer.error) : "none";
-  base::GetCounter(context.counters, "requests_total",
-                   fmt::format("outcome=\"{}\",error=\"{}\"",
-                               base::OutcomeName(answer.outcome), name))
-      .fetch_add(1);
+  if (answer.error) {
+    context.request_counters.failed[static_cast<std::size_t>(*answer.error)]
+        ->fetch_add(1);
+  } else {
+    context.request_counters.answered.fetch_add(1);
+  }
 }
 
 }  // namespace
--- a/src/eelgrassbridge/daemon/request_path_test.cpp
+++ b/src/eelgrassbridge/daemon/request_path_test.cpp
@@ -25,6 +25,11 @@
       ++this->runs;
       res.set_content(req.body, "application/octet-stream");
     });
+    this->server.Post("/s/listing/claim/.*",
+                      [this](const auto& req, auto& res) {
+                        ++this->runs;
+                        Answer(req, res);
+                      });
     this->port = this->server.bind_to_any_port("127.0.0.1");
     this->thread = std::thread([this] { this->server.listen_after_bind(); });
   }
@@ -76,7 +81,10 @@
   listing.name = "listing";
   listing.divided_by_key = true;
   listing.regions = {"sur"};
-  listing.kinds = {view};
+  catalogue::RequestKind claim;
+  claim.name = "claim";
+  claim.idempotent = false;
+  listing.kinds = {view, claim};
   catalogue.services = {listing};
   catalogue.accounts = {{"far-account", {"litoral"}, {}}};
   return catalogue;
@@ -192,6 +200,56 @@
   CHECK(target.runs == 1);
 }
 
+TEST_CASE("a non-idempotent request runs at most once for its id") {
+  FakeTarget target;
+  const Daemon daemon(target.port, kPort);
+  httplib::Client caller("127.0.0.1", kPort);
+  const auto send = [&](const std::string& path, const std::string& id) {
+    httplib::Headers headers = kKey;
+    if (!id.empty()) {
+      headers.emplace("Eelgrassbridge-Request-Id", id);
+    }
+    return caller.Post(path, headers, "claim", "text/plain");
+  };
+  const auto without_id = send("/s/listing/claim/1", "");
+  CHECK(OutcomeOf(without_id) == "not-run id_required");
+  CHECK(target.runs == 0);
+  const std::string id =
+      without_id->get_header_value("Eelgrassbridge-Request-Id");
+
+  SUBCASE("a resend gets the kept answer") {
+    const auto first = send("/s/listing/claim/1", id);
+    const auto again = send("/s/listing/claim/1", id);
+    CHECK(OutcomeOf(first) == "answered ");
+    CHECK(OutcomeOf(again) == "answered ");
+    CHECK(again->body == first->body);
+    CHECK(again->status == first->status);
+    CHECK(target.runs == 1);
+  }
+  SUBCASE("a resend after an unknown outcome stays unknown and does not run") {
+    CHECK(OutcomeOf(send("/s/listing/claim/cut", id)) == "unknown target_lost");
+    const auto again = send("/s/listing/claim/cut", id);
+    CHECK(OutcomeOf(again).starts_with("unknown"));
+    CHECK(target.runs == 1);
+  }
+  SUBCASE("a refusal before the run leaves the id usable") {
+    CHECK(OutcomeOf(send("/s/listing/claim/not-run", id)) ==
+          "not-run target_refused");
+    CHECK(OutcomeOf(send("/s/listing/claim/not-run", id)) ==
+          "not-run target_refused");
+    CHECK(target.runs == 2);
+  }
+  SUBCASE("an id of another epoch or a made-up one is never run") {
+    std::string older = id;
+    older.replace(older.find("-1-"), 3, "-0-");
+    CHECK(OutcomeOf(send("/s/listing/claim/1", older)) ==
+          "unknown id_from_older_epoch");
+    CHECK(OutcomeOf(send("/s/listing/claim/1", "nonsense")) ==
+          "not-run bad_request");
+    CHECK(target.runs == 0);
+  }
+}
+
 TEST_CASE("an unreachable target is proved not run") {
   const Daemon daemon(1, kPort);
   httplib::Client caller("127.0.0.1", kPort);
--- a/src/eelgrassbridge/daemon/suspect_watch.cpp
+++ b/src/eelgrassbridge/daemon/suspect_watch.cpp
@@ -37,8 +37,7 @@
 bool StartAlone(RequestContext& context, const CallerRequest& request) {
   const std::scoped_lock lock(context.poison.mutex);
   return routing::TryStartAlone(context.poison.quarantine,
-                                FingerprintOf(request),
-                                base::BootClock::now());
+                                FingerprintOf(request), base::BootClock::now());
 }
 
 void EndAloneRun(RequestContext& context,
