--- /dev/null
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -0,0 +1,205 @@
+// Guards a target against more load than it bears, and callers against being
+// forgotten in the queue or treated unfairly.
+#include "eelgrassbridge/limits/target_limiter.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "eelgrassbridge/limits/retry_budget.hpp"
+
+namespace eelgrassbridge::limits {
+
+namespace {
+
+using base::ErrorKind;
+using base::milliseconds;
+using base::TimePoint;
+using catalogue::PriorityClass;
+using State = Admission::State;
+
+constexpr TimePoint kStart{base::seconds{1}};
+
+/// A limiter whose ramp has reached the slots and whose run time is known.
+TargetLimiter Warm(std::uint32_t slots, std::uint32_t queue) {
+  TargetLimiter limiter = MakeTargetLimiter({slots, 100, queue, {}});
+  limiter.ramp.level = slots;
+  limiter.run_time_us = 1000;
+  return limiter;
+}
+
+Admission AdmitOne(TargetLimiter& limiter,
+                   PriorityClass priority,
+                   std::string_view account,
+                   base::Duration left = milliseconds{1000}) {
+  return Admit(limiter, {priority, account, kStart + left}, kStart);
+}
+
+/// Ends the running request and returns the ticket that runs next.
+Ticket NextAfterFinish(TargetLimiter& limiter) {
+  Finish(limiter, RunEnd::kCancelled, {}, 0);
+  const auto next = NextDispatch(limiter, kStart);
+  REQUIRE(next.has_value());
+  REQUIRE_FALSE(next->refusal.has_value());
+  return next->ticket;
+}
+
+}  // namespace
+
+TEST_CASE("bounds hold and each ticket ends once under any order of calls") {
+  CHECK(rc::check([](const std::vector<std::pair<unsigned, unsigned>>& steps) {
+    TargetLimiter limiter = MakeTargetLimiter({4, 3, 5, {}});
+    std::set<Ticket> waiting;
+    std::vector<std::uint64_t> running;
+    TimePoint now = kStart;
+    for (const auto& [kind, pick] : steps) {
+      now += base::Duration{pick % 3000};
+      if (kind % 8 < 4) {
+        const auto priority = static_cast<PriorityClass>(pick % 3);
+        const Admission admission = Admit(limiter,
+                                          {priority, pick % 2 == 0 ? "a" : "b",
+                                           now + base::Duration{pick % 7000}},
+                                          now);
+        if (admission.state == State::kRun) {
+          running.push_back(admission.generation);
+        } else if (admission.state == State::kQueued) {
+          RC_ASSERT(waiting.insert(admission.ticket).second);
+        }
+      } else if (kind % 8 < 6 && !running.empty()) {
+        Finish(limiter, static_cast<RunEnd>(pick % 5), milliseconds{1},
+               running.back());
+        running.pop_back();
+      } else if (kind % 8 == 6 && !waiting.empty()) {
+        if (Withdraw(limiter, *waiting.begin())) {
+          waiting.erase(waiting.begin());
+        }
+      }
+      while (const auto next = NextDispatch(limiter, now)) {
+        RC_ASSERT(waiting.erase(next->ticket) == 1U);
+        if (!next->refusal) {
+          running.push_back(next->generation);
+          RC_ASSERT(limiter.in_flight <= Bound(limiter));
+        }
+      }
+      RC_ASSERT(limiter.in_flight == running.size());
+      RC_ASSERT(limiter.in_flight <= 3U);
+      RC_ASSERT(limiter.queued == waiting.size());
+      RC_ASSERT(limiter.queued <= 5U);
+      RC_ASSERT(limiter.ramp.level >= 1U);
+      RC_ASSERT(limiter.ramp.level <= 4U);
+    }
+  }));
+}
+
+TEST_CASE("higher classes go first and accounts take turns") {
+  TargetLimiter limiter = Warm(1, 10);
+  AdmitOne(limiter, PriorityClass::kNormal, "z");
+  const Ticket a1 = AdmitOne(limiter, PriorityClass::kNormal, "a").ticket;
+  const Ticket a2 = AdmitOne(limiter, PriorityClass::kNormal, "a").ticket;
+  const Ticket b1 = AdmitOne(limiter, PriorityClass::kNormal, "b").ticket;
+  const Ticket top = AdmitOne(limiter, PriorityClass::kCritical, "a").ticket;
+  CHECK(NextAfterFinish(limiter) == top);
+  CHECK(NextAfterFinish(limiter) == a1);
+  CHECK(NextAfterFinish(limiter) == b1);
+  CHECK(NextAfterFinish(limiter) == a2);
+}
+
+TEST_CASE("a full queue refuses at once, lower classes and long queues first") {
+  TargetLimiter limiter = Warm(1, 2);
+  AdmitOne(limiter, PriorityClass::kNormal, "z");
+  AdmitOne(limiter, PriorityClass::kNormal, "a");
+  const Ticket second = AdmitOne(limiter, PriorityClass::kNormal, "a").ticket;
+  CHECK(AdmitOne(limiter, PriorityClass::kNormal, "a").refusal ==
+        ErrorKind::kOverloaded);
+  CHECK(AdmitOne(limiter, PriorityClass::kBulk, "c").state == State::kRefused);
+  CHECK(AdmitOne(limiter, PriorityClass::kNormal, "b").state == State::kQueued);
+  const auto displaced = NextDispatch(limiter, kStart);
+  REQUIRE(displaced.has_value());
+  CHECK(displaced->ticket == second);
+  CHECK(displaced->refusal == ErrorKind::kOverloaded);
+  CHECK(AdmitOne(limiter, PriorityClass::kCritical, "d").state ==
+        State::kQueued);
+}
+
+TEST_CASE("requests that cannot be run before their deadline are refused") {
+  TargetLimiter limiter = Warm(1, 10);
+  AdmitOne(limiter, PriorityClass::kNormal, "z");
+  CHECK(
+      AdmitOne(limiter, PriorityClass::kNormal, "a", milliseconds{0}).refusal ==
+      ErrorKind::kDeadlineBeforeRun);
+  CHECK(
+      AdmitOne(limiter, PriorityClass::kNormal, "a", milliseconds{1}).refusal ==
+      ErrorKind::kOverloaded);
+  const Ticket queued =
+      AdmitOne(limiter, PriorityClass::kNormal, "a", milliseconds{5}).ticket;
+  const auto late = NextDispatch(limiter, kStart + milliseconds{6});
+  REQUIRE(late.has_value());
+  CHECK(late->ticket == queued);
+  CHECK(late->refusal == ErrorKind::kDeadlineBeforeRun);
+}
+
+TEST_CASE("a draining limiter refuses what waits and what comes") {
+  TargetLimiter limiter = Warm(1, 10);
+  AdmitOne(limiter, PriorityClass::kNormal, "a");
+  AdmitOne(limiter, PriorityClass::kNormal, "a");
+  SetAccepting(limiter, false);
+  CHECK(NextDispatch(limiter, kStart)->refusal == ErrorKind::kDraining);
+  CHECK(AdmitOne(limiter, PriorityClass::kNormal, "a").refusal ==
+        ErrorKind::kDraining);
+  CHECK(limiter.in_flight == 1);
+}
+
+TEST_CASE("the ramp follows answers and starts anew on a fresh instance") {
+  ColdStartRamp ramp = MakeRamp(9);
+  SetInstance(ramp, "first");
+  const auto answer = [&](base::Duration latency) {
+    NoteSuccess(ramp, latency, ramp.level, ramp.generation);
+  };
+  NoteSuccess(ramp, milliseconds{1}, 0, ramp.generation);
+  CHECK(ramp.level == 1);
+  for (int i = 0; i < 400; ++i) {
+    answer(milliseconds{1});
+  }
+  REQUIRE(IsWarm(ramp));
+  const std::uint64_t before = ramp.generation;
+  NoteRefusal(ramp, before);
+  NoteRefusal(ramp, before);
+  CHECK(ramp.level == 4);
+  for (int i = 0; i < 4; ++i) {
+    answer(milliseconds{10});
+  }
+  CHECK(ramp.level == 2);
+  CHECK_FALSE(SetInstance(ramp, "first"));
+  CHECK(SetInstance(ramp, "second"));
+  CHECK(ramp.level == 1);
+}
+
+TEST_CASE("extra attempts never exceed a tenth of the first attempts") {
+  CHECK(rc::check([](const std::vector<bool>& sends) {
+    RetryBudget budget;
+    const base::DaemonId target{7};
+    std::size_t first = 0;
+    std::size_t extra = 0;
+    for (const bool is_first : sends) {
+      if (is_first) {
+        ++first;
+        NoteFirstAttempt(budget, PriorityClass::kNormal, target);
+      } else {
+        extra += TakeExtraAttempt(budget, PriorityClass::kNormal, target);
+      }
+      RC_ASSERT(extra * 10 <= first);
+      RC_ASSERT(!TakeExtraAttempt(budget, PriorityClass::kBulk, target));
+    }
+  }));
+}
+
+TEST_CASE("connections are counted against what the target accepts") {
+  TargetLimiter limiter = MakeTargetLimiter({1, 1, 1, {}});
+  CHECK(TryOpenConnection(limiter));
+  CHECK_FALSE(TryOpenConnection(limiter));
+  CloseConnection(limiter);
+  CHECK(TryOpenConnection(limiter));
+}
+
+}  // namespace eelgrassbridge::limits
