--- a/include/eelgrassbridge/routing/poison_quarantine.hpp
+++ b/include/eelgrassbridge/routing/poison_quarantine.hpp
@@ -107,8 +107,7 @@
 /// @brief Ends it. `answered` is a whole answer, which clears the suspect.
 void EndAlone(PoisonQuarantine& quarantine,
               const Fingerprint& fingerprint,
-              bool answered,
-              base::TimePoint now);
+              bool answered);
 
 /// @brief A target died with the request in flight.
 void NoteDeath(PoisonQuarantine& quarantine,
--- a/src/eelgrassbridge/routing/poison_quarantine.cpp
+++ b/src/eelgrassbridge/routing/poison_quarantine.cpp
@@ -173,8 +173,7 @@
 
 void EndAlone(PoisonQuarantine& quarantine,
               const Fingerprint& fingerprint,
-              bool answered,
-              TimePoint /*now*/) {
+              bool answered) {
   const auto found = quarantine.suspects.find(fingerprint);
   if (found == quarantine.suspects.end() || !found->second.running) {
     return;
--- /dev/null
+++ b/src/eelgrassbridge/routing/target_choice_test.cpp
@@ -0,0 +1,140 @@
+// Guards against work for targets that are far, out, failing or slow while a
+// better one may take it, and against reports that raise the trust in one.
+#include "eelgrassbridge/routing/target_choice.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "eelgrassbridge/routing/hedging.hpp"
+
+namespace eelgrassbridge::routing {
+
+namespace {
+
+using base::DaemonId;
+using base::milliseconds;
+using base::TimePoint;
+using Kind = AnswerReport::Kind;
+
+constexpr TimePoint kNow{base::seconds{100}};
+
+TargetTable Table(std::initializer_list<TargetMember> members) {
+  TargetTable table;
+  SetMembers(table, std::vector<TargetMember>(members));
+  return table;
+}
+
+/// How often each target is chosen in 1,000 choices.
+std::map<std::uint64_t, int> Choices(const TargetTable& table, TimePoint now) {
+  std::map<std::uint64_t, int> counts;
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    if (const auto chosen = ChooseTarget(table, i, {}, now)) {
+      ++counts[chosen->value];
+    }
+  }
+  return counts;
+}
+
+void Answer(TargetTable& table,
+            std::uint64_t target,
+            Kind kind,
+            base::Duration latency,
+            TimePoint now = kNow) {
+  NoteSent(table, DaemonId{target}, now);
+  NoteAnswer(table, DaemonId{target}, {kind, latency, {}}, now);
+}
+
+}  // namespace
+
+TEST_CASE("nearer targets are used while they may take the request") {
+  TargetTable table = Table({{{1}, Locality::kDataCentre, true},
+                             {{2}, Locality::kRegion, true},
+                             {{3}, Locality::kOtherRegion, true},
+                             {{4}, Locality::kDataCentre, false}});
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{1, 1000}});
+  Answer(table, 1, Kind::kOverloaded, milliseconds{1});
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{2, 1000}});
+  const std::vector<DaemonId> tried{{1}, {2}};
+  CHECK(ChooseTarget(table, 5, tried, kNow) == DaemonId{3});
+  CHECK_FALSE(
+      ChooseTarget(table, 5, tried, kNow, Locality::kRegion).has_value());
+}
+
+TEST_CASE("a failing target is left alone longer each time, then tried again") {
+  TargetTable table = Table(
+      {{{1}, Locality::kDataCentre, true}, {{2}, Locality::kDataCentre, true}});
+  Answer(table, 1, Kind::kFailed, milliseconds{0});
+  CHECK(Choices(table, kNow + milliseconds{50}).count(1) == 0);
+  CHECK(Choices(table, kNow + milliseconds{150}).count(1) == 1);
+  Answer(table, 1, Kind::kFailed, milliseconds{0});
+  CHECK(Choices(table, kNow + milliseconds{150}).count(1) == 0);
+  // Better a failing target than none.
+  Answer(table, 2, Kind::kFailed, milliseconds{0});
+  CHECK(Choices(table, kNow).size() == 2);
+}
+
+TEST_CASE("a straggler is seen by its answers and by its silence") {
+  TargetTable table = Table(
+      {{{1}, Locality::kDataCentre, true}, {{2}, Locality::kDataCentre, true}});
+  Answer(table, 2, Kind::kAnswered, milliseconds{2});
+  Answer(table, 1, Kind::kAnswered, milliseconds{40});
+  CHECK(Choices(table, kNow)[2] > 900);
+  TargetTable silent = Table(
+      {{{1}, Locality::kDataCentre, true}, {{2}, Locality::kDataCentre, true}});
+  NoteSent(silent, DaemonId{1}, kNow);
+  NoteSent(silent, DaemonId{2}, kNow);
+  NoteAnswer(silent, DaemonId{2}, {Kind::kAnswered, milliseconds{2}, {}},
+             kNow + milliseconds{2});
+  CHECK(Choices(silent, kNow + milliseconds{50})[2] > 900);
+}
+
+TEST_CASE("reports lower the trust in a target and never raise it") {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& reports) {
+    TargetTable table = Table({{{1}, Locality::kDataCentre, true},
+                               {{2}, Locality::kDataCentre, true}});
+    Answer(table, 1, Kind::kAnswered, milliseconds{3});
+    Answer(table, 2, Kind::kAnswered, milliseconds{2});
+    int before = Choices(table, kNow)[1];
+    for (const std::uint8_t load : reports) {
+      NoteLoadReport(table, DaemonId{1}, load / 100.0 - 1, kNow);
+      const int after = Choices(table, kNow)[1];
+      RC_ASSERT(after <= before);
+      before = after;
+    }
+  }));
+}
+
+TEST_CASE("members that stay keep what is known about them") {
+  TargetTable table = Table({{{1}, Locality::kDataCentre, true}});
+  NoteSent(table, DaemonId{1}, kNow);
+  SetMembers(table,
+             std::vector<TargetMember>{{{2}, Locality::kDataCentre, true},
+                                       {{1}, Locality::kRegion, true}});
+  CHECK(table.targets[table.index.at(DaemonId{1})].own_in_flight == 1);
+  NoteAnswer(table, DaemonId{3}, {}, kNow);
+  CHECK_FALSE(ChooseTarget({}, 1, {}, kNow).has_value());
+}
+
+TEST_CASE("only idempotent requests of undivided services are hedged") {
+  catalogue::Service service;
+  catalogue::RequestKind kind;
+  HedgeTracker tracker(HedgeOptions{100, milliseconds{1}});
+  for (int i = 0; i < 99; ++i) {
+    NoteHedgeSample(tracker, milliseconds{i});
+  }
+  CHECK_FALSE(HedgeDelay(tracker, service, kind).has_value());
+  NoteHedgeSample(tracker, milliseconds{99});
+  const auto delay = HedgeDelay(tracker, service, kind);
+  REQUIRE(delay.has_value());
+  CHECK(*delay >= milliseconds{90});
+  CHECK(*delay <= milliseconds{99});
+  kind.idempotent = false;
+  CHECK_FALSE(HedgeDelay(tracker, service, kind).has_value());
+  kind.idempotent = true;
+  service.divided_by_key = true;
+  CHECK_FALSE(HedgeDelay(tracker, service, kind).has_value());
+}
+
+}  // namespace eelgrassbridge::routing
