Name test constants by the lint rules

Cause: clang-tidy refuses the prefix k on constants that are not constexpr. Change: names in tests only.

--- a/src/eelgrassbridge/limits/account_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/account_limiter_test.cpp
@@ -17,7 +17,7 @@
 using base::TimePoint;
 
 constexpr std::uint32_t kDaemons = 5;
-const std::string kName = AccountLimitName("yard");
+const std::string limit_name = AccountLimitName("yard");
 
 struct Message {
   std::size_t from = 0;
@@ -67,7 +67,7 @@
     Fleet fleet = MakeFleet();
     TimePoint now{seconds{1}};
     constexpr std::uint32_t kRate = 50;
-    const LimitRef ref{kName, kRate, 7};
+    const LimitRef ref{limit_name, kRate, 7};
     std::uint64_t admitted = 0;
     const TimePoint began = now;
     for (const auto& [where, how_many] : steps) {
@@ -85,7 +85,7 @@
       std::uint32_t in_flight = 0;
       double share = 0;
       for (AccountLimiter& daemon : fleet.daemons) {
-        const auto found = daemon.limits.find(kName);
+        const auto found = daemon.limits.find(limit_name);
         if (found != daemon.limits.end() && found->second.rate_share.primed) {
           share += std::min(found->second.rate_share.least_now,
                             found->second.rate_share.least_before);
@@ -124,7 +124,7 @@
 
 TEST_CASE("a lone daemon admits the whole limit and then refuses") {
   AccountLimiter limiter;
-  const LimitRef ref{kName, 10, 0};
+  const LimitRef ref{limit_name, 10, 0};
   int admitted = 0;
   for (int i = 0; i < 100; ++i) {
     admitted += TakeAll(limiter, {&ref, 1}, TimePoint{seconds{1}}) ? 0 : 1;
@@ -136,7 +136,7 @@
 TEST_CASE("a request refused by one limit takes nothing from the others") {
   AccountLimiter limiter;
   const std::string service = ServiceLimitName("booking");
-  const std::vector<LimitRef> both{{service, 0, 5}, {kName, 0, 1}};
+  const std::vector<LimitRef> both{{service, 0, 5}, {limit_name, 0, 1}};
   const TimePoint now{seconds{1}};
   CHECK_FALSE(TakeAll(limiter, both, now).has_value());
   CHECK(TakeAll(limiter, both, now) == base::ErrorKind::kAccountLimit);
@@ -147,7 +147,7 @@
 
 TEST_CASE("a daemon with all the demand gets its share after the delay") {
   Fleet fleet = MakeFleet();
-  const LimitRef ref{kName, 100, 0};
+  const LimitRef ref{limit_name, 100, 0};
   TimePoint now{seconds{1}};
   int admitted = 0;
   for (int second = 0; second < 30; ++second) {
