Hedge slow idempotent requests of undivided services

Cause: a target that is slow for moments held every request sent to it until the deadline. Change: after the observed 95th percentile a second copy goes to another target of the region; the first whole answer wins and the other copy is cancelled through an interrupt of its blocking step. The retry budget of the slow target pays. Ruled out: charging the second target. The new test failed with it (0 hedges sent, answer from the slow target after 1.5 s), because all first attempts go to the nearer target and the farther one had earned no budget. Measured: the test passes 3 of 3 runs: the copy's answer is given, the slow copy's slot is free and no target death is counted.

--- a/include/eelgrassbridge/base/error.hpp
+++ b/include/eelgrassbridge/base/error.hpp
@@ -44,6 +44,7 @@
   kPeerLost,
   kPeerTimeout,
   kAnswerCut,
+  kCancelled,
   kUnauthorized,
   kForbidden,
   kVersionConflict,
--- a/include/eelgrassbridge/daemon/http_exchange.hpp
+++ b/include/eelgrassbridge/daemon/http_exchange.hpp
@@ -15,6 +15,7 @@
 
 #include "eelgrassbridge/base/error.hpp"
 #include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/daemon/interrupt.hpp"
 #include "eelgrassbridge/settings/settings.hpp"
 
 namespace httplib {
@@ -43,6 +44,8 @@
   std::vector<Header> headers;
   /// Must outlive the call.
   std::string_view body;
+  /// Lets another thread cancel the exchange; may be null.
+  Interrupt* interrupt = nullptr;
 };
 
 struct ExchangeAnswer {
--- a/include/eelgrassbridge/daemon/local_target.hpp
+++ b/include/eelgrassbridge/daemon/local_target.hpp
@@ -25,6 +25,7 @@
 struct SlotWaiter {
   std::condition_variable dispatched;
   std::optional<limits::Dispatch> dispatch;
+  bool is_cancelled = false;
 };
 
 struct LocalTarget {
@@ -52,6 +53,8 @@
   base::Duration run_limit = base::seconds{1};
   base::TimePoint deadline;
   catalogue::PriorityClass priority = catalogue::PriorityClass::kNormal;
+  /// Lets another thread cancel the wait and the run; may be null.
+  Interrupt* interrupt = nullptr;
 };
 
 /// @brief Waits for a slot, hands the request over and reads the whole answer.
--- a/include/eelgrassbridge/daemon/request_context.hpp
+++ b/include/eelgrassbridge/daemon/request_context.hpp
@@ -25,6 +25,8 @@
 
 namespace eelgrassbridge::daemon {
 
+struct Hedger;
+
 /// @brief Suspects of this daemon; control exchanges them by gossip.
 struct PoisonState {
   std::mutex mutex;
@@ -62,6 +64,7 @@
   std::array<base::Counter*, base::kErrorKindCount> failed{};
   base::Counter& forwarded;
   base::Counter& retried;
+  base::Counter& hedged;
   base::Counter& target_deaths;
 };
 
@@ -82,6 +85,8 @@
   base::CounterRegistry counters;
   RequestCounters request_counters;
   base::Latency latency;
+  /// Set before the server starts; null only in tests without hedging.
+  Hedger* hedger = nullptr;
   /// Bytes of request bodies held in memory now; bounded so that uploads
   /// cannot exceed the daemon's memory.
   std::atomic<std::int64_t> buffered_body_bytes = 0;
--- a/include/eelgrassbridge/daemon/target_selection.hpp
+++ b/include/eelgrassbridge/daemon/target_selection.hpp
@@ -26,10 +26,12 @@
                                             const RoutingView& view,
                                             const PlannedRequest& planned);
 
-/// @brief Tells the choice that a request goes to that daemon.
+/// @brief Tells the choice that a request goes to that daemon. Only a first
+/// attempt earns retry budget.
 void NoteAttempt(RequestContext& context,
                  const PlannedRequest& planned,
-                 base::DaemonId target);
+                 base::DaemonId target,
+                 bool is_first);
 
 /// @brief Tells the choice how it ended; once for each NoteAttempt.
 void NoteAttemptEnd(RequestContext& context,
@@ -38,10 +40,11 @@
                     const CallerAnswer& answer,
                     base::Duration latency);
 
-/// @brief Whether the retry budget allows one more attempt at that target.
+/// @brief Whether the retry budget allows one more attempt elsewhere after a
+/// failed or slow attempt at that target.
 bool TakeRetry(RequestContext& context,
                const PlannedRequest& planned,
-               base::DaemonId target);
+               base::DaemonId failed_target);
 
 }  // namespace eelgrassbridge::daemon
 
--- a/src/eelgrassbridge/base/answer_table.cpp
+++ b/src/eelgrassbridge/base/answer_table.cpp
@@ -61,6 +61,8 @@
      LogLevel::kNone},
     {kAnswerCut, "answer_cut", 502, kUnknown, RetryAdvice::kCheck,
      LogLevel::kNone},
+    {kCancelled, "cancelled", 504, kUnknown, RetryAdvice::kCheck,
+     LogLevel::kNone},
     {kUnauthorized, "unauthorized", 401, kNotRun, RetryAdvice::kNone,
      LogLevel::kWarning},
     {kForbidden, "forbidden", 403, kNotRun, RetryAdvice::kNone,
--- a/src/eelgrassbridge/daemon/attempt.cpp
+++ b/src/eelgrassbridge/daemon/attempt.cpp
@@ -120,7 +120,7 @@
   routing::RoutingFacts facts = CommonFacts(context, view, planned);
   facts.served_here =
       context.settings.target.service == planned.entry.service->name;
-  facts.chosen = SelectTarget(context, view, planned, tried);
+  facts.chosen = SelectTarget(context, view, planned, tried, planned.farthest);
   if (planned.id) {
     facts.issuer_reachable =
         planned.id->issuer == view.self ||
@@ -137,8 +137,11 @@
   if (!target) {
     return {CarryOut(context, view, planned, plan, nullptr), std::nullopt};
   }
+  if (planned.chosen != nullptr) {
+    planned.chosen->store(target->value);
+  }
   const base::TimePoint sent_at = base::BootClock::now();
-  NoteAttempt(context, planned, *target);
+  NoteAttempt(context, planned, *target, tried.empty());
   CallerAnswer answer = CarryOut(context, view, planned, plan, nullptr);
   NoteAttemptEnd(context, planned, *target, answer,
                  base::BootClock::now() - sent_at);
--- a/src/eelgrassbridge/daemon/forwarder.cpp
+++ b/src/eelgrassbridge/daemon/forwarder.cpp
@@ -12,9 +12,11 @@
 /// Rough size of the request line and headers, which the link carries too.
 constexpr std::uint64_t kHeaderBytes = 400;
 
-ExchangeRequest MakeExchange(const CallerRequest& request,
+ExchangeRequest MakeExchange(const PlannedRequest& planned,
                              base::Duration allowed) {
-  ExchangeRequest exchange{request.method, request.target, {}, request.body};
+  const CallerRequest& request = planned.request;
+  ExchangeRequest exchange{
+      request.method, request.target, {}, request.body, planned.interrupt};
   for (const Header& header : request.headers) {
     if (header.name != kHopsHeader && header.name != kDeadlineHeader) {
       exchange.headers.push_back(header);
@@ -57,9 +59,9 @@
                        "no time is left for another daemon");
   }
   context.request_counters.forwarded.fetch_add(1);
-  auto answer = Exchange(context.peers, peer.http,
-                         MakeExchange(planned.request, *allowed),
-                         planned.deadline, kPeerErrors);
+  auto answer =
+      Exchange(context.peers, peer.http, MakeExchange(planned, *allowed),
+               planned.deadline, kPeerErrors);
   CallerAnswer converted =
       answer ? ReadPeerAnswer(std::move(answer).value())
              : ErrorAnswer(answer.error().kind, answer.error().detail);
--- a/src/eelgrassbridge/daemon/http_exchange.cpp
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -155,8 +155,20 @@
   };
   httplib::Response incoming;
   httplib::Error error = httplib::Error::Success;
-  const bool is_whole = client->send(outgoing, incoming, error);
+  bool is_whole = false;
+  {
+    const InterruptScope scope(request.interrupt, [&] { client->stop(); });
+    if (scope.is_cancelled) {
+      return base::Fail(base::ErrorKind::kCancelled,
+                        "cancelled before it began");
+    }
+    is_whole = client->send(outgoing, incoming, error);
+  }
   if (!is_whole) {
+    if (IsCancelled(request.interrupt)) {
+      return base::Fail(base::ErrorKind::kCancelled,
+                        "another copy was answered first");
+    }
     if (too_large) {
       return base::Fail(base::ErrorKind::kAnswerCut,
                         "the answer is larger than the configured limit");
--- a/src/eelgrassbridge/daemon/local_run.cpp
+++ b/src/eelgrassbridge/daemon/local_run.cpp
@@ -38,7 +38,8 @@
   }
   const std::string instance_before = InstanceOf(context.target);
   const RunOptions options{gate, planned.entry.service->run_limit,
-                           planned.deadline, planned.entry.kind->priority};
+                           planned.deadline, planned.entry.kind->priority,
+                           planned.interrupt};
   CallerAnswer answer = RunOnTarget(context.target, planned.request, options);
   if (gate != nullptr) {
     Leave(*gate);
--- a/src/eelgrassbridge/daemon/local_target.cpp
+++ b/src/eelgrassbridge/daemon/local_target.cpp
@@ -42,15 +42,17 @@
 }
 
 base::Result<Slot> WaitInQueue(LocalTarget& target,
+                               SlotWaiter& waiter,
                                limits::Ticket ticket,
                                base::TimePoint deadline,
                                std::unique_lock<std::mutex>& lock) {
-  SlotWaiter waiter;
   target.waiters.emplace(ticket, &waiter);
   DispatchWaiters(target);
-  const auto is_dispatched = [&] { return waiter.dispatch.has_value(); };
   const base::Duration left = deadline - base::BootClock::now();
-  if (!waiter.dispatched.wait_for(lock, left, is_dispatched)) {
+  waiter.dispatched.wait_for(lock, left, [&] {
+    return waiter.dispatch.has_value() || waiter.is_cancelled;
+  });
+  if (!waiter.dispatch) {
     limits::Withdraw(target.limiter, ticket);
     DispatchWaiters(target);
   }
@@ -59,8 +61,16 @@
 }
 
 base::Result<Slot> TakeSlot(LocalTarget& target,
-                            const limits::AdmissionRequest& request) {
+                            const limits::AdmissionRequest& request,
+                            Interrupt* interrupt) {
+  SlotWaiter waiter;
+  const InterruptScope scope(interrupt, [&] {
+    const std::scoped_lock cancel_lock(target.mutex);
+    waiter.is_cancelled = true;
+    waiter.dispatched.notify_one();
+  });
   std::unique_lock lock(target.mutex);
+  waiter.is_cancelled = waiter.is_cancelled || scope.is_cancelled;
   const base::TimePoint now = base::BootClock::now();
   const limits::Admission admission =
       limits::Admit(target.limiter, request, now);
@@ -68,7 +78,8 @@
     case limits::Admission::State::kRun:
       return Slot{admission.generation, now};
     case limits::Admission::State::kQueued:
-      return WaitInQueue(target, admission.ticket, request.deadline, lock);
+      return WaitInQueue(target, waiter, admission.ticket, request.deadline,
+                         lock);
     case limits::Admission::State::kRefused:
       break;
   }
@@ -89,6 +100,8 @@
   switch (*answer.error) {
     case base::ErrorKind::kTargetRefused:
       return limits::RunEnd::kRefused;
+    case base::ErrorKind::kCancelled:
+      return limits::RunEnd::kCancelled;
     case base::ErrorKind::kTargetLost:
     case base::ErrorKind::kTargetUnreachable:
       return limits::RunEnd::kLost;
@@ -123,7 +136,8 @@
 ExchangeRequest MakeExchange(const CallerRequest& request,
                              const RunOptions& options,
                              base::TimePoint run_deadline) {
-  ExchangeRequest exchange{request.method, request.target, {}, request.body};
+  ExchangeRequest exchange{
+      request.method, request.target, {}, request.body, options.interrupt};
   for (const Header& header : request.headers) {
     if (!IsSetByDaemon(header.name)) {
       exchange.headers.push_back(header);
@@ -193,7 +207,8 @@
                          const CallerRequest& request,
                          const RunOptions& options) {
   auto slot =
-      TakeSlot(target, {options.priority, request.account, options.deadline});
+      TakeSlot(target, {options.priority, request.account, options.deadline},
+               options.interrupt);
   if (!slot) {
     return ErrorAnswer(slot.error().kind, slot.error().detail);
   }
--- a/src/eelgrassbridge/daemon/request_context.cpp
+++ b/src/eelgrassbridge/daemon/request_context.cpp
@@ -13,6 +13,7 @@
                                 "outcome=\"answered\",error=\"none\"")),
       forwarded(base::GetCounter(registry, "forwarded_requests_total")),
       retried(base::GetCounter(registry, "retried_requests_total")),
+      hedged(base::GetCounter(registry, "hedged_requests_total")),
       target_deaths(base::GetCounter(registry, "target_deaths_total")) {
   for (const base::Answer& row : base::AnswerTable()) {
     this->failed[static_cast<std::size_t>(row.kind)] = &base::GetCounter(
--- a/src/eelgrassbridge/daemon/request_handler.cpp
+++ b/src/eelgrassbridge/daemon/request_handler.cpp
@@ -9,6 +9,7 @@
 
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
 #include "eelgrassbridge/daemon/attempt.hpp"
+#include "eelgrassbridge/daemon/hedger.hpp"
 #include "eelgrassbridge/routing/deadline.hpp"
 #include "eelgrassbridge/routing/residency_check.hpp"
 
@@ -141,7 +142,10 @@
   std::vector<base::DaemonId> tried;
   for (;;) {
     const auto view = context.routing.view.load();
-    Attempt attempt = AttemptUndivided(context, *view, planned, tried);
+    Attempt attempt =
+        context.hedger == nullptr
+            ? AttemptUndivided(context, *view, planned, tried)
+            : AttemptHedged(*context.hedger, view, planned, tried);
     if (planned.request.hops > 0 || !HasTimeForRetry(planned)) {
       return std::move(attempt.answer);
     }
--- a/src/eelgrassbridge/daemon/run_daemon.cpp
+++ b/src/eelgrassbridge/daemon/run_daemon.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 
 #include "eelgrassbridge/base/log.hpp"
+#include "eelgrassbridge/daemon/hedger.hpp"
 #include "eelgrassbridge/daemon/http_server.hpp"
 #include "eelgrassbridge/daemon/standalone_view.hpp"
 
@@ -29,6 +30,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   RequestContext context(settings);
   context.routing.view = MakeStandaloneView(settings, initial_catalogue);
+  Hedger hedger(context);
+  context.hedger = &hedger;
   HttpServer server;
   BOOST_OUTCOME_TRY(StartHttpServer(server, context));
   base::LogChange("daemon_started", {{"name", settings.name},
--- a/src/eelgrassbridge/daemon/suspect_watch.cpp
+++ b/src/eelgrassbridge/daemon/suspect_watch.cpp
@@ -44,8 +44,8 @@
                  const CallerRequest& request,
                  bool answered) {
   const std::scoped_lock lock(context.poison.mutex);
-  routing::EndAlone(context.poison.quarantine, FingerprintOf(request), answered,
-                    base::BootClock::now());
+  routing::EndAlone(context.poison.quarantine, FingerprintOf(request),
+                    answered);
 }
 
 void CheckTargetDeath(RequestContext& context,
--- a/src/eelgrassbridge/daemon/target_selection.cpp
+++ b/src/eelgrassbridge/daemon/target_selection.cpp
@@ -90,6 +90,7 @@
     case base::ErrorKind::kDeadlineBeforeRun:
     case base::ErrorKind::kTargetRefused:
       return routing::AnswerReport::Kind::kOverloaded;
+    case base::ErrorKind::kCancelled:
     case base::ErrorKind::kIdRequired:
     case base::ErrorKind::kAccountLimit:
     case base::ErrorKind::kQuarantined:
@@ -127,12 +128,15 @@
 
 void NoteAttempt(RequestContext& context,
                  const PlannedRequest& planned,
-                 base::DaemonId target) {
+                 base::DaemonId target,
+                 bool is_first) {
   const std::scoped_lock lock(context.choice.mutex);
   routing::NoteSent(context.choice.tables[TableName(planned)].targets, target,
                     base::BootClock::now());
-  limits::NoteFirstAttempt(context.choice.retry_budget,
-                           planned.entry.kind->priority, target);
+  if (is_first) {
+    limits::NoteFirstAttempt(context.choice.retry_budget,
+                             planned.entry.kind->priority, target);
+  }
 }
 
 void NoteAttemptEnd(RequestContext& context,
@@ -149,10 +153,10 @@
 
 bool TakeRetry(RequestContext& context,
                const PlannedRequest& planned,
-               base::DaemonId target) {
+               base::DaemonId failed_target) {
   const std::scoped_lock lock(context.choice.mutex);
   return limits::TakeExtraAttempt(context.choice.retry_budget,
-                                  planned.entry.kind->priority, target);
+                                  planned.entry.kind->priority, failed_target);
 }
 
 }  // namespace eelgrassbridge::daemon
