--- a/include/eelgrassbridge/base/problem.hpp
+++ b/include/eelgrassbridge/base/problem.hpp
@@ -40,7 +40,8 @@
                 std::string_view path,
                 std::string message);
 
-/// @brief "file:line: path: message" for each problem, one a line.
+/// @brief "file:line: path: message" for each problem, one a line, in the
+/// order of the lines.
 std::string ToString(const Problems& problems);
 
 }  // namespace eelgrassbridge::base
--- /dev/null
+++ b/include/eelgrassbridge/cli/exit_code.hpp
@@ -0,0 +1,27 @@
+// Exit codes of all commands; docs/operators/exit-codes.md.
+#ifndef EELGRASSBRIDGE_CLI_EXIT_CODE_HPP
+#define EELGRASSBRIDGE_CLI_EXIT_CODE_HPP
+
+#include "eelgrassbridge/base/error.hpp"
+
+namespace eelgrassbridge::cli {
+
+enum class ExitCode : int {
+  kSuccess = 0,
+  kInvalid = 1,      ///< A file or value is not valid; nothing was changed.
+  kUsage = 2,        ///< Unknown command or option.
+  kRefused = 3,      ///< The token is unknown, has expired or lacks a scope.
+  kConflict = 4,     ///< Another change won; nothing was changed.
+  kUnknown = 5,      ///< The change may or may not have been made.
+  kUnavailable = 6,  ///< No answer from the daemon, or it has no store.
+  kWaitEnded = 7,  ///< --wait ended before the change was in force everywhere.
+  kUnsafe = 8,     ///< The change would stop service and was not made.
+  kFailed = 9,     ///< Any other failure, e.g. a daemon that cannot start.
+};
+
+/// @brief The code for an error.
+ExitCode ExitCodeFor(base::ErrorKind kind);
+
+}  // namespace eelgrassbridge::cli
+
+#endif  // EELGRASSBRIDGE_CLI_EXIT_CODE_HPP
--- a/include/eelgrassbridge/daemon/admin_messages.hpp
+++ b/include/eelgrassbridge/daemon/admin_messages.hpp
@@ -55,6 +55,8 @@
 struct DaemonStatus {
   std::string name;
   std::string id;
+  /// Where it answers operators, e.g. "127.0.0.1:8101".
+  std::string http;
   std::string data_centre;
   std::string region;
   std::string service;
--- a/src/eelgrassbridge/base/problem.cpp
+++ b/src/eelgrassbridge/base/problem.cpp
@@ -3,6 +3,8 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+
 namespace eelgrassbridge::base {
 
 namespace {
@@ -38,8 +40,10 @@
 }
 
 std::string ToString(const Problems& problems) {
+  std::vector<Problem> list = problems.list;
+  std::ranges::stable_sort(list, {}, &Problem::line);
   std::string text;
-  for (const Problem& problem : problems.list) {
+  for (const Problem& problem : list) {
     if (!text.empty()) {
       text += '\n';
     }
--- /dev/null
+++ b/src/eelgrassbridge/cli/catalogue_commands.cpp
@@ -0,0 +1,218 @@
+// catalogue validate, diff, apply, show, history.
+#include <spdlog/fmt/chrono.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "eelgrassbridge/catalogue/catalogue_json.hpp"
+#include "eelgrassbridge/catalogue/diff.hpp"
+#include "eelgrassbridge/catalogue/read_catalogue.hpp"
+#include "eelgrassbridge/catalogue/write_catalogue.hpp"
+#include "eelgrassbridge/cli/submit_change.hpp"
+
+namespace eelgrassbridge::cli {
+
+namespace {
+
+ExitCode Validate(CommandContext& context) {
+  const std::string file = Text(context, "FILE");
+  const auto read = catalogue::ReadCatalogueFile(file);
+  if (!read) {
+    return Report(context, read.error());
+  }
+  const catalogue::Catalogue& found = read.value();
+  if (context.json) {
+    PrintJson(context, {{"valid", true},
+                        {"site", found.site},
+                        {"services", found.services.size()},
+                        {"accounts", found.accounts.size()},
+                        {"data_centres", found.data_centres.size()}});
+  } else {
+    context.out << fmt::format(
+        "{}: valid; site {}, {} services, {} accounts, {} data centres\n", file,
+        found.site, found.services.size(), found.accounts.size(),
+        found.data_centres.size());
+  }
+  return ExitCode::kSuccess;
+}
+
+/// The file's entries with the present out-of-service marks, which only
+/// take-out and bring-back change.
+base::Result<catalogue::Catalogue> NextFromFile(
+    const std::string& file,
+    const catalogue::Catalogue& current) {
+  BOOST_OUTCOME_TRY(next, catalogue::ReadCatalogueFile(file));
+  if (current.version != 0 && next.site != current.site) {
+    return base::Fail(base::ErrorKind::kCatalogueInvalid,
+                      fmt::format("{}: site {} is not the daemon's site {}",
+                                  file, next.site, current.site));
+  }
+  next.out_of_service = current.out_of_service;
+  return next;
+}
+
+ExitCode PrintDiff(CommandContext& context,
+                   const catalogue::Catalogue& before,
+                   const catalogue::Catalogue& after) {
+  std::vector<std::string> lines;
+  for (const catalogue::Change& change : catalogue::Diff(before, after)) {
+    lines.push_back(catalogue::ToString(change));
+  }
+  const auto unsafe = catalogue::UnsafeReasons(before, after);
+  if (context.json) {
+    PrintJson(context, {{"changes", lines}, {"unsafe", unsafe}});
+    return ExitCode::kSuccess;
+  }
+  for (const std::string& line : lines) {
+    context.out << line << "\n";
+  }
+  for (const std::string& reason : unsafe) {
+    context.out << "unsafe: " << reason << "\n";
+  }
+  if (lines.empty()) {
+    context.out << "no differences\n";
+  }
+  return ExitCode::kSuccess;
+}
+
+/// Two files, or one file against the catalogue in force.
+ExitCode DiffCommand(CommandContext& context) {
+  if (Flag(context, "NEW")) {
+    const auto before = catalogue::ReadCatalogueFile(Text(context, "FILE"));
+    const auto after = catalogue::ReadCatalogueFile(Text(context, "NEW"));
+    if (!before || !after) {
+      return Report(context, before ? after.error() : before.error());
+    }
+    return PrintDiff(context, before.value(), after.value());
+  }
+  const auto client = MakeAdminClient(context);
+  if (!client) {
+    return Report(context, client.error());
+  }
+  const auto current = GetCatalogue(client.value());
+  if (!current) {
+    return Report(context, current.error());
+  }
+  const auto next = NextFromFile(Text(context, "FILE"), current.value());
+  return next ? PrintDiff(context, current.value(), next.value())
+              : Report(context, next.error());
+}
+
+ExitCode Apply(CommandContext& context) {
+  const auto client = MakeAdminClient(context);
+  if (!client) {
+    return Report(context, client.error());
+  }
+  const auto current = GetCatalogue(client.value());
+  if (!current) {
+    return Report(context, current.error());
+  }
+  auto next = NextFromFile(Text(context, "FILE"), current.value());
+  if (!next) {
+    return Report(context, next.error());
+  }
+  const std::string expected = Text(context, "expected-version");
+  if (!expected.empty() &&
+      expected != std::to_string(current.value().version)) {
+    return Report(context,
+                  {base::ErrorKind::kVersionConflict,
+                   fmt::format("not made: version {} is in force, not {}",
+                               current.value().version, expected)});
+  }
+  return SubmitChange(context, client.value(), current.value(),
+                      std::move(next.value()));
+}
+
+ExitCode Show(CommandContext& context) {
+  const auto client = MakeAdminClient(context);
+  if (!client) {
+    return Report(context, client.error());
+  }
+  const auto current = GetCatalogue(client.value());
+  if (!current) {
+    return Report(context, current.error());
+  }
+  if (context.json) {
+    PrintJson(context, catalogue::CatalogueToJson(current.value()));
+  } else {
+    context.out << catalogue::WriteCatalogueYaml(current.value());
+  }
+  return ExitCode::kSuccess;
+}
+
+ExitCode History(CommandContext& context) {
+  const auto client = MakeAdminClient(context);
+  if (!client) {
+    return Report(context, client.error());
+  }
+  const auto history =
+      GetHistory(client.value(), context.options["limit"].as<std::uint32_t>());
+  if (!history) {
+    return Report(context, history.error());
+  }
+  if (context.json) {
+    PrintJson(context,
+              nlohmann::json::parse(daemon::WriteHistoryJson(history.value())));
+    return ExitCode::kSuccess;
+  }
+  for (const daemon::HistoryEntry& entry : history.value()) {
+    constexpr std::int64_t kMillisecondsPerSecond = 1000;
+    context.out << fmt::format(
+        "version {} {:%Y-%m-%dT%H:%M:%SZ} by {}, operation id {}: {}\n",
+        entry.version,
+        fmt::gmtime(static_cast<std::time_t>(entry.changed_at_ms /
+                                             kMillisecondsPerSecond)),
+        entry.changed_by, entry.operation_id, entry.reason);
+    for (const std::string& line : entry.changes) {
+      context.out << "  " << line << "\n";
+    }
+  }
+  return ExitCode::kSuccess;
+}
+
+}  // namespace
+
+std::vector<Command> CatalogueCommands() {
+  return {{"catalogue validate",
+           "Check a catalogue file and report all problems at once",
+           {"FILE"},
+           false,
+           nullptr,
+           Validate},
+          {"catalogue diff",
+           "Show what a file would change, against a daemon or a second file",
+           {"FILE", "?NEW"},
+           true,
+           nullptr,
+           DiffCommand},
+          {"catalogue apply",
+           "Make the entries of a file the next version",
+           {"FILE"},
+           true,
+           [](cxxopts::Options& options) {
+             AddChangeOptions(options);
+             options.add_options()("expected-version",
+                                   "Refuse unless this version is in force",
+                                   cxxopts::value<std::string>(), "VERSION");
+           },
+           Apply},
+          {"catalogue show",
+           "Print the catalogue in force, in the form that apply reads",
+           {},
+           true,
+           nullptr,
+           Show},
+          {"catalogue history",
+           "Print the accepted changes, newest first",
+           {},
+           true,
+           [](cxxopts::Options& options) {
+             options.add_options()(
+                 "limit", "Number of changes, 1 to 200",
+                 cxxopts::value<std::uint32_t>()->default_value("20"), "N");
+           },
+           History}};
+}
+
+}  // namespace eelgrassbridge::cli
--- /dev/null
+++ b/src/eelgrassbridge/cli/submit_change.cpp
@@ -0,0 +1,253 @@
+// One submission of a change, the resolution of a lost answer, and --wait.
+#include "eelgrassbridge/cli/submit_change.hpp"
+
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <thread>
+
+#include "eelgrassbridge/base/identifier.hpp"
+#include "eelgrassbridge/base/yaml_fields.hpp"
+#include "eelgrassbridge/catalogue/diff.hpp"
+
+namespace eelgrassbridge::cli {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr base::Duration kPollInterval = base::milliseconds{200};
+/// A write that the store has not shown by then may still be delayed in the
+/// network; the operator is told so.
+constexpr base::Duration kResolveTime = base::seconds{10};
+constexpr std::uint32_t kResolveHistory = 50;
+constexpr const char* kWaitDefault = "30s";
+
+/// A submitted change and what became of it.
+struct Submission {
+  std::uint64_t version = 0;
+  std::string operation_id;
+  std::vector<std::string> changes;
+};
+
+std::vector<std::string> Printed(
+    const std::vector<catalogue::Change>& changes) {
+  std::vector<std::string> lines;
+  for (const catalogue::Change& change : changes) {
+    lines.push_back(catalogue::ToString(change));
+  }
+  return lines;
+}
+
+json ToJson(const Submission& submission, std::string_view result) {
+  return {{"result", result},
+          {"version", submission.version},
+          {"operation_id", submission.operation_id},
+          {"changes", submission.changes}};
+}
+
+ExitCode ReportConflict(CommandContext& context,
+                        const base::Error& error,
+                        const catalogue::Catalogue& current,
+                        const catalogue::Catalogue& winner) {
+  const auto changes = Printed(catalogue::Diff(current, winner));
+  if (context.json) {
+    PrintJson(context, {{"result", "conflict"},
+                        {"version", winner.version},
+                        {"changed_by", winner.changed_by},
+                        {"reason", winner.reason},
+                        {"changes", changes}});
+    return ExitCode::kConflict;
+  }
+  context.err << "not made: " << error.detail << "\n"
+              << fmt::format("version {} by {} ({}):\n", winner.version,
+                             winner.changed_by, winner.reason);
+  for (const std::string& line : changes) {
+    context.err << "  " << line << "\n";
+  }
+  context.err << "look at the winner's change and run the command again\n";
+  return ExitCode::kConflict;
+}
+
+ExitCode ReportUnknown(CommandContext& context, const Submission& submission) {
+  if (context.json) {
+    PrintJson(context, ToJson(submission, "unknown"));
+    return ExitCode::kUnknown;
+  }
+  context.err << fmt::format(
+      "unknown: the change may have been made or may still be made. Do not "
+      "submit it again before version {} shows in 'catalogue history'; the "
+      "change was made if it has operation id {}\n",
+      submission.version, submission.operation_id);
+  return ExitCode::kUnknown;
+}
+
+/// Looks for the operation id until the version after the expected one shows.
+ExitCode Resolve(CommandContext& context,
+                 const AdminClient& client,
+                 const Submission& submission) {
+  context.err << "the answer was lost; looking for the operation id\n";
+  const auto end = base::BootClock::now() + kResolveTime;
+  while (base::BootClock::now() < end) {
+    const auto history = GetHistory(client, kResolveHistory);
+    if (history) {
+      for (const daemon::HistoryEntry& entry : history.value()) {
+        if (entry.operation_id == submission.operation_id) {
+          return ExitCode::kSuccess;
+        }
+        if (entry.version == submission.version) {
+          // Another operation has this version, so the conditional write of
+          // this one can no longer succeed.
+          context.err << fmt::format("not made: version {} is by {} ({})\n",
+                                     entry.version, entry.changed_by,
+                                     entry.reason);
+          return ExitCode::kConflict;
+        }
+      }
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return ReportUnknown(context, submission);
+}
+
+ExitCode WaitInForce(CommandContext& context,
+                     const AdminClient& client,
+                     std::uint64_t version,
+                     InForce& last) {
+  const auto allowed = base::ParseDuration(Text(context, "wait-timeout"))
+                           .value_or(base::seconds{30});
+  const auto end = base::BootClock::now() + allowed;
+  std::string shown;
+  for (;;) {
+    const auto status = GetStatus(client);
+    std::string line = "no answer from the daemon";
+    if (status) {
+      last = CountInForce(status.value(), version);
+      line = ToString(last);
+    }
+    if (line != shown) {
+      context.err << line << "\n" << std::flush;
+      shown = line;
+    }
+    if (status && last.total > 0 && last.reached == last.total) {
+      return ExitCode::kSuccess;
+    }
+    if (base::BootClock::now() >= end) {
+      return ExitCode::kWaitEnded;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+ExitCode Finish(CommandContext& context,
+                const AdminClient& client,
+                const Submission& submission) {
+  ExitCode code = ExitCode::kSuccess;
+  json result = ToJson(submission, "accepted");
+  if (!context.json) {
+    context.out << fmt::format("accepted as version {} (operation id {})\n",
+                               submission.version, submission.operation_id);
+  }
+  if (Flag(context, "wait")) {
+    InForce in_force;
+    code = WaitInForce(context, client, submission.version, in_force);
+    result["in_force"] = {{"reached", in_force.reached},
+                          {"total", in_force.total},
+                          {"missing", in_force.missing},
+                          {"lost", in_force.lost}};
+  }
+  if (context.json) {
+    PrintJson(context, result);
+  }
+  return code;
+}
+
+/// Shows the change; a code other than success ends the command.
+ExitCode ShowChange(CommandContext& context,
+                    const catalogue::Catalogue& current,
+                    const catalogue::Catalogue& next,
+                    const std::vector<std::string>& changes) {
+  if (!context.json) {
+    for (const std::string& line : changes) {
+      context.out << line << "\n";
+    }
+  }
+  const auto reasons = catalogue::UnsafeReasons(current, next);
+  for (const std::string& reason : reasons) {
+    context.err << "unsafe: " << reason << "\n";
+  }
+  if (!reasons.empty() && !Flag(context, "allow-unsafe")) {
+    context.err << "not made; --allow-unsafe makes it all the same\n";
+    return ExitCode::kUnsafe;
+  }
+  return ExitCode::kSuccess;
+}
+
+}  // namespace
+
+void AddChangeOptions(cxxopts::Options& options) {
+  options.add_options()("reason", "Why, for the history",
+                        cxxopts::value<std::string>(),
+                        "TEXT")("dry-run", "Show the change without making it")(
+      "allow-unsafe",
+      "Make the change even if it leaves a service or account unserved")(
+      "wait", "Wait until the change is in force on all daemons")(
+      "wait-timeout", "Longest wait",
+      cxxopts::value<std::string>()->default_value(kWaitDefault), "DURATION");
+}
+
+ExitCode SubmitChange(CommandContext& context,
+                      const AdminClient& client,
+                      const catalogue::Catalogue& current,
+                      catalogue::Catalogue next) {
+  Submission submission{current.version + 1, base::RandomHex128(),
+                        Printed(catalogue::Diff(current, next))};
+  if (submission.changes.empty()) {
+    if (context.json) {
+      PrintJson(context,
+                {{"result", "no change"}, {"version", current.version}});
+    } else {
+      context.out << fmt::format("nothing changes; version {} stays\n",
+                                 current.version);
+    }
+    return ExitCode::kSuccess;
+  }
+  const ExitCode shown = ShowChange(context, current, next, submission.changes);
+  if (shown != ExitCode::kSuccess) {
+    return shown;
+  }
+  if (Flag(context, "dry-run")) {
+    if (context.json) {
+      PrintJson(context, ToJson(submission, "dry run"));
+    }
+    return ExitCode::kSuccess;
+  }
+  next.reason = Text(context, "reason");
+  const AdminReply reply =
+      Post(client, "/admin/catalogue",
+           daemon::WriteChangeJson({current.version, submission.operation_id,
+                                    Flag(context, "allow-unsafe"), next}));
+  if (!reply.error) {
+    return Finish(context, client, submission);
+  }
+  switch (reply.error->kind) {
+    case base::ErrorKind::kVersionConflict:
+      return ReportConflict(context, *reply.error, current,
+                            reply.winner.value_or(catalogue::Catalogue{}));
+    case base::ErrorKind::kStoreResultUnknown:
+    case base::ErrorKind::kPeerLost:
+    case base::ErrorKind::kInternal: {
+      const ExitCode resolved = Resolve(context, client, submission);
+      return resolved == ExitCode::kSuccess
+                 ? Finish(context, client, submission)
+                 : resolved;
+    }
+    default:
+      return Report(context, *reply.error);
+  }
+}
+
+}  // namespace eelgrassbridge::cli
--- a/src/eelgrassbridge/daemon/admin_messages.cpp
+++ b/src/eelgrassbridge/daemon/admin_messages.cpp
@@ -54,6 +54,7 @@
 json ToJson(const DaemonStatus& daemon) {
   return {{"name", daemon.name},
           {"id", daemon.id},
+          {"http", daemon.http},
           {"data_centre", daemon.data_centre},
           {"region", daemon.region},
           {"service", daemon.service},
@@ -66,6 +67,7 @@
   DaemonStatus daemon;
   value.at("name").get_to(daemon.name);
   value.at("id").get_to(daemon.id);
+  value.at("http").get_to(daemon.http);
   value.at("data_centre").get_to(daemon.data_centre);
   value.at("region").get_to(daemon.region);
   value.at("service").get_to(daemon.service);
