Add the store client with an HTTP and an in-memory kind

Cause: ownership, membership and the catalogue need the table service and the object store of docs/design.md section 8.

Change: store::Store holds a variant of HttpStore (one kept-alive connection, TCP_NODELAY, timeouts by option) and MemoryStore. Free functions ReadRows, ReadRow, ReadChanges, Transact, GetObject and PutObject. A refused connection, a 4xx or a 503 is "not sent"; a lost, late or unreadable reply or another 5xx is "unknown". The version of a row is the table revision that wrote it, so a late write cannot match a row that was deleted and made anew. Reads are paged ("after", "limit", "more").

--- /dev/null
+++ b/src/eelgrassbridge/store/store.cpp
@@ -0,0 +1,233 @@
+// Client of the platform's table service and object store.
+#include "eelgrassbridge/store/store.hpp"
+
+#include <httplib.h>
+
+#include <utility>
+
+#include "eelgrassbridge/store/table_json.hpp"
+
+namespace eelgrassbridge::store {
+
+namespace {
+
+using base::ErrorKind;
+using Status = TransactionResult::Status;
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kBadRequest = 400;
+constexpr int kNotFoundStatus = 404;
+constexpr int kConflictStatus = 409;
+constexpr int kServerError = 500;
+constexpr int kServiceUnavailable = 503;
+constexpr const char* kJsonType = "application/json";
+
+// Whether nothing of the request can have reached the store.
+bool IsNotSent(httplib::Error error) {
+  return error == httplib::Error::Connection ||
+         error == httplib::Error::ConnectionTimeout ||
+         error == httplib::Error::BindIPAddress;
+}
+
+// 4xx and 503 are refusals made before anything is written. Any other server
+// error says nothing about the effect.
+bool IsRefusal(int status) {
+  return status == kServiceUnavailable ||
+         (status >= kBadRequest && status < kServerError);
+}
+
+std::string Describe(const httplib::Result& reply) {
+  return reply
+             ? "the store answered " + std::to_string(reply->status)
+             : "no answer from the store: " + httplib::to_string(reply.error());
+}
+
+base::Result<std::string> Get(HttpStore& store, const std::string& path) {
+  const auto reply = store.client->Get(path);
+  if (reply && reply->status == kOk) {
+    return reply->body;
+  }
+  if (reply && reply->status == kNotFoundStatus) {
+    return base::Fail(ErrorKind::kNotFound, "the store has no " + path);
+  }
+  return base::Fail(ErrorKind::kStoreUnavailable, Describe(reply));
+}
+
+base::Result<RowsPage> GetPage(HttpStore& store,
+                               const std::string& path,
+                               const httplib::Params& parameters) {
+  const auto full_path = httplib::append_query_params(path, parameters);
+  BOOST_OUTCOME_TRY(body, Get(store, full_path));
+  auto page = ParseRows(body);
+  if (!page) {
+    return base::Fail(ErrorKind::kStoreUnavailable,
+                      "unreadable answer to GET " + path);
+  }
+  return std::move(*page);
+}
+
+base::Result<RowsPage> ReadPage(HttpStore& store, const RowRange& range) {
+  return GetPage(store, "/table/rows",
+                 {{"prefix", std::string(range.prefix)},
+                  {"after", std::string(range.after)},
+                  {"limit", std::to_string(range.limit)}});
+}
+
+base::Result<RowsPage> ReadPage(MemoryStore& store, const RowRange& range) {
+  return FindRows(*store.table, range);
+}
+
+base::Result<RowsPage> ReadPage(Store& store, const RowRange& range) {
+  return std::visit([&](auto& kind) { return ReadPage(kind, range); },
+                    store.kind);
+}
+
+base::Result<RowsRead> ReadChangesOf(HttpStore& store, std::uint64_t since) {
+  const httplib::Params parameters{{"since", std::to_string(since)}};
+  BOOST_OUTCOME_TRY(page, GetPage(store, "/table/changes", parameters));
+  return std::move(page.read);
+}
+
+base::Result<RowsRead> ReadChangesOf(MemoryStore& store, std::uint64_t since) {
+  return FindChanges(*store.table, since);
+}
+
+TransactionResult TransactOn(HttpStore& store, const Transaction& transaction) {
+  TransactionResult result;
+  result.status = Status::kUnknown;
+  const auto reply = store.client->Post(
+      "/table/transact", TransactionToJson(transaction), kJsonType);
+  if (!reply) {
+    if (IsNotSent(reply.error())) {
+      result.status = Status::kNotSent;
+    }
+    return result;
+  }
+  if (reply->status == kOk) {
+    if (auto versions = ParseVersions(reply->body)) {
+      result.status = Status::kApplied;
+      result.versions = std::move(*versions);
+    }
+  } else if (reply->status == kConflictStatus) {
+    if (auto conflicts = ParseConflicts(reply->body)) {
+      result.status = Status::kConflict;
+      result.conflicts = std::move(*conflicts);
+    }
+  } else if (IsRefusal(reply->status)) {
+    result.status = Status::kNotSent;
+  }
+  return result;
+}
+
+TransactionResult TransactOn(MemoryStore& store,
+                             const Transaction& transaction) {
+  return ApplyTransaction(*store.table, transaction);
+}
+
+std::string ObjectPath(std::string_view name) {
+  return "/objects/" + std::string(name);
+}
+
+base::Result<std::string> GetObjectOf(HttpStore& store, std::string_view name) {
+  return Get(store, ObjectPath(name));
+}
+
+base::Result<std::string> GetObjectOf(MemoryStore& store,
+                                      std::string_view name) {
+  if (auto content = FindObject(*store.table, name)) {
+    return std::move(*content);
+  }
+  return base::Fail(ErrorKind::kNotFound,
+                    "the store has no object " + std::string(name));
+}
+
+base::Result<void> PutObjectOf(HttpStore& store,
+                               std::string_view name,
+                               std::string_view content) {
+  const auto reply =
+      store.client->Put(ObjectPath(name), content.data(), content.size(),
+                        "application/octet-stream");
+  if (reply && reply->status >= kOk && reply->status < kMultipleChoices) {
+    return base::outcome::success();
+  }
+  const bool refused =
+      reply ? IsRefusal(reply->status) : IsNotSent(reply.error());
+  return base::Fail(
+      refused ? ErrorKind::kStoreUnavailable : ErrorKind::kStoreResultUnknown,
+      Describe(reply));
+}
+
+base::Result<void> PutObjectOf(MemoryStore& store,
+                               std::string_view name,
+                               std::string_view content) {
+  SetObject(*store.table, name, std::string(content));
+  return base::outcome::success();
+}
+
+}  // namespace
+
+Store MakeHttpStore(const HttpStoreOptions& options) {
+  auto client = std::make_shared<httplib::Client>(options.ip, options.port);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  client->set_connection_timeout(options.timeout);
+  client->set_read_timeout(options.timeout);
+  client->set_write_timeout(options.timeout);
+  return Store{HttpStore{std::move(client)}};
+}
+
+Store MakeMemoryStore(std::shared_ptr<MemoryTable> table) {
+  return Store{MemoryStore{std::move(table)}};
+}
+
+base::Result<RowsRead> ReadRows(Store& store, std::string_view prefix) {
+  RowRange range{.prefix = prefix};
+  BOOST_OUTCOME_TRY(page, ReadPage(store, range));
+  RowsRead all = std::move(page.read);
+  while (page.more && !all.rows.empty()) {
+    const std::string after = all.rows.back().key;
+    range.after = after;
+    BOOST_OUTCOME_TRY(next, ReadPage(store, range));
+    page = std::move(next);
+    all.rows.insert(all.rows.end(),
+                    std::make_move_iterator(page.read.rows.begin()),
+                    std::make_move_iterator(page.read.rows.end()));
+  }
+  return all;
+}
+
+base::Result<Row> ReadRow(Store& store, std::string_view key) {
+  // The first key with the prefix K in key order is K itself, if present.
+  const RowRange range{.prefix = key, .after = {}, .limit = 1};
+  BOOST_OUTCOME_TRY(page, ReadPage(store, range));
+  if (!page.read.rows.empty() && page.read.rows.front().key == key) {
+    return std::move(page.read.rows.front());
+  }
+  return Row{.key = std::string(key), .version = 0, .value = {}};
+}
+
+base::Result<RowsRead> ReadChanges(Store& store, std::uint64_t since_revision) {
+  return std::visit(
+      [&](auto& kind) { return ReadChangesOf(kind, since_revision); },
+      store.kind);
+}
+
+TransactionResult Transact(Store& store, const Transaction& transaction) {
+  return std::visit([&](auto& kind) { return TransactOn(kind, transaction); },
+                    store.kind);
+}
+
+base::Result<std::string> GetObject(Store& store, std::string_view name) {
+  return std::visit([&](auto& kind) { return GetObjectOf(kind, name); },
+                    store.kind);
+}
+
+base::Result<void> PutObject(Store& store,
+                             std::string_view name,
+                             std::string_view content) {
+  return std::visit(
+      [&](auto& kind) { return PutObjectOf(kind, name, content); }, store.kind);
+}
+
+}  // namespace eelgrassbridge::store
--- /dev/null
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -0,0 +1,150 @@
+// Tests of the store client, against a server whose replies are set by hand.
+#include "eelgrassbridge/store/store.hpp"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <thread>
+
+#include "eelgrassbridge/store/table_json.hpp"
+
+namespace eelgrassbridge::store {
+namespace {
+
+using Status = TransactionResult::Status;
+
+Transaction Write(std::string key, std::uint64_t expected, std::string value) {
+  return {.operation_id = "op",
+          .writes = {{.key = std::move(key),
+                      .expected_version = expected,
+                      .value = std::move(value)}}};
+}
+
+struct ServerFixture {
+  ServerFixture() {
+    this->port = this->server.bind_to_any_port("127.0.0.1");
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    while (!this->server.is_running()) {
+      std::this_thread::yield();
+    }
+  }
+  ~ServerFixture() {
+    this->server.stop();
+    this->thread.join();
+  }
+  Store MakeStore() {
+    return MakeHttpStore({.ip = "127.0.0.1",
+                          .port = static_cast<std::uint16_t>(this->port),
+                          .timeout = base::milliseconds{200}});
+  }
+
+  httplib::Server server;
+  int port = 0;
+  std::thread thread;
+};
+
+// Guards against a late write that matches a row deleted and made anew.
+TEST_CASE("A version is never used twice") {
+  auto table = std::make_shared<MemoryTable>();
+  Store store = MakeMemoryStore(table);
+  const auto first = Transact(store, Write("a", 0, "1"));
+  REQUIRE(first.status == Status::kApplied);
+  Transaction removal = Write("a", first.versions[0], "");
+  removal.writes[0].value.reset();
+  REQUIRE(Transact(store, removal).status == Status::kApplied);
+  REQUIRE(Transact(store, Write("a", 0, "2")).status == Status::kApplied);
+  const auto late = Transact(store, Write("a", first.versions[0], "late"));
+  CHECK(late.status == Status::kConflict);
+  CHECK(late.conflicts.at(0).value == "2");
+}
+
+// Guards against one half of a transaction taking effect.
+TEST_CASE("A conflict on one row keeps all rows as they were") {
+  Store store = MakeMemoryStore(std::make_shared<MemoryTable>());
+  REQUIRE(Transact(store, Write("a", 0, "1")).status == Status::kApplied);
+  Transaction both = Write("b", 0, "1");
+  both.writes.push_back({.key = "a", .expected_version = 0, .value = "2"});
+  CHECK(Transact(store, both).status == Status::kConflict);
+  CHECK(ReadRow(store, "b").value().version == 0);
+  CHECK(ReadRow(store, "a").value().value == "1");
+}
+
+// Guards against a longer key being taken for the one that was asked for.
+TEST_CASE("A read of one row does not match a longer key") {
+  Store store = MakeMemoryStore(std::make_shared<MemoryTable>());
+  REQUIRE(Transact(store, Write("group/10", 0, "x")).status ==
+          Status::kApplied);
+  CHECK(ReadRow(store, "group/1").value().version == 0);
+}
+
+// Guards against rows lost between pages and deletions hidden from readers.
+TEST_CASE("Reads over several pages and changes are complete") {
+  auto table = std::make_shared<MemoryTable>();
+  Store store = MakeMemoryStore(table);
+  constexpr int kRows = 2500;
+  for (int i = 0; i < kRows; ++i) {
+    REQUIRE(Transact(store, Write("p/" + std::to_string(i), 0, "v")).status ==
+            Status::kApplied);
+  }
+  REQUIRE(Transact(store, Write("q", 0, "v")).status == Status::kApplied);
+  const auto all = ReadRows(store, "p/").value();
+  CHECK(all.rows.size() == kRows);
+  Transaction removal = Write("q", kRows + 1, "");
+  removal.writes[0].value.reset();
+  REQUIRE(Transact(store, removal).status == Status::kApplied);
+  const auto changes = ReadChanges(store, all.revision).value();
+  REQUIRE(changes.rows.size() == 1);
+  CHECK(changes.rows[0].version == 0);
+}
+
+// Guards against a write that may take effect being reported as not sent, and
+// the reverse.
+TEST_CASE("Replies of the table service map to results") {
+  ServerFixture fixture;
+  int status = 200;
+  std::string body = R"({"versions":[7]})";
+  bool late = false;
+  fixture.server.Post("/table/transact", [&](const httplib::Request& request,
+                                             httplib::Response& response) {
+    CHECK(ParseTransaction(request.body)->writes.size() == 1);
+    if (late) {
+      std::this_thread::sleep_for(base::milliseconds{600});
+    }
+    response.status = status;
+    response.set_content(body, "application/json");
+  });
+  Store store = fixture.MakeStore();
+  const auto applied = Transact(store, Write("a", 0, "1"));
+  CHECK(applied.status == Status::kApplied);
+  CHECK(applied.versions == std::vector<std::uint64_t>{7});
+  status = 409;
+  body = R"({"conflicts":[{"key":"a","version":3,"value":"w"}]})";
+  CHECK(Transact(store, Write("a", 0, "1")).conflicts.at(0).version == 3);
+  status = 503;
+  CHECK(Transact(store, Write("a", 0, "1")).status == Status::kNotSent);
+  status = 500;
+  CHECK(Transact(store, Write("a", 0, "1")).status == Status::kUnknown);
+  status = 200;
+  body = "{";
+  CHECK(Transact(store, Write("a", 0, "1")).status == Status::kUnknown);
+  late = true;
+  CHECK(Transact(store, Write("a", 0, "1")).status == Status::kUnknown);
+}
+
+// Guards against a store that is down making the result of a write unknown.
+TEST_CASE("A refused connection is not sent") {
+  int port = 0;
+  {
+    const ServerFixture stopped;
+    port = stopped.port;
+  }
+  Store store = MakeHttpStore(
+      {.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(port)});
+  CHECK(Transact(store, Write("a", 0, "1")).status == Status::kNotSent);
+  const auto read = ReadRow(store, "a");
+  REQUIRE(!read);
+  CHECK(read.error().kind == base::ErrorKind::kStoreUnavailable);
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::store
--- /dev/null
+++ b/src/eelgrassbridge/store/table_json.cpp
@@ -0,0 +1,117 @@
+// JSON bodies of the table service.
+#include "eelgrassbridge/store/table_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrassbridge::store {
+
+namespace {
+
+using nlohmann::json;
+
+json RowJson(const Row& row) {
+  return {{"key", row.key}, {"version", row.version}, {"value", row.value}};
+}
+
+Row RowOf(const json& value) {
+  return Row{.key = value.at("key").get<std::string>(),
+             .version = value.at("version").get<std::uint64_t>(),
+             .value = value.at("value").get<std::string>()};
+}
+
+json RowList(const std::vector<Row>& rows) {
+  json list = json::array();
+  for (const auto& row : rows) {
+    list.push_back(RowJson(row));
+  }
+  return list;
+}
+
+std::vector<Row> RowsOf(const json& list) {
+  std::vector<Row> rows;
+  for (const auto& value : list) {
+    rows.push_back(RowOf(value));
+  }
+  return rows;
+}
+
+// A body of the wrong shape makes the library throw; the caller gets nothing.
+template <typename Parse>
+auto Guarded(std::string_view body, Parse parse)
+    -> std::optional<decltype(parse(json{}))> {
+  try {
+    return parse(json::parse(body));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+// Values are bytes to the table; invalid UTF-8 is replaced instead of throwing.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::string RowsToJson(const RowsPage& page) {
+  return Dump({{"rows", RowList(page.read.rows)},
+               {"revision", page.read.revision},
+               {"more", page.more}});
+}
+
+std::optional<RowsPage> ParseRows(std::string_view body) {
+  return Guarded(body, [](const json& value) {
+    return RowsPage{
+        .read = {.rows = RowsOf(value.at("rows")),
+                 .revision = value.at("revision").get<std::uint64_t>()},
+        .more = value.value("more", false)};
+  });
+}
+
+std::string TransactionToJson(const Transaction& transaction) {
+  json writes = json::array();
+  for (const auto& write : transaction.writes) {
+    writes.push_back({{"key", write.key},
+                      {"expected_version", write.expected_version},
+                      {"value", write.value ? json(*write.value) : json()}});
+  }
+  return Dump({{"op_id", transaction.operation_id}, {"writes", writes}});
+}
+
+std::optional<Transaction> ParseTransaction(std::string_view body) {
+  return Guarded(body, [](const json& value) {
+    Transaction transaction;
+    transaction.operation_id = value.at("op_id").get<std::string>();
+    for (const auto& write : value.at("writes")) {
+      const auto& content = write.at("value");
+      transaction.writes.push_back(
+          {.key = write.at("key").get<std::string>(),
+           .expected_version =
+               write.at("expected_version").get<std::uint64_t>(),
+           .value = content.is_null()
+                        ? std::nullopt
+                        : std::optional(content.get<std::string>())});
+    }
+    return transaction;
+  });
+}
+
+std::string ResultToJson(const TransactionResult& result) {
+  if (result.status == TransactionResult::Status::kApplied) {
+    return Dump({{"versions", result.versions}});
+  }
+  return Dump({{"conflicts", RowList(result.conflicts)}});
+}
+
+std::optional<std::vector<std::uint64_t>> ParseVersions(std::string_view body) {
+  return Guarded(body, [](const json& value) {
+    return value.at("versions").get<std::vector<std::uint64_t>>();
+  });
+}
+
+std::optional<std::vector<Row>> ParseConflicts(std::string_view body) {
+  return Guarded(
+      body, [](const json& value) { return RowsOf(value.at("conflicts")); });
+}
+
+}  // namespace eelgrassbridge::store
