--- /dev/null
+++ b/standins/standin_table.cpp
@@ -0,0 +1,269 @@
+// Stand-in of the platform's table service and object store.
+//
+// Follows docs/design.md section 8, with the platform's caps and with faults
+// that can be set while it runs.
+#include <atomic>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+#include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/store/memory_table.hpp"
+#include "eelgrassbridge/store/table_json.hpp"
+#include "serve.hpp"
+
+namespace eelgrassbridge::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kJsonType = "application/json";
+
+/// @brief Counts events in windows of one second.
+struct RateCap {
+  std::uint64_t limit = 0;
+  std::int64_t window = 0;
+  std::uint64_t used = 0;
+};
+
+struct Faults {
+  bool down = false;
+  std::int64_t delay_ms = 0;
+  double lose_reply_probability = 0;
+  double late_write_probability = 0;
+  std::int64_t late_write_ms = 0;
+};
+
+struct Table {
+  store::MemoryTable rows;
+  std::mutex mutex;
+  RateCap read_cap;
+  RateCap write_cap;
+  Faults faults;
+  std::mt19937_64 random{20261204};
+  std::atomic<std::uint64_t> reads = 0;
+  std::atomic<std::uint64_t> writes = 0;
+  std::atomic<std::uint64_t> rows_read = 0;
+  std::atomic<std::uint64_t> refused_reads = 0;
+  std::atomic<std::uint64_t> refused_writes = 0;
+};
+
+// Needs the mutex of the table.
+bool TakeFrom(RateCap& cap, std::uint64_t amount) {
+  const std::int64_t now = UnixMicroseconds() / 1'000'000;
+  if (cap.window != now) {
+    cap.window = now;
+    cap.used = 0;
+  }
+  if (cap.used + amount > cap.limit) {
+    return false;
+  }
+  cap.used += amount;
+  return true;
+}
+
+Faults FaultsNow(Table& table) {
+  const std::scoped_lock lock(table.mutex);
+  return table.faults;
+}
+
+bool Draw(Table& table, double probability) {
+  const std::scoped_lock lock(table.mutex);
+  return std::bernoulli_distribution(probability)(table.random);
+}
+
+void Refuse(httplib::Response& response) {
+  response.status = 503;
+  response.set_content(R"({"error":"unavailable"})", kJsonType);
+}
+
+// Applies delay, outage and cap; false if the request was refused.
+bool Admit(Table& table,
+           RateCap& cap,
+           std::uint64_t amount,
+           std::atomic<std::uint64_t>& refused,
+           httplib::Response& response) {
+  const Faults faults = FaultsNow(table);
+  if (faults.delay_ms > 0) {
+    std::this_thread::sleep_for(base::milliseconds{faults.delay_ms});
+  }
+  bool admitted = !faults.down;
+  if (admitted) {
+    const std::scoped_lock lock(table.mutex);
+    admitted = TakeFrom(cap, amount);
+  }
+  if (!admitted) {
+    refused += amount;
+    Refuse(response);
+  }
+  return admitted;
+}
+
+void AnswerRead(Table& table,
+                const store::RowsPage& page,
+                httplib::Response& response) {
+  ++table.reads;
+  table.rows_read += page.read.rows.size();
+  response.set_content(store::RowsToJson(page), kJsonType);
+}
+
+void HandleRows(Table& table,
+                const httplib::Request& request,
+                httplib::Response& response) {
+  if (!Admit(table, table.read_cap, 1, table.refused_reads, response)) {
+    return;
+  }
+  const std::string prefix = request.get_param_value("prefix");
+  const std::string after = request.get_param_value("after");
+  store::RowRange range{.prefix = prefix, .after = after};
+  if (request.has_param("limit")) {
+    range.limit = std::stoul(request.get_param_value("limit"));
+  }
+  AnswerRead(table, store::FindRows(table.rows, range), response);
+}
+
+void HandleChanges(Table& table,
+                   const httplib::Request& request,
+                   httplib::Response& response) {
+  if (!Admit(table, table.read_cap, 1, table.refused_reads, response)) {
+    return;
+  }
+  const auto since = std::stoull(request.get_param_value("since"));
+  AnswerRead(table, {.read = store::FindChanges(table.rows, since)}, response);
+}
+
+void ApplyLate(Table& table, store::Transaction transaction, std::int64_t ms) {
+  std::thread([&table, transaction = std::move(transaction), ms] {
+    std::this_thread::sleep_for(base::milliseconds{ms});
+    store::ApplyTransaction(table.rows, transaction);
+  }).detach();
+}
+
+void HandleTransact(Table& table,
+                    const httplib::Request& request,
+                    httplib::Response& response) {
+  auto transaction = store::ParseTransaction(request.body);
+  if (!transaction) {
+    response.status = 400;
+    return;
+  }
+  const std::uint64_t rows = transaction->writes.size();
+  if (!Admit(table, table.write_cap, rows, table.refused_writes, response)) {
+    return;
+  }
+  table.writes += rows;
+  const Faults faults = FaultsNow(table);
+  if (Draw(table, faults.late_write_probability)) {
+    ApplyLate(table, std::move(*transaction), faults.late_write_ms);
+    LoseReply(response);
+    return;
+  }
+  const auto result = store::ApplyTransaction(table.rows, *transaction);
+  if (Draw(table, faults.lose_reply_probability)) {
+    LoseReply(response);
+    return;
+  }
+  if (result.status == store::TransactionResult::Status::kConflict) {
+    response.status = 409;
+  }
+  response.set_content(store::ResultToJson(result), kJsonType);
+}
+
+void HandleObjects(Table& table, httplib::Server& server) {
+  server.Get(R"(/objects/(.+))", [&](const auto& request, auto& response) {
+    if (!Admit(table, table.read_cap, 1, table.refused_reads, response)) {
+      return;
+    }
+    ++table.reads;
+    if (auto content =
+            store::FindObject(table.rows, request.matches[1].str())) {
+      response.set_content(*content, "application/octet-stream");
+    } else {
+      response.status = 404;
+    }
+  });
+  server.Put(R"(/objects/(.+))", [&](const auto& request, auto& response) {
+    if (!Admit(table, table.write_cap, 1, table.refused_writes, response)) {
+      return;
+    }
+    ++table.writes;
+    store::SetObject(table.rows, request.matches[1].str(), request.body);
+    response.set_content("{}", kJsonType);
+  });
+}
+
+// Fields that are absent go back to their defaults.
+void HandleFaults(Table& table,
+                  const httplib::Request& request,
+                  httplib::Response& response) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    response.status = 400;
+    return;
+  }
+  const std::scoped_lock lock(table.mutex);
+  table.faults = {
+      .down = body.value("down", false),
+      .delay_ms = body.value("delay_ms", std::int64_t{0}),
+      .lose_reply_probability = body.value("lose_reply_probability", 0.0),
+      .late_write_probability = body.value("late_write_probability", 0.0),
+      .late_write_ms = body.value("late_write_ms", std::int64_t{0})};
+  response.set_content("{}", kJsonType);
+}
+
+json CountsJson(const Table& table) {
+  return {{"reads", table.reads.load()},
+          {"writes", table.writes.load()},
+          {"rows_read", table.rows_read.load()},
+          {"refused_reads", table.refused_reads.load()},
+          {"refused_writes", table.refused_writes.load()}};
+}
+
+int Run(int count, const char* const* arguments) {
+  cxxopts::Options options("standin_table", "Table service and object store.");
+  // Read as text: GCC 12 reports a false -Wrestrict in the library's parser of
+  // numbers (GCC bug 105329).
+  const auto number = [](const char* value) {
+    return cxxopts::value<std::string>()->default_value(value);
+  };
+  options.add_options()("port", "Port", number("0"))(
+      "workers", "Connections at once", number("256"))(
+      "writes-per-second", "Cap of rows written", number("300"))(
+      "reads-per-second", "Cap of read requests", number("2000"));
+  const auto parsed = options.parse(count, arguments);
+  static Table table;
+  const auto value_of = [&](const char* name) {
+    return std::stoul(parsed[name].as<std::string>());
+  };
+  table.write_cap.limit = value_of("writes-per-second");
+  table.read_cap.limit = value_of("reads-per-second");
+  StandinServer server;
+  server.Get("/table/rows", [](const auto& request, auto& response) {
+    HandleRows(table, request, response);
+  });
+  server.Get("/table/changes", [](const auto& request, auto& response) {
+    HandleChanges(table, request, response);
+  });
+  server.Post("/table/transact", [](const auto& request, auto& response) {
+    HandleTransact(table, request, response);
+  });
+  HandleObjects(table, server);
+  server.Post("/admin/faults", [](const auto& request, auto& response) {
+    HandleFaults(table, request, response);
+  });
+  server.Get("/admin/counts", [](const auto&, auto& response) {
+    response.set_content(CountsJson(table).dump(), kJsonType);
+  });
+  return Serve(server, {.port = static_cast<int>(value_of("port")),
+                        .workers = value_of("workers")});
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::standins
+
+int main(int count, char** arguments) {
+  return eelgrassbridge::standins::Run(count, arguments);
+}
