Tell "not run" only where it holds for every sending of a request id

Cause: a resend refused before the owner's record of ids was asked (overloaded, no owner, no time) was told as not run, although an earlier sending of the same id may have run. A caller that believed it could claim twice. Change: such refusals are told as unknown unless the caller states that it sends the id for the first time; the record's own verdict stays as it is. The gate of the group is now entered before the record is asked, so a release cannot hand the record over between the two.

--- a/include/eelgrassbridge/daemon/caller_request.hpp
+++ b/include/eelgrassbridge/daemon/caller_request.hpp
@@ -21,6 +21,9 @@
     "Eelgrassbridge-Deadline-Ms";
 inline constexpr std::string_view kRequestIdHeader =
     "Eelgrassbridge-Request-Id";
+/// "1" on the first sending of a request id; see TellRefusal.
+inline constexpr std::string_view kFirstSendHeader =
+    "Eelgrassbridge-First-Send";
 inline constexpr std::string_view kHopsHeader = "Eelgrassbridge-Hops";
 inline constexpr std::string_view kOutcomeHeader = "Eelgrassbridge-Outcome";
 inline constexpr std::string_view kErrorHeader = "Eelgrassbridge-Error";
@@ -48,6 +51,8 @@
   std::string key;
   std::string account;
   std::string request_id;
+  /// The caller states that it sends this request id for the first time.
+  bool is_first_send = false;
   std::uint32_t hops = 0;
   /// What the caller asked for; none: the deadline of the request kind.
   std::optional<base::Duration> allowed_time;
@@ -61,6 +66,9 @@
   std::optional<base::ErrorKind> error;
   std::vector<Header> headers;
   std::string body;
+  /// "Not run" holds for every sending of the request's id, because the record
+  /// of ids was asked, here or at the daemon that answered.
+  bool is_checked_by_record = false;
 };
 
 /// @brief Fills service, kind and the product's own headers from target and
@@ -70,6 +78,14 @@
 /// @brief The answer for an error kind, as JSON with the detail.
 CallerAnswer ErrorAnswer(base::ErrorKind kind, std::string_view detail);
 
+/// @brief Makes a refusal true for all sendings of a request id.
+///
+/// A refusal that was made before the owner's record of ids was asked proves
+/// only that this sending was not run; an earlier sending of the same id may
+/// have run. Unless the caller states that this is the first sending, the
+/// outcome is then told as unknown. Resending the same id is always safe.
+CallerAnswer TellRefusal(const CallerRequest& request, CallerAnswer answer);
+
 /// @brief Reads the answer of another daemon; one without the product's
 /// outcome header is not a daemon's answer and leaves the outcome unknown.
 CallerAnswer ReadPeerAnswer(ExchangeAnswer answer);
--- a/src/eelgrassbridge/daemon/caller_request.cpp
+++ b/src/eelgrassbridge/daemon/caller_request.cpp
@@ -66,6 +66,28 @@
   return found == table.end() ? std::nullopt : std::optional(found->kind);
 }
 
+CallerAnswer MakeErrorAnswer(const base::Answer& row, std::string_view detail) {
+  const nlohmann::json body{{"error", row.name},
+                            {"outcome", base::OutcomeName(row.outcome)},
+                            {"advice", base::AdviceName(row.advice)},
+                            {"detail", detail}};
+  CallerAnswer answer;
+  answer.status = row.http_status;
+  answer.outcome = row.outcome;
+  answer.error = row.kind;
+  answer.headers = {
+      {"Content-Type", "application/json"},
+      {std::string(kErrorHeader), std::string(row.name)},
+      {std::string(kAdviceHeader), std::string(base::AdviceName(row.advice))}};
+  if (row.advice == base::RetryAdvice::kSoon) {
+    answer.headers.push_back({"Retry-After", "1"});
+  }
+  answer.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      "\n";
+  return answer;
+}
+
 }  // namespace
 
 base::Result<void> ParseCallerRequest(CallerRequest& request) {
@@ -73,6 +95,7 @@
   request.key = FindHeader(request.headers, kKeyHeader);
   request.account = FindHeader(request.headers, kAccountHeader);
   request.request_id = FindHeader(request.headers, kRequestIdHeader);
+  request.is_first_send = FindHeader(request.headers, kFirstSendHeader) == "1";
   if (request.key.size() > kMaxKeyBytes ||
       request.account.size() > kMaxNameBytes ||
       request.request_id.size() > kMaxNameBytes) {
@@ -92,26 +115,23 @@
 }
 
 CallerAnswer ErrorAnswer(base::ErrorKind kind, std::string_view detail) {
-  const base::Answer& row = base::AnswerFor(kind);
-  const nlohmann::json body{{"error", row.name},
-                            {"outcome", base::OutcomeName(row.outcome)},
-                            {"advice", base::AdviceName(row.advice)},
-                            {"detail", detail}};
-  CallerAnswer answer;
-  answer.status = row.http_status;
-  answer.outcome = row.outcome;
-  answer.error = kind;
-  answer.headers = {
-      {"Content-Type", "application/json"},
-      {std::string(kErrorHeader), std::string(row.name)},
-      {std::string(kAdviceHeader), std::string(base::AdviceName(row.advice))}};
-  if (row.advice == base::RetryAdvice::kSoon) {
-    answer.headers.push_back({"Retry-After", "1"});
+  return MakeErrorAnswer(base::AnswerFor(kind), detail);
+}
+
+CallerAnswer TellRefusal(const CallerRequest& request, CallerAnswer answer) {
+  const bool is_true_already = request.request_id.empty() ||
+                               request.is_first_send ||
+                               answer.is_checked_by_record || !answer.error ||
+                               answer.outcome != base::Outcome::kNotRun;
+  if (is_true_already) {
+    return answer;
   }
-  answer.body =
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-      "\n";
-  return answer;
+  base::Answer row = base::AnswerFor(*answer.error);
+  row.outcome = base::Outcome::kUnknown;
+  row.advice = base::RetryAdvice::kCheck;
+  return MakeErrorAnswer(row,
+                         "this sending was not run; whether an earlier sending "
+                         "of the same id was run is not known here");
 }
 
 CallerAnswer ReadPeerAnswer(ExchangeAnswer answer) {
@@ -128,13 +148,17 @@
                          "the answer did not come from a daemon");
     }
     converted.error = kind;
-    converted.outcome = base::AnswerFor(*kind).outcome;
+    converted.outcome =
+        outcome_name == base::OutcomeName(base::Outcome::kNotRun)
+            ? base::AnswerFor(*kind).outcome
+            : base::Outcome::kUnknown;
   }
   std::erase_if(answer.headers, [](const Header& header) {
     return header.name == kOutcomeHeader;
   });
   converted.headers = std::move(answer.headers);
   converted.body = std::move(answer.body);
+  converted.is_checked_by_record = true;
   return converted;
 }
 
--- a/src/eelgrassbridge/daemon/local_run.cpp
+++ b/src/eelgrassbridge/daemon/local_run.cpp
@@ -27,23 +27,16 @@
   return target.instance_id;
 }
 
-/// Enters the gate, runs, and looks whether the target died of it.
-CallerAnswer RunThroughGate(RequestContext& context,
-                            const RoutingView& view,
-                            const PlannedRequest& planned,
-                            GroupGate* gate) {
-  if (gate != nullptr && !TryEnter(*gate, base::BootClock::now())) {
-    return ErrorAnswer(base::ErrorKind::kNoOwner,
-                       "this daemon may not serve the group now");
-  }
+/// Runs, and looks whether the target died of it.
+CallerAnswer RunAndWatch(RequestContext& context,
+                         const RoutingView& view,
+                         const PlannedRequest& planned,
+                         GroupGate* gate) {
   const std::string instance_before = InstanceOf(context.target);
   const RunOptions options{gate, planned.entry.service->run_limit,
                            planned.deadline, planned.entry.kind->priority,
                            planned.interrupt};
   CallerAnswer answer = RunOnTarget(context.target, planned.request, options);
-  if (gate != nullptr) {
-    Leave(*gate);
-  }
   if (answer.error == base::ErrorKind::kTargetLost) {
     CheckTargetDeath(context, view, planned.request, instance_before);
     answer.headers.push_back(
@@ -60,14 +53,14 @@
                                bool alone,
                                GroupGate* gate) {
   if (!alone) {
-    return RunThroughGate(context, view, planned, gate);
+    return RunAndWatch(context, view, planned, gate);
   }
   if (!StartAlone(context, planned.request)) {
     return ErrorAnswer(base::ErrorKind::kOverloaded,
                        "a request that may have stopped a target runs one at "
                        "a time");
   }
-  CallerAnswer answer = RunThroughGate(context, view, planned, gate);
+  CallerAnswer answer = RunAndWatch(context, view, planned, gate);
   EndAloneRun(context, planned.request,
               answer.outcome == base::Outcome::kAnswered);
   return answer;
@@ -107,13 +100,17 @@
     return FromKept(std::move(*kept));
   }
   if (const auto* const refused = std::get_if<limits::RefuseId>(&begun)) {
-    return ErrorAnswer(refused->kind, "the request id decides the answer");
+    CallerAnswer answer =
+        ErrorAnswer(refused->kind, "the request id decides the answer");
+    answer.is_checked_by_record = true;
+    return answer;
   }
   CallerAnswer answer =
       plan.kept_only
           ? ErrorAnswer(base::ErrorKind::kQuarantined,
                         "targets died while they ran this request")
           : RunAloneIfSuspect(context, view, planned, plan.alone, gate);
+  answer.is_checked_by_record = true;
   EndId(context.request_ids, scope.group, *planned.id, EndOf(answer));
   return answer;
 }
@@ -136,6 +133,13 @@
                           const PlannedRequest& planned,
                           const routing::ServeHere& plan,
                           GroupGate* gate) {
+  // The gate is entered before the id is looked up: a release waits for the
+  // gate to be empty before it hands the record over, so no id is begun in a
+  // record that has left.
+  if (gate != nullptr && !TryEnter(*gate, base::BootClock::now())) {
+    return ErrorAnswer(base::ErrorKind::kNoOwner,
+                       "this daemon may not serve the group now");
+  }
   const bool has_id = !planned.entry.kind->idempotent;
   CallerAnswer answer =
       has_id ? RunWithId(context, view, planned, plan, gate)
@@ -143,6 +147,9 @@
   if (has_id && answer.outcome == base::Outcome::kAnswered) {
     AddFreshId(context, view, planned, gate, answer);
   }
+  if (gate != nullptr) {
+    Leave(*gate);
+  }
   answer.headers.push_back({std::string(kInFlightHeader),
                             std::to_string(context.target.in_flight.load())});
   return answer;
--- a/src/eelgrassbridge/daemon/request_handler.cpp
+++ b/src/eelgrassbridge/daemon/request_handler.cpp
@@ -252,6 +252,7 @@
   } else {
     answer = Plan(context, request);
   }
+  answer = TellRefusal(request, std::move(answer));
   base::Record(context.latency, base::BootClock::now() - request.received_at);
   CountOutcome(context, answer);
   return answer;
