Add the peer messages, their codec and the ZeroMQ bus

Cause: daemons must exchange promises, gossip and pings, and only authenticated daemons may take part. Change: protobuf messages with generated code beside them, plain structs with checks of every field, a ROUTER and one DEALER for each peer in the thread peers, CURVE with a ZAP handler, sequences against replay, byte counters by kind of message, a wake event in base. Gossip carries member records and generic items instead of separate lists, as the membership core has it. StopPromising carries the version of the row.

--- /dev/null
+++ b/src/eelgrassbridge/wire/conversion.hpp
@@ -0,0 +1,20 @@
+// Conversions between the plain structs and the generated messages. Internal
+// to the part.
+#ifndef EELGRASSBRIDGE_WIRE_CONVERSION_HPP
+#define EELGRASSBRIDGE_WIRE_CONVERSION_HPP
+
+#include "eelgrassbridge/base/error.hpp"
+#include "eelgrassbridge/wire/message.hpp"
+#include "peer.pb.h"
+
+namespace eelgrassbridge::wire::detail {
+
+/// @brief Writes the body of an envelope.
+void WriteBody(const Message& message, pb::Envelope& envelope);
+
+/// @brief Reads and checks the body of an envelope.
+base::Result<Message> ReadBody(const pb::Envelope& envelope);
+
+}  // namespace eelgrassbridge::wire::detail
+
+#endif  // EELGRASSBRIDGE_WIRE_CONVERSION_HPP
--- /dev/null
+++ b/src/eelgrassbridge/wire/replay_guard.cpp
@@ -0,0 +1,30 @@
+// Sequences of senders.
+#include "eelgrassbridge/wire/replay_guard.hpp"
+
+namespace eelgrassbridge::wire {
+
+bool AcceptSequence(ReplayGuard& guard,
+                    base::DaemonId sender,
+                    std::uint64_t sequence,
+                    base::TimePoint now) {
+  const auto known = guard.senders.find(sender);
+  if (known != guard.senders.end()) {
+    if (sequence <= known->second.sequence) {
+      return false;
+    }
+    known->second = {sequence, now};
+    return true;
+  }
+  if (guard.senders.size() >= guard.limit) {
+    std::erase_if(guard.senders, [&](const auto& entry) {
+      return now - entry.second.at > guard.forget_after;
+    });
+    if (guard.senders.size() >= guard.limit) {
+      return false;
+    }
+  }
+  guard.senders.emplace(sender, ReplayGuard::Heard{sequence, now});
+  return true;
+}
+
+}  // namespace eelgrassbridge::wire
