Add the public headers of ownership and membership

Cause: the control thread needs a settled interface to drive both parts. Change: plain state structs, options, actions as variants, and event functions that take the time; no code behind them yet.

--- /dev/null
+++ b/include/eelgrassbridge/ownership/ownership_options.hpp
@@ -0,0 +1,74 @@
+// Figures of the ownership rules; docs/design.md section 3.
+#ifndef EELGRASSBRIDGE_OWNERSHIP_OWNERSHIP_OPTIONS_HPP
+#define EELGRASSBRIDGE_OWNERSHIP_OWNERSHIP_OPTIONS_HPP
+
+#include <cstdint>
+
+#include "eelgrassbridge/base/time.hpp"
+
+namespace eelgrassbridge::ownership {
+
+/// @brief Rules that the history model switches off, one at a time, to show
+/// that its checker notices. All off in the product.
+struct BrokenRules {
+  bool no_wait_before_take_over = false;
+  bool promise_dated_by_arrival = false;
+  bool no_deputy_read_bound = false;
+  bool third_party_waits_lease_only = false;
+  bool deputy_promises_during_take_over = false;
+  bool replaced_deputy_still_used = false;
+  bool late_write_resolved_by_read = false;
+  bool blind_repeat = false;
+};
+
+struct OwnershipOptions {
+  /// L. Short enough that take-over fits into 5 s, long enough for four
+  /// promise intervals.
+  base::Duration lease = base::milliseconds{2000};
+  /// rho: bound of each clock's rate error, in parts per million.
+  std::uint32_t clock_rate_bound_ppm = 10000;
+  /// H: how long a deputy may promise on the basis of one read.
+  base::Duration deputy_read_bound = base::seconds{900};
+  base::Duration promise_interval = base::milliseconds{500};
+  /// An outstanding read or write is asked for again after this time.
+  base::Duration store_timeout = base::milliseconds{1000};
+  /// Writes per second that the store bears in all.
+  double write_budget = 300;
+  /// Writes a daemon may issue at once before the pace applies.
+  double write_burst = 8;
+  base::Duration balance_interval = base::seconds{1};
+  /// A group moves only to a target with at least this many groups fewer.
+  std::uint32_t balance_difference = 2;
+  /// A member that is named in a row but in no member record counts as lost
+  /// after this time.
+  base::Duration unknown_member_grace = base::seconds{10};
+  double hot_share = 0.20;
+  base::Duration hot_time = base::seconds{10};
+  double cool_share = 0.05;
+  base::Duration cool_time = base::seconds{600};
+  /// Requests per second of an owner below which no key counts as hot.
+  double hot_minimum_load = 10;
+  /// Missing rows looked at in one tick; bounds the cost of an empty table.
+  std::uint32_t missing_rows_per_tick = 8;
+  BrokenRules broken;
+};
+
+/// @brief L(1 - rho): how long the owner relies on one promise or read.
+base::Duration OwnerLease(const OwnershipOptions& options);
+
+/// @brief L(1 + rho): how long a taker waits.
+base::Duration TakerLeaseWait(const OwnershipOptions& options);
+
+/// @brief H(1 - rho): how long a deputy relies on one read.
+base::Duration DeputyReadBound(const OwnershipOptions& options);
+
+/// @brief H(1 + rho): how long a third party waits for the deputy's bound.
+base::Duration ThirdPartyWait(const OwnershipOptions& options);
+
+/// @brief Run limit measured on the owner's clock, as the taker must wait it.
+base::Duration RunLimitWait(const OwnershipOptions& options,
+                            base::Duration run_limit);
+
+}  // namespace eelgrassbridge::ownership
+
+#endif  // EELGRASSBRIDGE_OWNERSHIP_OWNERSHIP_OPTIONS_HPP
