Add the ownership core: lease, promises, take-over, moves, placement

Cause: the headers had no code behind them. Change: rules 1 to 11 as free functions over OwnershipState, row encoding, placement by rendezvous, matching of surplus to room, hot keys.

--- a/include/eelgrassbridge/ownership/ownership_options.hpp
+++ b/include/eelgrassbridge/ownership/ownership_options.hpp
@@ -34,8 +34,15 @@
   base::Duration store_timeout = base::milliseconds{1000};
   /// Writes per second that the store bears in all.
   double write_budget = 300;
-  /// Writes a daemon may issue at once before the pace applies.
+  /// Writes that can wait (moves, deputies, creation): at once, and per second
+  /// for each daemon.
   double write_burst = 8;
+  double write_rate = 4;
+  /// A deputy that is not found lost but gave no promise for this long is
+  /// replaced.
+  base::Duration silent_deputy_limit = base::seconds{5};
+  /// Losses further apart than this are paced separately.
+  base::Duration loss_spell = base::seconds{30};
   base::Duration balance_interval = base::seconds{1};
   /// A group moves only to a target with at least this many groups fewer.
   std::uint32_t balance_difference = 2;
--- a/include/eelgrassbridge/ownership/ownership_queries.hpp
+++ b/include/eelgrassbridge/ownership/ownership_queries.hpp
@@ -28,6 +28,12 @@
 /// @brief Number of groups that this daemon owns by its known rows.
 std::size_t OwnedCount(const OwnershipState& state, base::DaemonId owner);
 
+/// @brief Owners that this daemon is deputy of and whose promise requests have
+/// stopped coming for that long; input of membership::ReportSuspicion.
+std::vector<base::DaemonId> SilentOwners(const OwnershipState& state,
+                                         base::TimePoint now,
+                                         base::Duration silence);
+
 /// @brief Whether a planned stop is complete: this daemon owns nothing and no
 /// write is unresolved.
 bool IsDrained(const OwnershipState& state);
--- a/include/eelgrassbridge/ownership/ownership_state.hpp
+++ b/include/eelgrassbridge/ownership/ownership_state.hpp
@@ -58,6 +58,30 @@
   /// The reply was lost. Only a version above expected_version, or a confirmed
   /// rewrite, ends this state.
   bool unknown = false;
+  /// An earlier write over the same version has an unknown result, so this one
+  /// failing to be sent does not end the state.
+  bool follows_unknown = false;
+};
+
+/// @brief One row of a transaction; `row.version` is the version it replaces.
+struct RowWrite {
+  GroupRow row;
+  bool is_delete = false;
+  /// Whether the row is held in open_writes until the result is known.
+  bool is_tracked = true;
+};
+
+/// @brief A transaction given to the store writer and not answered yet.
+struct Operation {
+  WriteKind kind = WriteKind::kCreate;
+  std::vector<RowWrite> writes;
+  base::TimePoint sent_at;
+};
+
+/// @brief A group that lost its owner in a spell of losses.
+struct LostGroup {
+  double demand = 0;
+  base::GroupId group;
 };
 
 /// @brief A group that the table says this daemon owns.
@@ -73,12 +97,21 @@
   std::optional<base::TimePoint> read_asked_at;
   bool gate_open = false;
   base::TimePoint gate_lease_end{};
+  std::vector<std::uint64_t> gate_carved_out;
   /// The move under way: stop admitting, drain, write.
   base::DaemonId release_to;
+  /// The drain ends in a merge with the parent and not in a move.
+  bool merging = false;
   bool drained = false;
+  /// A release or merge was written and is not resolved: nothing is served.
   bool release_sent = false;
-  /// Next time at which a change (deputy, clearing) may be tried again.
+  /// Next time at which a change (deputy, clearing, rewrite) may be tried.
   base::TimePoint retry_at{};
+  /// Not released before: requests that entered through the parent's gate may
+  /// still run for a hot key that was just carved out.
+  base::TimePoint movable_at{};
+  /// Since when the present deputy is named.
+  base::TimePoint deputy_since{};
 };
 
 /// @brief A group that this daemon is deputy of.
@@ -87,6 +120,8 @@
   GroupRow row;
   base::TimePoint read_sent_at;
   std::optional<base::TimePoint> last_promise_at;
+  /// Last request of the owner that covered the group.
+  std::optional<base::TimePoint> last_request_at;
 };
 
 /// @brief A take-over under way.
@@ -94,14 +129,17 @@
   enum class Phase : std::uint8_t { kQueued, kIntent, kWaiting, kFinal };
   Phase phase = Phase::kQueued;
   bool as_deputy = false;
-  /// The deputy is known to promise no more.
-  bool deputy_stopped = false;
+  /// When it became known that the deputy promises no more.
   std::optional<base::TimePoint> deputy_stopped_at;
   GroupRow row;
   base::TimePoint intent_confirmed_at{};
   base::TimePoint asked_at{};
   base::TimePoint retry_at{};
+  /// The intent was lost and the row is unchanged: write it again.
+  bool resubmit = false;
   double demand = 0;
+  /// Version up to which promising had stopped before this take-over.
+  std::uint64_t stopped_before = 0;
 };
 
 /// @brief How long a key has been hot or cool.
@@ -150,32 +188,46 @@
   /// began, or a third party was told that promising stopped.
   std::unordered_map<base::GroupId, std::uint64_t> stopped_at_version;
 
-  /// Groups whose owner is gone and that are not looked at yet.
+  /// Transactions without an answer, by operation id.
+  std::unordered_map<std::string, Operation> operations;
+  /// Groups without owner and usable deputy that a third party should take.
   std::deque<base::GroupId> orphans;
-  std::unordered_set<base::GroupId> orphan_set;
   /// Groups of the catalogue without a row.
   std::deque<base::GroupId> missing;
   /// Rows that must be read from the table at the next tick.
   std::unordered_set<base::GroupId> to_read;
   /// Rows asked for and not yet answered, with the time of the question.
   std::unordered_map<base::GroupId, base::TimePoint> reads_open;
-  /// The whole table was read or heard once; nothing is created before.
+  /// No read is asked for before; set after a failed read.
+  base::TimePoint reads_blocked_until{};
+  /// The whole table was read once; nothing is created before.
   bool table_known = false;
 
-  std::unordered_map<base::DaemonId, base::TimePoint> next_promise_at;
+  base::TimePoint next_promise{};
+  /// Send times of the last requests to each deputy; only their echoes count.
   std::unordered_map<base::DaemonId, std::deque<base::TimePoint>> sent_requests;
   base::TimePoint next_deputy_read{};
   base::TimePoint next_balance{};
   base::TimePoint next_sweep{};
+  /// Counts or members changed since the last look at the balance.
+  bool balance_stale = true;
 
-  /// Pace of writes: tokens, and the daemons that share the write budget.
+  /// Pace of writes that can wait.
   double tokens = 0;
   base::TimePoint tokens_at{};
-  std::unordered_set<base::DaemonId> loss_witnesses;
+  /// Groups that lost their owner or deputy in the present spell of losses; all
+  /// daemons see about the same list, so a place in it spreads their writes.
+  std::vector<LostGroup> lost_owner_groups;
+  std::uint32_t lost_deputy_groups = 0;
+  base::TimePoint first_loss{};
   base::TimePoint last_loss{};
+  /// The store did not answer a write lately: no planned move is begun.
+  base::TimePoint store_trouble_until{};
 
   std::unordered_map<base::GroupId, double> demand;
   std::unordered_map<base::DaemonId, double> owner_load;
+  /// Last report about this daemon's own groups, until the tick has seen it.
+  std::vector<GroupDemand> local_demand;
   std::unordered_map<base::GroupId, HotKeyWatch> hot;
   std::unordered_map<base::GroupId, HotKeyWatch> cool;
 
--- /dev/null
+++ b/src/eelgrassbridge/ownership/balance.cpp
@@ -0,0 +1,108 @@
+// Matching of surplus groups to room, computed alike by all owners.
+#include <algorithm>
+#include <string_view>
+
+#include "eelgrassbridge/base/hash.hpp"
+#include "eelgrassbridge/ownership/placement.hpp"
+
+namespace eelgrassbridge::ownership {
+
+namespace {
+
+constexpr std::string_view kBalanceItem = "balance";
+
+/// Members in the fixed order in which surplus and room are matched.
+std::vector<base::DaemonId> Ordered(std::vector<base::DaemonId> ids) {
+  std::ranges::sort(ids, {}, [](base::DaemonId id) {
+    return base::RendezvousScore(kBalanceItem, id);
+  });
+  return ids;
+}
+
+struct Slots {
+  /// Each receiver once for each group it lacks, emptiest first.
+  std::vector<base::DaemonId> urgent;
+  /// Receivers at the average that can take one group of a larger surplus.
+  std::vector<base::DaemonId> spare;
+};
+
+Slots FindSlots(std::span<const MemberLoad> loads, std::uint32_t average) {
+  Slots slots;
+  std::vector<MemberLoad> below;
+  std::vector<base::DaemonId> level;
+  for (const MemberLoad& load : loads) {
+    if (load.groups < average) {
+      below.push_back(load);
+    } else if (load.groups == average) {
+      level.push_back(load.id);
+    }
+  }
+  std::ranges::sort(below, [](const MemberLoad& a, const MemberLoad& b) {
+    return std::pair(a.groups, a.id) < std::pair(b.groups, b.id);
+  });
+  // One group for each receiver in turn, so that no receiver gets all its
+  // groups in the first round, when it is still cold.
+  std::uint32_t lowest = below.empty() ? average : below.front().groups;
+  for (; lowest < average; ++lowest) {
+    for (const MemberLoad& load : below) {
+      if (load.groups <= lowest) {
+        slots.urgent.push_back(load.id);
+      }
+    }
+  }
+  slots.spare = Ordered(std::move(level));
+  return slots;
+}
+
+}  // namespace
+
+std::optional<base::DaemonId> BalanceReceiver(std::span<const MemberLoad> loads,
+                                              base::DaemonId self,
+                                              std::uint32_t min_difference) {
+  const auto own = std::ranges::find(loads, self, &MemberLoad::id);
+  if (own == loads.end()) {
+    return std::nullopt;
+  }
+  std::uint64_t total = 0;
+  for (const MemberLoad& load : loads) {
+    total += load.groups;
+  }
+  const auto average = static_cast<std::uint32_t>(total / loads.size());
+  if (own->groups <= average) {
+    return std::nullopt;
+  }
+  // Donors with a surplus of two or more come first; those one above the
+  // average give only to receivers below it.
+  std::vector<base::DaemonId> large;
+  std::vector<base::DaemonId> small;
+  for (const MemberLoad& load : loads) {
+    if (load.groups > average + 1) {
+      large.push_back(load.id);
+    } else if (load.groups == average + 1) {
+      small.push_back(load.id);
+    }
+  }
+  const Slots slots = FindSlots(loads, average);
+  std::vector<base::DaemonId> donors = Ordered(std::move(large));
+  const std::size_t large_count = donors.size();
+  std::ranges::copy(Ordered(std::move(small)), std::back_inserter(donors));
+  const auto position = static_cast<std::size_t>(
+      std::ranges::find(donors, self) - donors.begin());
+  std::optional<base::DaemonId> receiver;
+  if (position < slots.urgent.size()) {
+    receiver = slots.urgent[position];
+  } else if (position < large_count &&
+             position - slots.urgent.size() < slots.spare.size()) {
+    receiver = slots.spare[position - slots.urgent.size()];
+  }
+  if (!receiver) {
+    return std::nullopt;
+  }
+  const auto other = std::ranges::find(loads, *receiver, &MemberLoad::id);
+  if (own->groups < other->groups + min_difference) {
+    return std::nullopt;
+  }
+  return receiver;
+}
+
+}  // namespace eelgrassbridge::ownership
--- /dev/null
+++ b/src/eelgrassbridge/ownership/hot_keys.cpp
@@ -0,0 +1,221 @@
+// Carving out a hot key, moving it, and merging it back.
+#include <algorithm>
+
+#include "eelgrassbridge/ownership/detail/core.hpp"
+#include "eelgrassbridge/ownership/ownership_commands.hpp"
+#include "eelgrassbridge/ownership/ownership_queries.hpp"
+
+namespace eelgrassbridge::ownership {
+
+namespace {
+
+/// Whether a condition that holds now has held for `needed` without a gap
+/// longer than `needed` between reports.
+bool HasHeldFor(std::unordered_map<base::GroupId, HotKeyWatch>& watches,
+                const base::GroupId& key,
+                base::TimePoint now,
+                base::Duration needed) {
+  HotKeyWatch& watch =
+      watches.try_emplace(key, HotKeyWatch{now, now}).first->second;
+  if (now - watch.last_seen > needed) {
+    watch.since = now;
+  }
+  watch.last_seen = now;
+  return now - watch.since >= needed;
+}
+
+void CarveOut(OwnershipState& state,
+              base::TimePoint now,
+              const base::GroupId& parent_id,
+              std::uint64_t key_hash,
+              Actions& actions) {
+  const auto parent = state.owned.find(parent_id);
+  if (parent == state.owned.end() || parent->second.row.intent ||
+      parent->second.release_to || detail::HasOpenWrite(state, parent_id) ||
+      !ServingUntil(state, parent_id, now) || !detail::TakeToken(state, now)) {
+    return;
+  }
+  GroupRow row = parent->second.row;
+  const auto at = std::ranges::lower_bound(row.carved_out, key_hash);
+  if (at != row.carved_out.end() && *at == key_hash) {
+    return;
+  }
+  row.carved_out.insert(at, key_hash);
+  GroupRow hot;
+  hot.group = parent_id;
+  hot.group.hot_key = key_hash;
+  hot.owner = state.self;
+  hot.deputy = row.deputy;
+  hot.epoch = std::max(row.hot_epoch_floor, row.epoch) + 1;
+  // One transaction for both rows: there is no moment at which a key is on the
+  // list and has no row.
+  detail::Submit(state, now, WriteKind::kCarveOut, {{row}, {hot, false, false}},
+                 actions);
+}
+
+base::DaemonId LeastLoaded(OwnershipState& state, const base::GroupId& group) {
+  base::DaemonId best;
+  std::pair<double, std::uint32_t> least{};
+  for (const base::DaemonId id :
+       Candidates(state.placement, *state.catalogue, group)) {
+    const auto load = state.owner_load.find(id);
+    const std::pair value{load == state.owner_load.end() ? 0.0 : load->second,
+                          detail::GroupCountOf(state, id)};
+    if (!best || value < least) {
+      best = id;
+      least = value;
+    }
+  }
+  return best;
+}
+
+bool IsFreeToMove(const OwnershipState& state,
+                  const OwnedGroup& owned,
+                  base::TimePoint now) {
+  return !owned.row.intent && !owned.release_to && !owned.merging &&
+         !detail::HasOpenWrite(state, owned.row.group) &&
+         now >= owned.movable_at && now >= state.store_trouble_until;
+}
+
+void MoveHot(OwnershipState& state,
+             base::TimePoint now,
+             OwnedGroup& owned,
+             Actions& actions) {
+  const base::GroupId& group = owned.row.group;
+  const base::DaemonId receiver = LeastLoaded(state, group);
+  if (!receiver || receiver == state.self) {
+    return;
+  }
+  const auto other = state.owner_load.find(receiver);
+  const double other_load = other == state.owner_load.end() ? 0 : other->second;
+  const double own_load = state.owner_load[state.self];
+  const auto demand = state.demand.find(group);
+  const double key_load = demand == state.demand.end() ? 0 : demand->second;
+  // A move pays only if the receiver ends below this owner's present load.
+  if (other_load + key_load < own_load && detail::TakeToken(state, now)) {
+    detail::BeginRelease(owned, receiver, actions);
+  }
+}
+
+void BringBack(OwnershipState& state,
+               base::TimePoint now,
+               OwnedGroup& owned,
+               Actions& actions) {
+  const GroupRow* parent = FindRow(state, detail::ParentOf(owned.row.group));
+  if (parent == nullptr || IsGone(state, parent->owner, now)) {
+    return;
+  }
+  if (parent->owner != state.self) {
+    if (detail::TakeToken(state, now)) {
+      detail::BeginRelease(owned, parent->owner, actions);
+    }
+    return;
+  }
+  owned.merging = true;
+  if (owned.gate_open) {
+    actions.emplace_back(BeginDrain{{owned.row.group, owned.row.epoch}});
+  } else {
+    owned.drained = true;
+  }
+}
+
+void LookAtGroup(OwnershipState& state,
+                 base::TimePoint now,
+                 const GroupDemand& demand,
+                 double total,
+                 Actions& actions) {
+  const OwnershipOptions& options = state.options;
+  if (!demand.group.hot_key) {
+    for (const GroupDemand::KeyLoad& key : demand.busiest_keys) {
+      base::GroupId hot = demand.group;
+      hot.hot_key = key.key_hash;
+      if (total < options.hot_minimum_load ||
+          key.requests_per_second <= options.hot_share * total) {
+        state.hot.erase(hot);
+      } else if (HasHeldFor(state.hot, hot, now, options.hot_time)) {
+        CarveOut(state, now, demand.group, key.key_hash, actions);
+      }
+    }
+    return;
+  }
+  const auto owned = state.owned.find(demand.group);
+  if (owned == state.owned.end() || !IsFreeToMove(state, owned->second, now)) {
+    return;
+  }
+  if (demand.requests_per_second < options.cool_share * total ||
+      total < options.hot_minimum_load) {
+    if (HasHeldFor(state.cool, demand.group, now, options.cool_time)) {
+      BringBack(state, now, owned->second, actions);
+    }
+    return;
+  }
+  state.cool.erase(demand.group);
+  if (demand.requests_per_second > options.hot_share * total &&
+      HasHeldFor(state.hot, demand.group, now, options.hot_time)) {
+    MoveHot(state, now, owned->second, actions);
+  }
+}
+
+}  // namespace
+
+namespace detail {
+
+void SubmitMerge(OwnershipState& state,
+                 base::TimePoint now,
+                 OwnedGroup& owned,
+                 Actions& actions) {
+  const auto parent = state.owned.find(ParentOf(owned.row.group));
+  const bool is_possible =
+      parent != state.owned.end() && !parent->second.row.intent &&
+      !parent->second.release_to && !HasOpenWrite(state, parent->first);
+  if (!is_possible) {
+    CancelRelease(owned, actions);
+    UpdateGate(state, now, owned, actions);
+    return;
+  }
+  GroupRow row = parent->second.row;
+  std::erase(row.carved_out, *owned.row.group.hot_key);
+  row.hot_epoch_floor = std::max(row.hot_epoch_floor, owned.row.epoch);
+  owned.release_sent = true;
+  CloseGateOf(owned, actions);
+  Submit(state, now, WriteKind::kMerge, {{row}, {owned.row, true}}, actions);
+}
+
+void TickHotKeys(OwnershipState& state, base::TimePoint now, Actions& actions) {
+  if (state.local_demand.empty() || state.catalogue == nullptr) {
+    return;
+  }
+  const std::vector<GroupDemand> demands = std::move(state.local_demand);
+  state.local_demand.clear();
+  const double total = state.owner_load[state.self];
+  for (const GroupDemand& demand : demands) {
+    LookAtGroup(state, now, demand, total, actions);
+  }
+}
+
+}  // namespace detail
+
+void OnDemand(OwnershipState& state,
+              base::TimePoint /*now*/,
+              std::span<const GroupDemand> demands) {
+  double total = 0;
+  for (const GroupDemand& demand : demands) {
+    state.demand[demand.group] = demand.requests_per_second;
+    total += demand.requests_per_second;
+  }
+  state.owner_load[state.self] = total;
+  state.local_demand.assign(demands.begin(), demands.end());
+}
+
+void OnDemandHeard(OwnershipState& state,
+                   base::DaemonId owner,
+                   std::span<const GroupDemand> demands) {
+  double total = 0;
+  for (const GroupDemand& demand : demands) {
+    state.demand[demand.group] = demand.requests_per_second;
+    total += demand.requests_per_second;
+  }
+  state.owner_load[owner] = total;
+}
+
+}  // namespace eelgrassbridge::ownership
--- /dev/null
+++ b/src/eelgrassbridge/ownership/ownership_commands.cpp
@@ -0,0 +1,222 @@
+// Entry points of the ownership core that concern no single rule.
+#include "eelgrassbridge/ownership/ownership_commands.hpp"
+
+#include <algorithm>
+
+#include "eelgrassbridge/catalogue/catalogue_queries.hpp"
+#include "eelgrassbridge/ownership/detail/core.hpp"
+
+namespace eelgrassbridge::ownership {
+
+namespace {
+
+constexpr base::Duration kReadBackoff = base::milliseconds{200};
+/// An operation without any result after this many store timeouts is treated
+/// as one of unknown result.
+constexpr int kLostOperationTimeouts = 5;
+
+void FlushReads(OwnershipState& state, base::TimePoint now, Actions& actions) {
+  std::erase_if(state.reads_open, [&](const auto& item) {
+    return now - item.second > 2 * state.options.store_timeout;
+  });
+  if (now < state.reads_blocked_until || state.to_read.empty()) {
+    return;
+  }
+  ReadRows read;
+  for (const base::GroupId& group : state.to_read) {
+    if (state.reads_open.try_emplace(group, now).second) {
+      read.groups.push_back(group);
+    }
+  }
+  state.to_read.clear();
+  if (!read.groups.empty()) {
+    actions.emplace_back(std::move(read));
+  }
+}
+
+void ExpireOperations(OwnershipState& state,
+                      base::TimePoint now,
+                      Actions& actions) {
+  std::vector<std::string> expired;
+  for (const auto& [id, operation] : state.operations) {
+    if (now - operation.sent_at >
+        kLostOperationTimeouts * state.options.store_timeout) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::string& id : expired) {
+    OnTransactionResult(state, now, id,
+                        {store::TransactionResult::Status::kUnknown, {}, {}},
+                        actions);
+  }
+}
+
+void NoteLoss(OwnershipState& state,
+              base::TimePoint now,
+              base::DaemonId member) {
+  if (state.last_loss == base::TimePoint{} ||
+      now - state.last_loss > state.options.loss_spell) {
+    state.lost_owner_groups.clear();
+    state.lost_deputy_groups = 0;
+    state.first_loss = now;
+  }
+  state.last_loss = now;
+  const auto owned = state.by_owner.find(member);
+  if (owned != state.by_owner.end()) {
+    for (const base::GroupId& group : owned->second) {
+      const auto demand = state.demand.find(group);
+      state.lost_owner_groups.push_back(
+          {demand == state.demand.end() ? 0 : demand->second, group});
+    }
+  }
+  const auto deputy_of = state.by_deputy.find(member);
+  if (deputy_of != state.by_deputy.end()) {
+    state.lost_deputy_groups +=
+        static_cast<std::uint32_t>(deputy_of->second.size());
+  }
+}
+
+void CollectMissing(OwnershipState& state) {
+  if (state.catalogue == nullptr || !state.table_known) {
+    return;
+  }
+  state.missing.clear();
+  for (base::GroupId& group : catalogue::AllGroups(*state.catalogue)) {
+    if (!state.rows.contains(group)) {
+      state.missing.push_back(std::move(group));
+    }
+  }
+}
+
+}  // namespace
+
+OwnershipState MakeOwnershipState(base::DaemonId self,
+                                  OwnershipOptions options,
+                                  base::TimePoint now) {
+  OwnershipState state;
+  state.self = self;
+  state.started_at = now;
+  state.last_tick = now;
+  state.tokens = options.write_burst;
+  state.tokens_at = now;
+  state.options = options;
+  return state;
+}
+
+void OnTick(OwnershipState& state, base::TimePoint now, Actions& actions) {
+  if (now - state.last_tick > state.options.lease) {
+    // A suspension: leases whose end is in the past have expired by their
+    // dates, and nothing else depends on ticks being regular.
+    ++state.counters.clock_jumps;
+  }
+  state.last_tick = now;
+  ExpireOperations(state, now, actions);
+  detail::TickTakeOvers(state, now, actions);
+  detail::TickReleases(state, now, actions);
+  detail::TickOwned(state, now, actions);
+  detail::TickDeputy(state, now);
+  detail::TickHotKeys(state, now, actions);
+  detail::TickPlacement(state, now, actions);
+  FlushReads(state, now, actions);
+}
+
+void OnRowsRead(OwnershipState& state,
+                base::TimePoint now,
+                const RowsReadEvent& event,
+                Actions& actions) {
+  for (const GroupRow& row : event.rows) {
+    state.reads_open.erase(row.group);
+    detail::AbsorbRow(state, now, row, event.read_sent_at, actions);
+  }
+  for (const base::GroupId& group : event.asked) {
+    if (state.reads_open.erase(group) > 0 &&
+        std::ranges::find(event.rows, group, &GroupRow::group) ==
+            event.rows.end()) {
+      detail::AbsorbAbsence(state, now, group, event.read_sent_at, actions);
+    }
+  }
+  if (event.whole_table && !state.table_known) {
+    state.table_known = true;
+    CollectMissing(state);
+  }
+}
+
+void OnReadFailed(OwnershipState& state, base::TimePoint now) {
+  for (const auto& [group, asked_at] : state.reads_open) {
+    state.to_read.insert(group);
+  }
+  state.reads_open.clear();
+  state.reads_blocked_until = now + kReadBackoff;
+}
+
+void OnRowsHeard(OwnershipState& state,
+                 base::TimePoint now,
+                 std::span<const GroupRow> rows,
+                 Actions& actions) {
+  for (const GroupRow& row : rows) {
+    detail::AbsorbRow(state, now, row, std::nullopt, actions);
+  }
+}
+
+void OnMember(OwnershipState& state,
+              base::TimePoint /*now*/,
+              const PlacementMember& member) {
+  PlacementView& view = state.placement;
+  const auto [at, is_added] = view.members.try_emplace(member.id, member);
+  const bool is_changed = is_added || at->second != member;
+  at->second = member;
+  view.unknown_since.erase(member.id);
+  const bool is_back = member.serving && view.gone.erase(member.id) > 0;
+  if (is_changed || is_back) {
+    view.candidates.clear();
+    state.balance_stale = true;
+  }
+}
+
+void OnMemberLost(OwnershipState& state,
+                  base::TimePoint now,
+                  base::DaemonId member) {
+  if (member == state.self ||
+      !state.placement.gone.try_emplace(member, now).second) {
+    return;
+  }
+  state.placement.candidates.clear();
+  state.balance_stale = true;
+  NoteLoss(state, now, member);
+  for (auto* index : {&state.by_owner, &state.by_deputy}) {
+    const auto groups = index->find(member);
+    if (groups != index->end()) {
+      for (const base::GroupId& group : groups->second) {
+        detail::ConsiderTakeOver(state, now, group);
+      }
+    }
+  }
+}
+
+void OnCatalogue(OwnershipState& state,
+                 base::TimePoint /*now*/,
+                 std::shared_ptr<const catalogue::Catalogue> catalogue) {
+  if (catalogue == nullptr ||
+      (state.catalogue != nullptr &&
+       catalogue->version <= state.catalogue->version)) {
+    return;
+  }
+  state.catalogue = std::move(catalogue);
+  state.placement.candidates.clear();
+  state.balance_stale = true;
+  CollectMissing(state);
+}
+
+void SetDraining(OwnershipState& state,
+                 base::TimePoint /*now*/,
+                 bool draining) {
+  state.draining = draining;
+}
+
+void SetTargetUsable(OwnershipState& state,
+                     base::TimePoint /*now*/,
+                     bool usable) {
+  state.target_usable = usable;
+}
+
+}  // namespace eelgrassbridge::ownership
--- /dev/null
+++ b/src/eelgrassbridge/ownership/release_rules.cpp
@@ -0,0 +1,166 @@
+// Planned moves (rule 9): stop admitting, drain, write, notify.
+#include "eelgrassbridge/ownership/detail/core.hpp"
+#include "eelgrassbridge/ownership/ownership_commands.hpp"
+#include "eelgrassbridge/ownership/ownership_queries.hpp"
+
+namespace eelgrassbridge::ownership {
+
+namespace {
+
+constexpr base::Duration kReceiverRetry = base::milliseconds{500};
+
+bool IsEligibleDaemon(const OwnershipState& state,
+                      const base::GroupId& group,
+                      base::DaemonId id,
+                      base::TimePoint now) {
+  const auto member = state.placement.members.find(id);
+  return member != state.placement.members.end() && !IsGone(state, id, now) &&
+         IsEligible(*state.catalogue, member->second, group.service,
+                    group.residency);
+}
+
+/// The deputy stays if it can serve the new owner as well; otherwise a fresh
+/// one is chosen.
+base::DaemonId DeputyAfterMove(OwnershipState& state,
+                               const GroupRow& row,
+                               base::DaemonId receiver,
+                               base::TimePoint now) {
+  const auto& members = state.placement.members;
+  const auto deputy = members.find(row.deputy);
+  const auto owner = members.find(receiver);
+  if (row.deputy != receiver && deputy != members.end() &&
+      owner != members.end() &&
+      deputy->second.data_centre != owner->second.data_centre &&
+      IsEligibleDaemon(state, row.group, row.deputy, now)) {
+    return row.deputy;
+  }
+  return ChooseDeputy(state.placement, *state.catalogue, row.group, receiver);
+}
+
+base::DaemonId FindReceiver(OwnershipState& state, const base::GroupId& group) {
+  return ChooseReceiver(
+      state.placement, *state.catalogue, group, state.self,
+      [&](base::DaemonId id) { return detail::GroupCountOf(state, id); });
+}
+
+void BeginForcedMove(OwnershipState& state,
+                     base::TimePoint now,
+                     OwnedGroup& owned,
+                     Actions& actions) {
+  const base::GroupId& group = owned.row.group;
+  if (owned.release_to || owned.merging || owned.row.intent ||
+      detail::HasOpenWrite(state, group) || now < owned.retry_at ||
+      now < owned.movable_at || now < state.store_trouble_until ||
+      detail::IsSelfEligible(state, group)) {
+    return;
+  }
+  const base::DaemonId receiver = FindReceiver(state, group);
+  if (!receiver || !detail::TakeToken(state, now)) {
+    owned.retry_at = now + kReceiverRetry;
+    return;
+  }
+  detail::BeginRelease(owned, receiver, actions);
+}
+
+}  // namespace
+
+namespace detail {
+
+bool IsSelfEligible(const OwnershipState& state, const base::GroupId& group) {
+  if (state.draining || !state.target_usable || state.catalogue == nullptr) {
+    return false;
+  }
+  const auto self = state.placement.members.find(state.self);
+  return self != state.placement.members.end() &&
+         IsEligible(*state.catalogue, self->second, group.service,
+                    group.residency);
+}
+
+void BeginRelease(OwnedGroup& owned,
+                  base::DaemonId receiver,
+                  Actions& actions) {
+  owned.release_to = receiver;
+  if (owned.gate_open) {
+    actions.emplace_back(BeginDrain{{owned.row.group, owned.row.epoch}});
+  } else {
+    owned.drained = true;
+  }
+}
+
+void SubmitRelease(OwnershipState& state,
+                   base::TimePoint now,
+                   OwnedGroup& owned,
+                   Actions& actions) {
+  if (!IsEligibleDaemon(state, owned.row.group, owned.release_to, now) &&
+      !owned.release_sent) {
+    owned.release_to = FindReceiver(state, owned.row.group);
+    if (!owned.release_to) {
+      CancelRelease(owned, actions);
+      UpdateGate(state, now, owned, actions);
+      return;
+    }
+  }
+  GroupRow row = owned.row;
+  row.owner = owned.release_to;
+  row.epoch += 1;
+  row.deputy = DeputyAfterMove(state, owned.row, owned.release_to, now);
+  row.intent = {};
+  owned.release_sent = true;
+  CloseGateOf(owned, actions);
+  Submit(state, now, WriteKind::kRelease, {{row}}, actions);
+}
+
+void CancelRelease(OwnedGroup& owned, Actions& actions) {
+  CloseGateOf(owned, actions);
+  owned.release_to = {};
+  owned.merging = false;
+  owned.drained = false;
+  owned.release_sent = false;
+}
+
+void TickReleases(OwnershipState& state,
+                  base::TimePoint now,
+                  Actions& actions) {
+  if (state.catalogue == nullptr) {
+    return;
+  }
+  for (auto& [group, owned] : state.owned) {
+    BeginForcedMove(state, now, owned, actions);
+    if (!owned.drained || owned.release_sent || owned.row.intent ||
+        HasOpenWrite(state, group)) {
+      continue;
+    }
+    if (owned.merging) {
+      SubmitMerge(state, now, owned, actions);
+    } else {
+      SubmitRelease(state, now, owned, actions);
+    }
+  }
+}
+
+}  // namespace detail
+
+void OnReleaseDrained(OwnershipState& state,
+                      base::TimePoint now,
+                      const GroupEpoch& group,
+                      Actions& actions) {
+  const auto found = state.owned.find(group.group);
+  if (found == state.owned.end() || found->second.row.epoch != group.epoch ||
+      (!found->second.release_to && !found->second.merging)) {
+    return;
+  }
+  found->second.drained = true;
+  detail::TickReleases(state, now, actions);
+}
+
+void OnReleaseDone(OwnershipState& state,
+                   base::TimePoint /*now*/,
+                   const GroupEpoch& group,
+                   Actions& /*actions*/) {
+  const GroupRow* known = FindRow(state, group.group);
+  if (known == nullptr || known->epoch <= group.epoch) {
+    state.to_read.insert(group.group);
+  }
+}
+
+}  // namespace eelgrassbridge::ownership
--- /dev/null
+++ b/src/eelgrassbridge/ownership/row_intake.cpp
@@ -0,0 +1,245 @@
+// Rows coming in, and what they change for owner, deputy and taker.
+#include <algorithm>
+
+#include "eelgrassbridge/catalogue/catalogue_queries.hpp"
+#include "eelgrassbridge/ownership/detail/core.hpp"
+
+namespace eelgrassbridge::ownership::detail {
+
+namespace {
+
+void Unindex(OwnershipState& state, const GroupRow& row) {
+  const auto remove = [&](auto& index, base::DaemonId id) {
+    const auto found = index.find(id);
+    if (found != index.end()) {
+      found->second.erase(row.group);
+      if (found->second.empty()) {
+        index.erase(found);
+      }
+    }
+  };
+  remove(state.by_owner, row.owner);
+  remove(state.by_deputy, row.deputy);
+}
+
+void Index(OwnershipState& state, base::TimePoint now, const GroupRow& row) {
+  const auto [at, is_added] = state.rows.try_emplace(row.group, row);
+  if (!is_added) {
+    if (at->second.owner != row.owner) {
+      state.balance_stale = true;
+    }
+    Unindex(state, at->second);
+    at->second = row;
+  }
+  state.by_owner[row.owner].insert(row.group);
+  if (!state.placement.members.contains(row.owner)) {
+    state.placement.unknown_since.try_emplace(row.owner, now);
+  }
+  if (row.deputy) {
+    state.by_deputy[row.deputy].insert(row.group);
+    if (!state.placement.members.contains(row.deputy)) {
+      state.placement.unknown_since.try_emplace(row.deputy, now);
+    }
+  }
+}
+
+void UpdateOwned(OwnershipState& state,
+                 base::TimePoint now,
+                 const GroupRow& row,
+                 std::optional<base::TimePoint> evidence,
+                 Actions& actions) {
+  auto found = state.owned.find(row.group);
+  if (row.owner != state.self) {
+    if (found != state.owned.end()) {
+      CloseGateOf(found->second, actions);
+      state.owned.erase(found);
+    }
+    return;
+  }
+  if (!evidence) {
+    if (found == state.owned.end() || row.version > found->second.row.version) {
+      state.to_read.insert(row.group);
+    }
+    return;
+  }
+  if (found != state.owned.end() && found->second.row.epoch != row.epoch) {
+    // The group left and came back between two reads.
+    CloseGateOf(found->second, actions);
+    state.owned.erase(found);
+    found = state.owned.end();
+  }
+  if (found == state.owned.end()) {
+    found = state.owned.emplace(row.group, OwnedGroup{}).first;
+    found->second.deputy_since = now;
+  }
+  OwnedGroup& owned = found->second;
+  if (owned.row.deputy != row.deputy) {
+    owned.deputy_since = now;
+  }
+  owned.row = row;
+  if (row.intent) {
+    owned.read_sent_at.reset();
+    owned.promise_sent_at.reset();
+  } else if (!owned.read_sent_at || *owned.read_sent_at < *evidence) {
+    owned.read_sent_at = *evidence;
+  }
+  if (owned.release_sent && !HasOpenWrite(state, row.group)) {
+    CancelRelease(owned, actions);
+  }
+  UpdateGate(state, now, owned, actions);
+}
+
+void UpdateDeputyOf(OwnershipState& state,
+                    const GroupRow& row,
+                    std::optional<base::TimePoint> evidence) {
+  const auto found = state.deputy_of.find(row.group);
+  if (row.deputy != state.self || row.owner == state.self) {
+    if (found != state.deputy_of.end()) {
+      state.deputy_of.erase(found);
+    }
+    return;
+  }
+  if (!evidence) {
+    if (found == state.deputy_of.end() ||
+        row.version > found->second.row.version) {
+      state.to_read.insert(row.group);
+    }
+    return;
+  }
+  DeputyGroup& entry = state.deputy_of[row.group];
+  if (entry.row.owner != row.owner) {
+    entry.last_request_at.reset();
+  }
+  entry.row = row;
+  entry.read_sent_at = std::max(entry.read_sent_at, *evidence);
+  const auto stopped = state.stopped_at_version.find(row.group);
+  if (stopped != state.stopped_at_version.end() &&
+      stopped->second < row.version && !row.intent) {
+    state.stopped_at_version.erase(stopped);
+  }
+}
+
+/// A hot-key row told by another daemon may have been deleted since.
+bool IsMergedBack(const OwnershipState& state, const GroupRow& row) {
+  if (!row.group.hot_key) {
+    return false;
+  }
+  const auto parent = state.rows.find(ParentOf(row.group));
+  return parent != state.rows.end() &&
+         row.epoch <= parent->second.hot_epoch_floor &&
+         !std::ranges::binary_search(parent->second.carved_out,
+                                     *row.group.hot_key);
+}
+
+void RemoveRow(OwnershipState& state,
+               const base::GroupId& group,
+               Actions& actions) {
+  const auto owned = state.owned.find(group);
+  if (owned != state.owned.end()) {
+    CloseGateOf(owned->second, actions);
+    state.owned.erase(owned);
+  }
+  state.deputy_of.erase(group);
+  state.take_overs.erase(group);
+  state.stopped_at_version.erase(group);
+  const auto known = state.rows.find(group);
+  if (known == state.rows.end()) {
+    return;
+  }
+  GroupRow deleted;
+  deleted.group = group;
+  deleted.version = known->second.version + 1;
+  Unindex(state, known->second);
+  state.rows.erase(known);
+  actions.emplace_back(RowChanged{std::move(deleted)});
+}
+
+}  // namespace
+
+base::GroupId ParentOf(const base::GroupId& group) {
+  base::GroupId parent = group;
+  parent.hot_key.reset();
+  return parent;
+}
+
+base::Duration RunLimit(const OwnershipState& state,
+                        const base::GroupId& group) {
+  const catalogue::Service* service =
+      state.catalogue == nullptr
+          ? nullptr
+          : catalogue::FindService(*state.catalogue, group.service);
+  return service == nullptr ? catalogue::Service{}.run_limit
+                            : service->run_limit;
+}
+
+void AbsorbRow(OwnershipState& state,
+               base::TimePoint now,
+               const GroupRow& row,
+               std::optional<base::TimePoint> evidence,
+               Actions& actions) {
+  const auto known = state.rows.find(row.group);
+  if (known != state.rows.end() && row.version < known->second.version) {
+    return;
+  }
+  if (!row.owner) {
+    if (known != state.rows.end()) {
+      RemoveRow(state, row.group, actions);
+    }
+    return;
+  }
+  if (!evidence && IsMergedBack(state, row)) {
+    return;
+  }
+  const bool is_newer =
+      known == state.rows.end() || row.version > known->second.version;
+  if (is_newer) {
+    Index(state, now, row);
+    actions.emplace_back(RowChanged{row});
+  }
+  if (evidence) {
+    ResolveByVersion(state, row);
+    FollowTakeOver(state, now, row);
+  }
+  UpdateOwned(state, now, row, evidence, actions);
+  UpdateDeputyOf(state, row, evidence);
+  if (is_newer) {
+    ConsiderTakeOver(state, now, row.group);
+  }
+}
+
+void AbsorbAbsence(OwnershipState& state,
+                   base::TimePoint now,
+                   const base::GroupId& group,
+                   base::TimePoint evidence,
+                   Actions& actions) {
+  const auto owned = state.owned.find(group);
+  if (owned != state.owned.end() && owned->second.read_sent_at &&
+      *owned->second.read_sent_at > evidence) {
+    return;
+  }
+  const auto open = state.open_writes.find(group);
+  if (open != state.open_writes.end() &&
+      (open->second.expected_version > 0 || open->second.unknown)) {
+    // An unanswered creation that still takes effect later is harmless: it is
+    // conditional on absence, like the next attempt.
+    state.open_writes.erase(open);
+  }
+  RemoveRow(state, group, actions);
+  if (!group.hot_key) {
+    state.missing.push_back(group);
+    return;
+  }
+  // The list of the parent names a key without a row: serve it with the parent
+  // again.
+  const auto parent = state.owned.find(ParentOf(group));
+  if (parent == state.owned.end() || HasOpenWrite(state, parent->first) ||
+      parent->second.row.intent) {
+    return;
+  }
+  GroupRow row = parent->second.row;
+  if (std::erase(row.carved_out, *group.hot_key) > 0) {
+    Submit(state, now, WriteKind::kMerge, {{row}}, actions);
+  }
+}
+
+}  // namespace eelgrassbridge::ownership::detail
