Add CatalogueRequest and the row wish of a joining daemon

Cause: gossip carries only the version of a catalogue, so a daemon needs a way to ask for the text; full row lists are needed from peers only while the table cannot be read. Change: message CatalogueRequest, field wants_rows of JoinRequest.

--- a/include/eelgrassbridge/wire/message.hpp
+++ b/include/eelgrassbridge/wire/message.hpp
@@ -142,9 +142,19 @@
   bool operator==(const CataloguePush&) const = default;
 };
 
+/// @brief Asks for a catalogue newer than this version; answered by
+/// CataloguePush.
+struct CatalogueRequest {
+  std::uint64_t known_version = 0;
+
+  bool operator==(const CatalogueRequest&) const = default;
+};
+
 struct JoinRequest {
   MemberRecord record;
   std::uint64_t catalogue_version = 0;
+  /// Set while the sender cannot read the table.
+  bool wants_rows = false;
 
   bool operator==(const JoinRequest&) const = default;
 };
@@ -182,7 +192,8 @@
                              CataloguePush,
                              JoinRequest,
                              JoinReply,
-                             SuspectRequest>;
+                             SuspectRequest,
+                             CatalogueRequest>;
 
 /// @brief A message with its sender.
 struct Envelope {
--- a/src/eelgrassbridge/wire/codec_test.cpp
+++ b/src/eelgrassbridge/wire/codec_test.cpp
@@ -36,9 +36,10 @@
           StopPromising{{hot_group, 3}, 8},
           StoppedPromising{{group, 3}, 8},
           CataloguePush{4, "{}"},
-          JoinRequest{SomeMember(), 3},
+          JoinRequest{SomeMember(), 3, true},
           JoinReply{{SomeMember()}, {item}, 4, "{}", true},
-          SuspectRequest{{1, 2}, 1}};
+          SuspectRequest{{1, 2}, 1},
+          CatalogueRequest{6}};
 }
 
 Envelope Wrap(Message message) {
@@ -94,10 +95,10 @@
   CHECK(refused(Gossip{{member}, {}, 1}));
   member = SomeMember();
   member.id = {};
-  CHECK(refused(JoinRequest{member, 0}));
+  CHECK(refused(JoinRequest{member, 0, false}));
   member = SomeMember();
   member.state = static_cast<MemberState>(9);
-  CHECK(refused(JoinRequest{member, 0}));
+  CHECK(refused(JoinRequest{member, 0, false}));
   CHECK(refused(StopPromising{{{"a/b", "sur", 1, {}}, 1}, 1}));
   CHECK(refused(StopPromising{{{"", "sur", 1, {}}, 1}, 1}));
   CHECK(refused(Gossip{{}, {{1, "line\nbreak", 1, ""}}, 1}));
--- a/src/eelgrassbridge/wire/conversion.cpp
+++ b/src/eelgrassbridge/wire/conversion.cpp
@@ -77,6 +77,11 @@
   auto& to = *envelope.mutable_join_request();
   WriteMember(from.record, *to.mutable_record());
   to.set_catalogue_version(from.catalogue_version);
+  to.set_wants_rows(from.wants_rows);
+}
+
+void Write(const CatalogueRequest& from, pb::Envelope& envelope) {
+  envelope.mutable_catalogue_request()->set_known_version(from.known_version);
 }
 
 void Write(const JoinReply& from, pb::Envelope& envelope) {
@@ -160,7 +165,12 @@
 
 base::Result<Message> Read(const pb::JoinRequest& from) {
   BOOST_OUTCOME_TRY(record, ReadMember(from.record()));
-  return JoinRequest{std::move(record), from.catalogue_version()};
+  return JoinRequest{std::move(record), from.catalogue_version(),
+                     from.wants_rows()};
+}
+
+base::Result<Message> Read(const pb::CatalogueRequest& from) {
+  return CatalogueRequest{from.known_version()};
 }
 
 base::Result<Message> Read(const pb::JoinReply& from) {
@@ -216,6 +226,8 @@
       return Read(envelope.join_reply());
     case pb::Envelope::kSuspectRequest:
       return Read(envelope.suspect_request());
+    case pb::Envelope::kCatalogueRequest:
+      return Read(envelope.catalogue_request());
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
