Add the control thread with its store, peer and target-watch threads

Cause: each daemon needs one thread that owns ownership and membership state and publishes the routing view. Change: store reader and writer, target watch, gates, view builder, catalogue chain in the table, exchange of demand and suspects, request-id transfer, control loop and commands.

--- /dev/null
+++ b/include/eelgrassbridge/daemon/control_events.hpp
@@ -0,0 +1,41 @@
+// What happens to the control thread. Each function changes the state and
+// fills the lists of what is to be given to the other threads; none blocks.
+#ifndef EELGRASSBRIDGE_DAEMON_CONTROL_EVENTS_HPP
+#define EELGRASSBRIDGE_DAEMON_CONTROL_EVENTS_HPP
+
+#include "eelgrassbridge/daemon/control_commands.hpp"
+#include "eelgrassbridge/daemon/control_state.hpp"
+#include "eelgrassbridge/daemon/target_watch.hpp"
+
+namespace eelgrassbridge::daemon {
+
+/// @brief Every 50 ms.
+void OnControlTick(ControlState& state, base::TimePoint now);
+
+void OnPeerMessage(ControlState& state,
+                   base::TimePoint now,
+                   wire::Incoming incoming);
+
+void OnReadResult(ControlState& state,
+                  base::TimePoint now,
+                  const StoreReadResult& result);
+
+void OnWriteResult(ControlState& state,
+                   base::TimePoint now,
+                   StoreWriteResult result);
+
+void OnTargetEvent(ControlState& state,
+                   base::TimePoint now,
+                   const TargetEvent& event);
+
+void OnCommand(ControlState& state,
+               base::TimePoint now,
+               ControlCommand command);
+
+/// @brief Reports drained groups, sets the state of this daemon and publishes
+/// the view if it changed. After each round of events.
+void FinishRound(ControlState& state, base::TimePoint now);
+
+}  // namespace eelgrassbridge::daemon
+
+#endif  // EELGRASSBRIDGE_DAEMON_CONTROL_EVENTS_HPP
--- /dev/null
+++ b/src/eelgrassbridge/daemon/control_exchange.cpp
@@ -0,0 +1,213 @@
+// Exchange of demand and suspects by gossip items.
+#include "eelgrassbridge/daemon/control_exchange.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "eelgrassbridge/base/hash.hpp"
+#include "eelgrassbridge/catalogue/catalogue_queries.hpp"
+#include "eelgrassbridge/membership/membership_queries.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr base::Duration kExchangeInterval = base::seconds{1};
+/// Own demand is divided over this many items, so that one of them stays well
+/// below the size of a gossip message.
+constexpr std::uint64_t kDemandBuckets = 16;
+/// Demand is published once a second in a site of up to 100 daemons and more
+/// rarely in a larger one, so that all of it takes a bounded part of gossip.
+constexpr base::Duration kDemandIntervalPerDaemon = base::milliseconds{10};
+constexpr std::size_t kSuspectsPerTick = 32;
+constexpr std::size_t kMaxPayloadBytes = 8192;
+
+void PublishItem(ControlState& state,
+                 ItemKind kind,
+                 std::string key,
+                 const json& payload) {
+  membership::PublishItem(state.membership,
+                          {static_cast<std::uint32_t>(kind), std::move(key),
+                           state.next_item_version++, payload.dump()});
+}
+
+void PublishDemand(ControlState& state, base::TimePoint now) {
+  if (now < state.next_demand) {
+    return;
+  }
+  const auto alive =
+      static_cast<std::int64_t>(membership::AliveCount(state.membership));
+  state.next_demand =
+      now + std::max(kExchangeInterval, alive * kDemandIntervalPerDaemon);
+  std::vector<limits::Demand> changed;
+  {
+    const std::scoped_lock lock(state.context.accounts.mutex);
+    changed = limits::PublishDemand(state.context.accounts.limiter, now);
+  }
+  std::unordered_set<std::uint64_t> buckets;
+  for (limits::Demand& demand : changed) {
+    const std::uint64_t bucket = base::Hash64(demand.name) % kDemandBuckets;
+    buckets.insert(bucket);
+    state.own_demand[bucket][demand.name] = demand.requests_per_second;
+  }
+  for (const std::uint64_t bucket : buckets) {
+    PublishItem(state, ItemKind::kDemand,
+                fmt::format("{}/{}", base::ToString(state.self), bucket),
+                state.own_demand[bucket]);
+  }
+}
+
+void PublishSuspects(ControlState& state, base::TimePoint now) {
+  std::vector<routing::SuspectRecord> changed;
+  {
+    PoisonState& poison = state.context.poison;
+    const std::scoped_lock lock(poison.mutex);
+    routing::DropExpired(poison.quarantine, now);
+    poison.has_suspects = !poison.quarantine.suspects.empty();
+    changed =
+        routing::TakeChangedSuspects(poison.quarantine, kSuspectsPerTick, now);
+  }
+  for (const routing::SuspectRecord& record : changed) {
+    json deaths = json::array();
+    for (const routing::TargetDeath& death : record.deaths) {
+      deaths.push_back({death.target_run, death.cleared});
+    }
+    const auto age_ms =
+        std::chrono::duration_cast<base::milliseconds>(record.age).count();
+    // Each daemon publishes under its own id, since two of them may know
+    // different deaths and only the highest version of a key is kept.
+    PublishItem(state, ItemKind::kSuspect,
+                fmt::format("{}/{:016x}{:016x}", base::ToString(state.self),
+                            record.fingerprint.high, record.fingerprint.low),
+                {record.fingerprint.high, record.fingerprint.low, deaths,
+                 base::UnixMilliseconds() - age_ms});
+  }
+}
+
+void MeasureLoad(ControlState& state, base::TimePoint now) {
+  std::vector<ownership::GroupDemand> demands;
+  const double elapsed =
+      std::chrono::duration<double>(now - state.load_measured_at).count();
+  std::unordered_map<base::GroupId, std::uint64_t> entered;
+  for (const auto& [group, gate] : state.gates.open) {
+    const std::uint64_t count = gate->entered.load(std::memory_order_relaxed);
+    entered.emplace(group, count);
+    const auto before = state.entered_before.find(group);
+    // A fresh gate counts from zero.
+    const std::uint64_t start =
+        before == state.entered_before.end() || before->second > count
+            ? 0
+            : before->second;
+    if (elapsed > 0) {
+      demands.push_back(
+          {group, static_cast<double>(count - start) / elapsed, {}});
+    }
+  }
+  state.entered_before = std::move(entered);
+  state.load_measured_at = now;
+  ownership::OnDemand(state.ownership, now, demands);
+}
+
+void UpdateFleet(ControlState& state, base::TimePoint now) {
+  if (!state.fleet_changed) {
+    return;
+  }
+  state.fleet_changed = false;
+  std::uint32_t position = 0;
+  std::uint32_t daemons = 1;
+  for (const auto& [id, peer] : state.view.peers) {
+    if (id != state.self) {
+      ++daemons;
+      position += id < state.self ? 1 : 0;
+    }
+  }
+  const std::scoped_lock lock(state.context.accounts.mutex);
+  limits::SetFleet(state.context.accounts.limiter, state.self, position,
+                   daemons, now);
+}
+
+std::optional<routing::SuspectRecord> ReadSuspect(
+    const membership::GossipItem& item) {
+  try {
+    const json value = json::parse(item.payload);
+    routing::SuspectRecord record;
+    value.at(0).get_to(record.fingerprint.high);
+    value.at(1).get_to(record.fingerprint.low);
+    for (const json& death : value.at(2)) {
+      record.deaths.push_back(
+          {death.at(0).get<std::uint64_t>(), death.at(1).get<bool>()});
+    }
+    const auto age = base::UnixMilliseconds() - value.at(3).get<std::int64_t>();
+    record.age = base::milliseconds{std::max<std::int64_t>(age, 0)};
+    return record;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+void TickExchange(ControlState& state, base::TimePoint now) {
+  if (now < state.next_exchange) {
+    return;
+  }
+  state.next_exchange = now + kExchangeInterval;
+  UpdateFleet(state, now);
+  PublishDemand(state, now);
+  PublishSuspects(state, now);
+  MeasureLoad(state, now);
+}
+
+void NoteFleetChange(ControlState& state,
+                     base::TimePoint now,
+                     const membership::Member& member) {
+  state.fleet_changed = true;
+  if (!membership::IsAlive(member)) {
+    const std::scoped_lock lock(state.context.accounts.mutex);
+    limits::ForgetPeer(state.context.accounts.limiter, member.id, now);
+  }
+}
+
+void TakeDemand(ControlState& state,
+                base::TimePoint now,
+                const membership::GossipItem& item) {
+  const auto id = base::ParseDaemonId(
+      std::string_view(item.key).substr(0, item.key.find('/')));
+  const json value = item.payload.size() > kMaxPayloadBytes
+                         ? json()
+                         : json::parse(item.payload, nullptr, false);
+  if (!id || *id == state.self || !value.is_object()) {
+    return;
+  }
+  std::vector<limits::Demand> demands;
+  for (const auto& [name, rate] : value.items()) {
+    if (rate.is_number() && rate.get<double>() >= 0) {
+      demands.push_back({name, rate.get<double>()});
+    }
+  }
+  const std::scoped_lock lock(state.context.accounts.mutex);
+  limits::MergeDemand(state.context.accounts.limiter, *id, demands, now);
+}
+
+void TakeSuspects(ControlState& state,
+                  base::TimePoint now,
+                  const membership::GossipItem& item) {
+  const auto record = ReadSuspect(item);
+  if (!record || record->age > state.context.poison.quarantine.options.hold) {
+    return;
+  }
+  // Own news first: what is merged below is on the channel already and must
+  // not be published again by each daemon that hears it.
+  PublishSuspects(state, now);
+  const std::scoped_lock lock(state.context.poison.mutex);
+  routing::PoisonQuarantine& quarantine = state.context.poison.quarantine;
+  routing::MergeSuspect(quarantine, *record, now);
+  routing::TakeChangedSuspects(quarantine, kSuspectsPerTick, now);
+  state.context.poison.has_suspects = !quarantine.suspects.empty();
+}
+
+}  // namespace eelgrassbridge::daemon
--- /dev/null
+++ b/src/eelgrassbridge/daemon/control_membership.cpp
@@ -0,0 +1,151 @@
+// Actions of the membership core.
+#include <algorithm>
+
+#include "eelgrassbridge/daemon/control_actions.hpp"
+#include "eelgrassbridge/daemon/control_catalogue.hpp"
+#include "eelgrassbridge/daemon/control_exchange.hpp"
+#include "eelgrassbridge/daemon/peer_thread.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+void TakeMember(ControlState& state,
+                base::TimePoint now,
+                const membership::Member& member) {
+  ApplyMember(state.view, member);
+  NoteFleetChange(state, now, member);
+  if (!membership::IsAlive(member)) {
+    ownership::OnMemberLost(state.ownership, now, member.id);
+    return;
+  }
+  ownership::OnMember(
+      state.ownership, now,
+      {member.id, member.name, member.service, member.data_centre,
+       member.region, member.state == membership::MemberState::kServing});
+}
+
+/// Writes member records. Rows of lost and left members are deleted, so that
+/// the table does not grow with each restart of a daemon.
+void Announce(ControlState& state,
+              const std::vector<membership::Member>& members) {
+  store::Transaction transaction;
+  transaction.operation_id = NextOperationId(state);
+  OpenAnnouncement open;
+  for (const membership::Member& member : members) {
+    open.members.push_back(member.id);
+    const auto known = state.table.member_versions.find(member.id);
+    const std::uint64_t version =
+        known == state.table.member_versions.end() ? 0 : known->second;
+    const bool is_alive = membership::IsAlive(member);
+    if (!is_alive && version == 0) {
+      continue;
+    }
+    open.written.push_back(is_alive ? std::optional(member.id) : std::nullopt);
+    if (!is_alive) {
+      state.table.member_versions.erase(member.id);
+    }
+    transaction.writes.push_back(
+        {membership::MemberKey(member.id), version,
+         is_alive ? std::optional(membership::EncodeMember(member))
+                  : std::nullopt});
+  }
+  if (transaction.writes.empty()) {
+    membership::OnAnnounced(state.membership, open.members);
+    return;
+  }
+  state.table.announcements.emplace(transaction.operation_id, std::move(open));
+  state.to_writer.emplace_back(std::move(transaction));
+}
+
+struct MembershipVisitor {
+  ControlState& state;
+  base::TimePoint now;
+
+  void operator()(const membership::SendGossip& action) {
+    QueueMessage(this->state, action.to, ToWire(action));
+  }
+  void operator()(const membership::SendGossipAck& action) {
+    QueueMessage(this->state, action.to, wire::GossipAck{action.sequence});
+  }
+  void operator()(const membership::SendPing& action) {
+    QueueMessage(this->state, action.to, wire::Ping{action.sent_at});
+  }
+  void operator()(const membership::SendPong& action) {
+    QueueMessage(this->state, action.to, wire::Pong{action.echoed_sent_at});
+  }
+  void operator()(const membership::SendSuspicion& action) {
+    QueueMessage(this->state, action.to,
+                 wire::Suspicion{action.suspect, action.record_version});
+  }
+  void operator()(const membership::SendJoinRequest& action) {
+    const auto& current = this->state.catalogue.current;
+    this->state.to_peers.push_back(
+        {{},
+         action.address,
+         wire::JoinRequest{ToWire(action.self),
+                           current == nullptr ? 0 : current->version,
+                           !this->state.table.whole_read},
+         false});
+  }
+  void operator()(const membership::SendJoinReply& action) {
+    AnswerJoin(this->state, action);
+  }
+  void operator()(const membership::AnnounceMembers& action) {
+    Announce(this->state, action.members);
+  }
+  void operator()(const membership::MemberChanged& action) {
+    TakeMember(this->state, this->now, action.member);
+  }
+  void operator()(const membership::ItemReceived& action) {
+    TakeItem(this->state, this->now, action.from, action.item);
+  }
+};
+
+void TakeRow(ControlState& state,
+             base::TimePoint now,
+             const membership::GossipItem& item) {
+  const auto row = ownership::DecodeRow({item.key, item.version, item.payload});
+  if (!row) {
+    base::GetCounter(state.context.counters, "control_items_invalid_total")
+        .fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
+  ownership::Actions actions;
+  ownership::OnRowsHeard(state.ownership, now, {&row.value(), 1}, actions);
+  CarryOut(state, now, actions, RowSource::kElsewhere);
+}
+
+}  // namespace
+
+void CarryOut(ControlState& state,
+              base::TimePoint now,
+              const membership::Actions& actions) {
+  MembershipVisitor visitor{state, now};
+  for (const membership::Action& action : actions) {
+    std::visit(visitor, action);
+  }
+}
+
+void TakeItem(ControlState& state,
+              base::TimePoint now,
+              base::DaemonId from,
+              const membership::GossipItem& item) {
+  switch (static_cast<ItemKind>(item.kind)) {
+    case ItemKind::kRow:
+      TakeRow(state, now, item);
+      return;
+    case ItemKind::kCatalogue:
+      NoteCatalogueVersion(state, now, from, item.version);
+      return;
+    case ItemKind::kDemand:
+      TakeDemand(state, now, item);
+      return;
+    case ItemKind::kSuspect:
+      TakeSuspects(state, now, item);
+      return;
+  }
+  // An item of a newer release is passed on by the membership core.
+}
+
+}  // namespace eelgrassbridge::daemon
--- /dev/null
+++ b/src/eelgrassbridge/daemon/store_thread.cpp
@@ -0,0 +1,138 @@
+// Blocking table calls on threads of their own.
+#include "eelgrassbridge/daemon/store_thread.hpp"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "eelgrassbridge/daemon/catalogue_store.hpp"
+#include "eelgrassbridge/ownership/group_row.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+constexpr base::Duration kIdleWait = base::seconds{1};
+constexpr std::string_view kMemberPrefix = "member/";
+
+std::optional<store::RowsRead> ReadWhole(store::Store& store) {
+  auto groups = store::ReadRows(store, ownership::kGroupRowPrefix);
+  if (!groups) {
+    return std::nullopt;
+  }
+  auto members = store::ReadRows(store, kMemberPrefix);
+  if (!members) {
+    return std::nullopt;
+  }
+  auto catalogue = store::ReadRow(store, kCatalogueKey);
+  if (!catalogue) {
+    return std::nullopt;
+  }
+  store::RowsRead whole = std::move(groups).value();
+  std::ranges::move(members.value().rows, std::back_inserter(whole.rows));
+  if (catalogue.value().version != 0) {
+    whole.rows.push_back(std::move(catalogue).value());
+  }
+  return whole;
+}
+
+std::optional<store::RowsRead> ReadEach(store::Store& store,
+                                        const ReadKeys& read) {
+  store::RowsRead rows;
+  for (const std::string& key : read.keys) {
+    auto row = store::ReadRow(store, key);
+    if (!row) {
+      return std::nullopt;
+    }
+    rows.rows.push_back(std::move(row).value());
+  }
+  return rows;
+}
+
+template <typename Request, typename Handle>
+void Serve(const std::atomic<bool>& stopping,
+           base::WakeEvent& wake,
+           base::Ring<Request>& requests,
+           const Handle& handle) {
+  while (!stopping.load()) {
+    if (auto request = requests.Pop()) {
+      handle(*request);
+    } else {
+      base::WaitFor(wake, kIdleWait);
+    }
+  }
+}
+
+}  // namespace
+
+StoreThreads::StoreThreads(store::Store read_store,
+                           store::Store write_store,
+                           base::WakeEvent& control_wake)
+    : reader_store(std::move(read_store)),
+      writer_store(std::move(write_store)),
+      wake_control(control_wake) {}
+
+StoreThreads::~StoreThreads() {
+  StopStoreThreads(*this);
+}
+
+StoreReadResult RunRead(store::Store& store, const StoreRead& read) {
+  StoreReadResult result{read, base::BootClock::now(), std::nullopt};
+  if (std::holds_alternative<ReadWholeTable>(read)) {
+    result.rows = ReadWhole(store);
+  } else if (const auto* const keys = std::get_if<ReadKeys>(&read)) {
+    result.rows = ReadEach(store, *keys);
+  } else {
+    auto changes =
+        store::ReadChanges(store, std::get<ReadTableChanges>(read).since);
+    if (changes) {
+      result.rows = std::move(changes).value();
+    }
+  }
+  return result;
+}
+
+StoreWriteResult RunWrite(store::Store& store, const StoreWrite& write) {
+  if (const auto* const transaction = std::get_if<store::Transaction>(&write)) {
+    return TransactionEnd{transaction->operation_id,
+                          store::Transact(store, *transaction)};
+  }
+  const auto& submission = std::get<CatalogueSubmission>(write);
+  return SubmissionEnd{SubmitCatalogue(store, submission.change),
+                       submission.answer};
+}
+
+void StartStoreThreads(StoreThreads& threads) {
+  threads.reader = std::thread([&threads] {
+    pthread_setname_np(pthread_self(), "store-reader");
+    Serve(threads.stopping, threads.reader_wake, threads.reads,
+          [&](const StoreRead& read) {
+            threads.read_results.Push(RunRead(threads.reader_store, read));
+            base::Signal(threads.wake_control);
+          });
+  });
+  threads.writer = std::thread([&threads] {
+    pthread_setname_np(pthread_self(), "store-writer");
+    Serve(threads.stopping, threads.writer_wake, threads.writes,
+          [&](const StoreWrite& write) {
+            threads.write_results.Push(RunWrite(threads.writer_store, write));
+            base::Signal(threads.wake_control);
+          });
+  });
+}
+
+void StopStoreThreads(StoreThreads& threads) {
+  threads.stopping.store(true);
+  base::Signal(threads.reader_wake);
+  base::Signal(threads.writer_wake);
+  if (threads.reader.joinable()) {
+    threads.reader.join();
+  }
+  if (threads.writer.joinable()) {
+    threads.writer.join();
+  }
+}
+
+}  // namespace eelgrassbridge::daemon
