--- a/include/eelgrassbridge/ownership/ownership_state.hpp
+++ b/include/eelgrassbridge/ownership/ownership_state.hpp
@@ -178,6 +178,10 @@
       by_owner;
   std::unordered_map<base::DaemonId, std::unordered_set<base::GroupId>>
       by_deputy;
+  /// Ordinary groups of each owner: what the balance counts. Hot keys are left
+  /// out, since a parent that moves for balance when its hot key comes back
+  /// would make the two chase each other.
+  std::unordered_map<base::DaemonId, std::uint32_t> ordinary_count;
 
   std::unordered_map<base::GroupId, OwnedGroup> owned;
   std::unordered_map<base::GroupId, DeputyGroup> deputy_of;
--- a/src/eelgrassbridge/ownership/placement_rules.cpp
+++ b/src/eelgrassbridge/ownership/placement_rules.cpp
@@ -149,7 +149,8 @@
 }  // namespace
 
 std::uint32_t GroupCountOf(const OwnershipState& state, base::DaemonId owner) {
-  return static_cast<std::uint32_t>(OwnedCount(state, owner));
+  const auto found = state.ordinary_count.find(owner);
+  return found == state.ordinary_count.end() ? 0 : found->second;
 }
 
 void TickPlacement(OwnershipState& state,
--- a/src/eelgrassbridge/ownership/row_intake.cpp
+++ b/src/eelgrassbridge/ownership/row_intake.cpp
@@ -18,10 +18,22 @@
       }
     }
   };
+  if (!row.group.hot_key) {
+    const auto count = state.ordinary_count.find(row.owner);
+    if (count != state.ordinary_count.end() && --count->second == 0) {
+      state.ordinary_count.erase(count);
+    }
+  }
   remove(state.by_owner, row.owner);
   remove(state.by_deputy, row.deputy);
 }
 
+void NoteId(OwnershipState& state, base::TimePoint now, base::DaemonId id) {
+  if (id && !state.placement.members.contains(id)) {
+    state.placement.unknown_since.try_emplace(id, now);
+  }
+}
+
 void Index(OwnershipState& state, base::TimePoint now, const GroupRow& row) {
   const auto [at, is_added] = state.rows.try_emplace(row.group, row);
   if (!is_added) {
@@ -32,15 +44,15 @@
     at->second = row;
   }
   state.by_owner[row.owner].insert(row.group);
-  if (!state.placement.members.contains(row.owner)) {
-    state.placement.unknown_since.try_emplace(row.owner, now);
+  if (!row.group.hot_key) {
+    ++state.ordinary_count[row.owner];
   }
   if (row.deputy) {
     state.by_deputy[row.deputy].insert(row.group);
-    if (!state.placement.members.contains(row.deputy)) {
-      state.placement.unknown_since.try_emplace(row.deputy, now);
-    }
   }
+  NoteId(state, now, row.owner);
+  NoteId(state, now, row.deputy);
+  NoteId(state, now, row.intent);
 }
 
 void UpdateOwned(OwnershipState& state,
--- a/src/eelgrassbridge/ownership/take_over.cpp
+++ b/src/eelgrassbridge/ownership/take_over.cpp
@@ -241,7 +241,16 @@
                       const base::GroupId& group) {
   const GroupRow* row = FindRow(state, group);
   if (row == nullptr || state.take_overs.contains(group) ||
-      !IsOpenToTakers(state, *row, now) || !IsSelfEligible(state, group)) {
+      !IsOpenToTakers(state, *row, now)) {
+    return;
+  }
+  if (row->intent == state.self) {
+    // An intent of this daemon that took effect after it had given up. Nobody
+    // else replaces it while this daemon lives, so it must be carried through.
+    Queue(state, now, *row, row->deputy == state.self);
+    return;
+  }
+  if (!IsSelfEligible(state, group)) {
     return;
   }
   if (row->deputy == state.self) {
@@ -326,7 +335,8 @@
     // An owner that is back before anything was written keeps its group.
     if (take_over.phase == TakeOver::Phase::kQueued &&
         (!IsGone(state, take_over.row.owner, now) ||
-         !IsSelfEligible(state, found->first))) {
+         (!IsSelfEligible(state, found->first) &&
+          take_over.row.intent != state.self))) {
       found = state.take_overs.erase(found);
       continue;
     }
