--- /dev/null
+++ b/bench/requests/decision_cost.cpp
@@ -0,0 +1,169 @@
+// Time of single decisions and memory of their state. Times depend on the
+// machine; each is compared with a baseline timed in the same run.
+#include <malloc.h>
+
+#include <chrono>
+#include <functional>
+#include <random>
+#include <string>
+
+#include "bench/requests/figure.hpp"
+#include "bench/requests/scenarios.hpp"
+#include "eelgrassbridge/limits/account_limiter.hpp"
+#include "eelgrassbridge/limits/request_id_record.hpp"
+#include "eelgrassbridge/limits/target_limiter.hpp"
+#include "eelgrassbridge/routing/poison_quarantine.hpp"
+#include "eelgrassbridge/routing/target_choice.hpp"
+
+namespace eelgrassbridge::bench {
+
+namespace {
+
+using base::TimePoint;
+
+constexpr std::uint64_t kRepeats = 200'000;
+constexpr TimePoint kNow{base::seconds{1000}};
+
+/// Best of five runs, since the machine is shared.
+double NanosecondsOf(const std::function<void(std::uint64_t)>& decide) {
+  double best = 1e18;
+  for (int run = 0; run < 5; ++run) {
+    const auto began = std::chrono::steady_clock::now();
+    for (std::uint64_t i = 0; i < kRepeats; ++i) {
+      decide(i);
+    }
+    const std::chrono::duration<double, std::nano> spent =
+        std::chrono::steady_clock::now() - began;
+    best = std::min(best, spent.count() / static_cast<double>(kRepeats));
+  }
+  return best;
+}
+
+double HeapBytes() {
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+void PrintTime(const std::string& name,
+               double value,
+               std::optional<double> baseline = std::nullopt) {
+  // A request path of a few microseconds of decisions at most: 2 us each.
+  Print({"decision_cost", name, "ns", value, baseline, 2000, Better::kLower});
+}
+
+void PrintBytes(const std::string& name, double bytes, double target) {
+  Print({"decision_cost", name, "bytes", bytes, {}, target, Better::kLower});
+}
+
+routing::TargetTable MakeTable(std::uint32_t count) {
+  routing::TargetTable table;
+  std::vector<routing::TargetMember> members;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    members.push_back(
+        {base::DaemonId{i + 1}, routing::Locality::kDataCentre, true});
+  }
+  routing::SetMembers(table, members);
+  return table;
+}
+
+void MeasureChoice() {
+  volatile std::uint64_t sink = 0;
+  std::uint32_t next = 0;
+  const double robin = NanosecondsOf([&](std::uint64_t) {
+    next = (next + 1) % 6;
+    sink = next;
+  });
+  for (const std::uint32_t count : {6U, 1000U}) {
+    const double before = HeapBytes();
+    const routing::TargetTable table = MakeTable(count);
+    const double bytes = (HeapBytes() - before) / count;
+    PrintTime("choose_of_" + std::to_string(count),
+              NanosecondsOf([&](std::uint64_t i) {
+                sink = routing::ChooseTarget(table, i, {}, kNow)->value;
+              }),
+              robin);
+    if (count > 100) {
+      PrintBytes("target_state", bytes, 256);
+    }
+  }
+}
+
+void MeasureAdmission() {
+  limits::TargetLimiter limiter = limits::MakeTargetLimiter({9, 120, 64, {}});
+  PrintTime("admit_and_finish", NanosecondsOf([&](std::uint64_t) {
+              const limits::Admission admission =
+                  limits::Admit(limiter,
+                                {catalogue::PriorityClass::kNormal, "yard",
+                                 kNow + base::seconds{1}},
+                                kNow);
+              limits::Finish(limiter, limits::RunEnd::kAnswered,
+                             base::milliseconds{1}, admission.generation);
+            }));
+}
+
+void MeasureAccounts() {
+  constexpr int kAccounts = 1000;
+  const double before = HeapBytes();
+  limits::AccountLimiter limiter;
+  std::vector<std::string> names;
+  for (int i = 0; i < kAccounts; ++i) {
+    names.push_back(limits::AccountLimitName("yard " + std::to_string(i)));
+    const limits::LimitRef ref{names.back(), 1000, 100};
+    limits::TakeAll(limiter, {&ref, 1}, kNow);
+    limits::Release(limiter, {&ref, 1});
+  }
+  PrintBytes("account_limit", (HeapBytes() - before) / kAccounts, 512);
+  PrintTime("take_and_release_account", NanosecondsOf([&](std::uint64_t i) {
+              const limits::LimitRef ref{names[i % kAccounts], 1000, 100};
+              const TimePoint now = kNow + base::Duration{i};
+              if (!limits::TakeAll(limiter, {&ref, 1}, now)) {
+                limits::Release(limiter, {&ref, 1});
+              }
+            }));
+}
+
+void MeasureRecord() {
+  const double before = HeapBytes();
+  limits::RequestIdRecord record =
+      limits::MakeRecord(base::DaemonId{1}, 1, {4096, 4 << 20, 2});
+  const base::Hash128Value print{1, 2};
+  const auto run = [&](std::uint64_t) {
+    const limits::RequestId id = limits::Issue(record);
+    limits::Begin(record, id, print);
+    limits::EndAnswered(record, id, {200, "", ""});
+  };
+  for (std::uint64_t i = 0; i < 4096; ++i) {
+    run(i);
+  }
+  PrintBytes("request_id", (HeapBytes() - before) / 4096, 512);
+  PrintTime("issue_begin_end_id", NanosecondsOf(run));
+}
+
+void MeasurePoison() {
+  routing::PoisonQuarantine quarantine;
+  const double before = HeapBytes();
+  for (std::uint64_t i = 0; i < 4096; ++i) {
+    routing::NoteDeath(quarantine, {i, i}, i, kNow);
+  }
+  PrintBytes("suspect", (HeapBytes() - before) / 4096, 256);
+  volatile bool sink = false;
+  const std::string body(1000, 'x');
+  PrintTime("fingerprint_and_verdict_of_1000_bytes",
+            NanosecondsOf([&](std::uint64_t) {
+              const auto print = routing::RequestFingerprint(
+                  "booking", "plan", "/a/b", "key", body);
+              sink = routing::VerdictOf(quarantine, print, kNow) ==
+                     routing::PoisonVerdict::kNormal;
+            }));
+}
+
+}  // namespace
+
+void RunDecisionCost() {
+  MeasureChoice();
+  MeasureAdmission();
+  MeasureAccounts();
+  MeasureRecord();
+  MeasurePoison();
+}
+
+}  // namespace eelgrassbridge::bench
