Give the cold-start ramp longer rounds that grow after overload

Change: a round has four successes for each unit of the level; overload doubles that up to 16 and takes the last step back; a warm target is watched for latency jumps at any load. The model target has exponential service times now. A target slower than four rounds a slot still gets two requests once where it bears one; nothing shows that beforehand.

--- a/bench/requests/cold_start.cpp
+++ b/bench/requests/cold_start.cpp
@@ -81,10 +81,10 @@
     limits::Finish(world.limiter, limits::RunEnd::kLost, {}, generation);
     return;
   }
-  std::uniform_real_distribution<double> jitter(0.9, 1.1);
-  const Duration time{
-      static_cast<std::int64_t>(static_cast<double>(kServiceTime.count()) *
-                                std::max(1.0, load) * jitter(world.random))};
+  std::exponential_distribution<double> tail(1.0);
+  const Duration time{static_cast<std::int64_t>(
+      static_cast<double>(kServiceTime.count()) * std::max(1.0, load) *
+      (0.5 + 0.5 * tail(world.random)))};
   const std::uint32_t instance = target.instance;
   After(world.events, time, [&world, time, generation, instance] {
     const bool lost = instance != world.target.instance;
--- a/src/eelgrassbridge/limits/cold_start_ramp.cpp
+++ b/src/eelgrassbridge/limits/cold_start_ramp.cpp
@@ -18,21 +18,45 @@
   StartRound(ramp);
 }
 
+/// Falls because the target showed that it bears less.
+void FallByOverload(ColdStartRamp& ramp, std::uint32_t level) {
+  // One request is the least that can be sent, so it cannot be too much.
+  if (ramp.level > 1) {
+    ramp.round_length =
+        std::min(2 * ramp.round_length, ramp.options.most_round_length);
+  }
+  Fall(ramp, level);
+}
+
+void Rise(ColdStartRamp& ramp) {
+  if (IsWarm(ramp)) {
+    return;
+  }
+  ++ramp.level;
+  if (IsWarm(ramp)) {
+    ramp.round_length =
+        std::max(ramp.round_length / 2, ramp.options.round_length);
+  }
+}
+
 void EndRound(ColdStartRamp& ramp) {
   const double mean = ramp.round_latency_sum_us / ramp.round_successes;
   const double healthy = ramp.healthy_latency_us;
   StartRound(ramp);
-  if (healthy == 0 || mean < healthy) {
+  if (healthy == 0) {
     ramp.healthy_latency_us = mean;
-  } else {
-    // A slower round moves the healthy latency too, so that a lasting change
-    // in the mix of requests does not hold the level down for ever.
-    ramp.healthy_latency_us += ramp.options.healthy_weight * (mean - healthy);
+    Rise(ramp);
+    return;
   }
-  if (healthy != 0 && mean > healthy * ramp.options.jump_factor) {
-    Fall(ramp, ramp.level / 2);
-  } else if (healthy == 0 || mean <= healthy * ramp.options.healthy_factor) {
-    ramp.level = std::min(ramp.level + 1, ramp.capacity);
+  // A slower round moves the healthy latency too, so that a lasting change in
+  // the mix of requests does not hold the level down for ever.
+  ramp.healthy_latency_us += ramp.options.healthy_weight * (mean - healthy);
+  if (mean > healthy * ramp.options.jump_factor) {
+    FallByOverload(ramp, ramp.level / 2);
+  } else if (mean <= healthy * ramp.options.healthy_factor) {
+    Rise(ramp);
+  } else if (!IsWarm(ramp)) {
+    FallByOverload(ramp, ramp.level - 1);
   }
 }
 
@@ -42,6 +66,7 @@
   ColdStartRamp ramp;
   ramp.options = options;
   ramp.capacity = std::max(1U, capacity);
+  ramp.round_length = std::max(1U, options.round_length);
   return ramp;
 }
 
@@ -63,19 +88,20 @@
                  base::Duration latency,
                  std::uint32_t in_flight,
                  std::uint64_t generation) {
-  if (generation != ramp.generation || in_flight < ramp.level) {
+  if (generation != ramp.generation ||
+      (in_flight < ramp.level && !IsWarm(ramp))) {
     return;
   }
   ++ramp.round_successes;
   ramp.round_latency_sum_us += static_cast<double>(latency.count());
-  if (ramp.round_successes >= ramp.level) {
+  if (ramp.round_successes >= ramp.level * ramp.round_length) {
     EndRound(ramp);
   }
 }
 
 void NoteRefusal(ColdStartRamp& ramp, std::uint64_t generation) {
   if (generation == ramp.generation) {
-    Fall(ramp, ramp.level / 2);
+    FallByOverload(ramp, ramp.level / 2);
   }
 }
 
--- a/src/eelgrassbridge/limits/target_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -166,7 +166,8 @@
   NoteRefusal(ramp, before);
   NoteRefusal(ramp, before);
   CHECK(ramp.level == 4);
-  for (int i = 0; i < 4; ++i) {
+  CHECK(ramp.round_length == 8);
+  for (int i = 0; i < 4 * 8; ++i) {
     answer(milliseconds{10});
   }
   CHECK(ramp.level == 2);
