--- /dev/null
+++ b/src/eelgrassbridge/daemon/request_handler.cpp
@@ -0,0 +1,261 @@
+// The order of the steps for one request at one daemon: read it, check it
+// against the catalogue, take the account's limits, plan and run attempts.
+#include "eelgrassbridge/daemon/request_handler.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "eelgrassbridge/catalogue/catalogue_queries.hpp"
+#include "eelgrassbridge/daemon/attempt.hpp"
+#include "eelgrassbridge/daemon/hedger.hpp"
+#include "eelgrassbridge/routing/deadline.hpp"
+#include "eelgrassbridge/routing/residency_check.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+/// Pause between two attempts while a group has no owner that answers.
+constexpr base::Duration kOwnerRetryPause = base::milliseconds{20};
+/// Attempts at different targets of an undivided service.
+constexpr std::size_t kMaxTargetsTried = 3;
+
+CallerAnswer WrongRegion(const RoutingView& view,
+                         const std::vector<std::string>& home_regions) {
+  CallerAnswer answer =
+      ErrorAnswer(base::ErrorKind::kWrongRegion,
+                  "the client account may not be served in this region");
+  if (view.peers == nullptr) {
+    return answer;
+  }
+  for (const auto& [id, peer] : *view.peers) {
+    if (peer.may_get_work && routing::IsHomeRegion(home_regions, peer.region)) {
+      answer.headers.push_back(
+          {std::string(kOwnerHeader),
+           fmt::format("{}:{}", peer.http.ip, peer.http.port)});
+      break;
+    }
+  }
+  return answer;
+}
+
+/// @brief The limits that a request is subject to; the names are kept beside
+/// the references to them.
+struct RequestLimits {
+  std::array<std::string, 3> names;
+  std::vector<limits::LimitRef> refs;
+};
+
+void AddLimit(RequestLimits& request_limits,
+              std::size_t place,
+              std::string name,
+              const catalogue::Limits& bound) {
+  if (bound.requests_per_second == 0 && bound.in_flight == 0) {
+    return;
+  }
+  request_limits.names[place] = std::move(name);
+  request_limits.refs.push_back({request_limits.names[place],
+                                 bound.requests_per_second, bound.in_flight});
+}
+
+void FillLimits(RequestLimits& request_limits,
+                const routing::EntryFacts& entry) {
+  if (entry.account != nullptr) {
+    AddLimit(request_limits, 0, limits::AccountLimitName(entry.account->name),
+             entry.account->limits);
+  }
+  AddLimit(request_limits, 1, limits::ServiceLimitName(entry.service->name),
+           entry.service->limits);
+  AddLimit(request_limits, 2,
+           limits::KindLimitName(entry.service->name, entry.kind->name),
+           entry.kind->limits);
+}
+
+/// A refusal that is proved not run and that a newer view may cure.
+bool IsCuredByNewView(const CallerAnswer& answer) {
+  if (!answer.error) {
+    return false;
+  }
+  switch (*answer.error) {
+    case base::ErrorKind::kNoOwner:
+    case base::ErrorKind::kNotOwner:
+    case base::ErrorKind::kPeerUnreachable:
+    case base::ErrorKind::kNoTarget:
+    case base::ErrorKind::kDraining:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// A refusal that another target of the service might not give.
+bool IsWorthAnotherTarget(const CallerAnswer& answer) {
+  if (!answer.error || answer.outcome != base::Outcome::kNotRun) {
+    return false;
+  }
+  switch (*answer.error) {
+    case base::ErrorKind::kOverloaded:
+    case base::ErrorKind::kTargetRefused:
+    case base::ErrorKind::kTargetUnreachable:
+    case base::ErrorKind::kPeerUnreachable:
+    case base::ErrorKind::kDraining:
+    case base::ErrorKind::kNotOwner:
+    case base::ErrorKind::kNotReady:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// The daemon died with an idempotent request that may be run again. A target
+/// that died (target_lost) is not in this list: the request is a suspect.
+bool IsRepeatable(const PlannedRequest& planned, const CallerAnswer& answer) {
+  return planned.entry.kind->idempotent &&
+         answer.error == base::ErrorKind::kPeerLost;
+}
+
+bool HasTimeForRetry(const PlannedRequest& planned) {
+  return base::BootClock::now() + kOwnerRetryPause < planned.deadline;
+}
+
+/// Attempts at one owner: waits for a newer view while nobody answers.
+CallerAnswer RunDivided(RequestContext& context,
+                        const PlannedRequest& planned) {
+  for (;;) {
+    const auto view = context.routing.view.load();
+    CallerAnswer answer = AttemptDivided(context, *view, planned);
+    const bool may_retry =
+        planned.request.hops == 0 && HasTimeForRetry(planned);
+    if (!may_retry ||
+        !(IsCuredByNewView(answer) || IsRepeatable(planned, answer))) {
+      return answer;
+    }
+    std::this_thread::sleep_for(kOwnerRetryPause);
+  }
+}
+
+/// Attempts at different targets, within the retry budget.
+CallerAnswer RunUndivided(RequestContext& context,
+                          const PlannedRequest& planned) {
+  std::vector<base::DaemonId> tried;
+  for (;;) {
+    const auto view = context.routing.view.load();
+    Attempt attempt =
+        context.hedger == nullptr
+            ? AttemptUndivided(context, *view, planned, tried)
+            : AttemptHedged(*context.hedger, view, planned, tried);
+    if (planned.request.hops > 0 || !HasTimeForRetry(planned)) {
+      return std::move(attempt.answer);
+    }
+    const bool is_refused_elsewhere = IsWorthAnotherTarget(attempt.answer) ||
+                                      IsRepeatable(planned, attempt.answer);
+    if (attempt.target && is_refused_elsewhere) {
+      tried.push_back(*attempt.target);
+      if (tried.size() >= kMaxTargetsTried ||
+          !TakeRetry(context, planned, *attempt.target)) {
+        return std::move(attempt.answer);
+      }
+      context.request_counters.retried.fetch_add(1);
+    } else if (attempt.answer.error == base::ErrorKind::kNoTarget &&
+               tried.empty()) {
+      std::this_thread::sleep_for(kOwnerRetryPause);
+    } else {
+      return std::move(attempt.answer);
+    }
+  }
+}
+
+CallerAnswer RunPlanned(RequestContext& context,
+                        const PlannedRequest& planned) {
+  return planned.entry.service->divided_by_key ? RunDivided(context, planned)
+                                               : RunUndivided(context, planned);
+}
+
+/// The entry daemon alone takes the limits, so that a forwarded request is not
+/// counted twice.
+CallerAnswer RunWithinLimits(RequestContext& context,
+                             const PlannedRequest& planned) {
+  RequestLimits request_limits;
+  if (planned.request.hops == 0) {
+    FillLimits(request_limits, planned.entry);
+  }
+  if (request_limits.refs.empty()) {
+    return RunPlanned(context, planned);
+  }
+  {
+    const std::scoped_lock lock(context.accounts.mutex);
+    const auto refusal = limits::TakeAll(
+        context.accounts.limiter, request_limits.refs, base::BootClock::now());
+    if (refusal) {
+      return ErrorAnswer(*refusal, "a limit of the catalogue is reached");
+    }
+  }
+  CallerAnswer answer = RunPlanned(context, planned);
+  const std::scoped_lock lock(context.accounts.mutex);
+  limits::Release(context.accounts.limiter, request_limits.refs);
+  return answer;
+}
+
+CallerAnswer Plan(RequestContext& context, const CallerRequest& request) {
+  const auto view = context.routing.view.load();
+  if (view == nullptr) {
+    return ErrorAnswer(base::ErrorKind::kNotReady,
+                       "this daemon has no catalogue yet");
+  }
+  routing::RequestFacts facts;
+  facts.service = request.service;
+  facts.kind = request.kind;
+  facts.account = request.account;
+  routing::RoutingFacts known;
+  known.ready = view->ready;
+  known.own_region = context.settings.region;
+  known.catalogue = view->catalogue.get();
+  const auto entry = routing::FindEntry(facts, known);
+  if (!entry) {
+    if (entry.error().kind == base::ErrorKind::kWrongRegion) {
+      const auto* service =
+          catalogue::FindService(*view->catalogue, request.service);
+      return WrongRegion(
+          *view, catalogue::HomeRegions(
+                     *service, catalogue::FindAccount(*view->catalogue,
+                                                      request.account)));
+    }
+    return ErrorAnswer(entry.error().kind, "the catalogue does not allow it");
+  }
+  const PlannedRequest planned{
+      request, entry.value(),
+      catalogue::ResidencyName(*entry.value().home_regions),
+      limits::ParseRequestId(request.request_id),
+      routing::DeadlineOf(request.allowed_time, *entry.value().kind,
+                          request.received_at)};
+  return RunWithinLimits(context, planned);
+}
+
+void CountOutcome(RequestContext& context, const CallerAnswer& answer) {
+  if (answer.error) {
+    context.request_counters.failed[static_cast<std::size_t>(*answer.error)]
+        ->fetch_add(1);
+  } else {
+    context.request_counters.answered.fetch_add(1);
+  }
+}
+
+}  // namespace
+
+CallerAnswer HandleRequest(RequestContext& context, CallerRequest request) {
+  request.received_at = base::BootClock::now();
+  CallerAnswer answer;
+  if (auto parsed = ParseCallerRequest(request); !parsed) {
+    answer = ErrorAnswer(parsed.error().kind, parsed.error().detail);
+  } else {
+    answer = Plan(context, request);
+  }
+  answer = TellRefusal(request, std::move(answer));
+  base::Record(context.latency, base::BootClock::now() - request.received_at);
+  CountOutcome(context, answer);
+  return answer;
+}
+
+}  // namespace eelgrassbridge::daemon
