Measure poison with quick and slow spreading, and the demand of many peers

Cause: deaths depend on how soon suspects spread; demand work grows with peers. Change: two more figures in request_bench.

--- a/bench/requests/decision_cost.cpp
+++ b/bench/requests/decision_cost.cpp
@@ -25,16 +25,17 @@
 constexpr TimePoint kNow{base::seconds{1000}};
 
 /// Best of five runs, since the machine is shared.
-double NanosecondsOf(const std::function<void(std::uint64_t)>& decide) {
+double NanosecondsOf(const std::function<void(std::uint64_t)>& decide,
+                     std::uint64_t repeats = kRepeats) {
   double best = 1e18;
   for (int run = 0; run < 5; ++run) {
     const auto began = std::chrono::steady_clock::now();
-    for (std::uint64_t i = 0; i < kRepeats; ++i) {
+    for (std::uint64_t i = 0; i < repeats; ++i) {
       decide(i);
     }
     const std::chrono::duration<double, std::nano> spent =
         std::chrono::steady_clock::now() - began;
-    best = std::min(best, spent.count() / static_cast<double>(kRepeats));
+    best = std::min(best, spent.count() / static_cast<double>(repeats));
   }
   return best;
 }
@@ -121,6 +122,24 @@
             }));
 }
 
+/// The work of each second for one limit that many daemons have demand for.
+void MeasureDemand() {
+  limits::AccountLimiter limiter;
+  limits::SetFleet(limiter, base::DaemonId{500}, 500, 1000, kNow);
+  const std::string name = limits::AccountLimitName("yard");
+  const limits::LimitRef ref{name, 1000, 100};
+  limits::TakeAll(limiter, {&ref, 1}, kNow);
+  for (std::uint64_t peer = 1; peer <= 1000; ++peer) {
+    const limits::Demand demand{name, 5};
+    limits::MergeDemand(limiter, base::DaemonId{peer}, {&demand, 1}, kNow);
+  }
+  constexpr std::uint64_t kFew = 2000;
+  PrintTime(
+      "publish_demand_with_1000_peers",
+      NanosecondsOf(
+          [&](std::uint64_t) { limits::PublishDemand(limiter, kNow); }, kFew));
+}
+
 void MeasureRecord() {
   const double before = HeapBytes();
   limits::RequestIdRecord record =
@@ -162,6 +181,7 @@
   MeasureChoice();
   MeasureAdmission();
   MeasureAccounts();
+  MeasureDemand();
   MeasureRecord();
   MeasurePoison();
 }
--- a/bench/requests/poison.cpp
+++ b/bench/requests/poison.cpp
@@ -18,7 +18,6 @@
 using routing::PoisonVerdict;
 
 constexpr std::uint32_t kDaemons = 8;
-constexpr Duration kGossip = base::seconds{2};
 constexpr Duration kLength = base::seconds{120};
 constexpr Duration kInnocentEvery = base::milliseconds{5};
 
@@ -27,6 +26,8 @@
   std::mt19937_64 random;
   bool is_real = true;
   Duration resend_after;
+  /// Time in which suspects reach the other daemons.
+  Duration spread;
   std::vector<routing::PoisonQuarantine> daemons{kDaemons};
   std::vector<base::DaemonId> ids;
   std::uint64_t instances = 0;
@@ -101,7 +102,7 @@
       routing::MergeSuspect(daemon, record, world.events.now);
     }
   }
-  After(world.events, kGossip, [&world] { Gossip(world); });
+  After(world.events, world.spread, [&world] { Gossip(world); });
 }
 
 void SendPoison(PoisonWorld& world, const std::string& body, int left) {
@@ -127,12 +128,13 @@
 };
 
 /// Ten poison requests, each resent five times to a random entry.
-PoisonResult RunWorld(bool is_real, Duration resend_after) {
+PoisonResult RunWorld(bool is_real, Duration resend_after, Duration spread) {
   constexpr int kPoisons = 10;
   PoisonWorld world;
   world.random.seed(20261204);
   world.is_real = is_real;
   world.resend_after = resend_after;
+  world.spread = spread;
   for (std::uint32_t i = 0; i < kDaemons; ++i) {
     world.ids.push_back(base::DaemonId{i + 1});
   }
@@ -156,17 +158,22 @@
 
 void RunPoison() {
   const auto print = [](const std::string& pace, Duration resend_after,
-                        std::optional<double> target) {
-    const PoisonResult real = RunWorld(true, resend_after);
-    const PoisonResult plain = RunWorld(false, resend_after);
+                        Duration spread) {
+    const PoisonResult real = RunWorld(true, resend_after, spread);
+    const PoisonResult plain = RunWorld(false, resend_after, spread);
     Print({"poison", "deaths_per_request_" + pace, "count", real.deaths,
-           plain.deaths, target, Better::kLower});
+           plain.deaths, 2, Better::kLower});
     Print({"poison", "innocent_refused_" + pace, "part", real.refused_innocents,
            plain.refused_innocents, 0.01, Better::kLower});
   };
-  print("resent_after_3s", base::seconds{3}, 2);
-  // A caller that resends at once to other entries is faster than the gossip.
-  print("resent_after_200ms", base::milliseconds{200}, 2);
+  print("resent_after_3s_spread_2s", base::seconds{3}, base::seconds{2});
+  // A caller that resends at once to other entries is faster than gossip every
+  // second, but not faster than a message sent to the daemons of the service
+  // at the death.
+  print("resent_after_200ms_spread_2s", base::milliseconds{200},
+        base::seconds{2});
+  print("resent_after_200ms_spread_50ms", base::milliseconds{200},
+        base::milliseconds{50});
 }
 
 }  // namespace eelgrassbridge::bench
