--- a/include/eelgrassbridge/ownership/detail/core.hpp
+++ b/include/eelgrassbridge/ownership/detail/core.hpp
@@ -23,13 +23,19 @@
                std::optional<base::TimePoint> evidence,
                Actions& actions);
 
-/// @brief Takes in that the table has no row for the group.
+/// @brief Takes in that a read sent at `evidence` found no row.
 void AbsorbAbsence(OwnershipState& state,
                    base::TimePoint now,
                    const base::GroupId& group,
                    base::TimePoint evidence,
                    Actions& actions);
 
+/// @brief Forgets a row that was deleted.
+void RemoveRow(OwnershipState& state,
+               base::TimePoint now,
+               const base::GroupId& group,
+               Actions& actions);
+
 /// @brief The group that a hot key was carved out of.
 base::GroupId ParentOf(const base::GroupId& group);
 
@@ -62,7 +68,12 @@
                 base::TimePoint now,
                 OwnedGroup& owned,
                 Actions& actions);
-void CloseGateOf(OwnedGroup& owned, Actions& actions);
+/// @brief Ends the gate. Its requests in flight are out of sight of a later
+/// drain, so the group does not move until they must have ended.
+void CloseGateOf(const OwnershipState& state,
+                 base::TimePoint now,
+                 OwnedGroup& owned,
+                 Actions& actions);
 void TickOwned(OwnershipState& state, base::TimePoint now, Actions& actions);
 void BeginRelease(OwnedGroup& owned, base::DaemonId receiver, Actions& actions);
 /// @brief Writes the release of a drained group, or writes it again.
@@ -72,7 +83,10 @@
                    Actions& actions);
 void TickReleases(OwnershipState& state, base::TimePoint now, Actions& actions);
 /// @brief Takes up serving again after a release or merge came to nothing.
-void CancelRelease(OwnedGroup& owned, Actions& actions);
+void CancelRelease(const OwnershipState& state,
+                   base::TimePoint now,
+                   OwnedGroup& owned,
+                   Actions& actions);
 /// @brief Whether this daemon may be given groups now.
 bool IsSelfEligible(const OwnershipState& state, const base::GroupId& group);
 
--- a/include/eelgrassbridge/ownership/ownership_state.hpp
+++ b/include/eelgrassbridge/ownership/ownership_state.hpp
@@ -92,9 +92,10 @@
 /// the row is read or written again with this daemon as owner.
 struct OwnedGroup {
   GroupRow row;
+  /// When this version of the row became known here.
+  base::TimePoint learned_at{};
   std::optional<base::TimePoint> promise_sent_at;
   std::optional<base::TimePoint> read_sent_at;
-  std::optional<base::TimePoint> read_asked_at;
   bool gate_open = false;
   base::TimePoint gate_lease_end{};
   std::vector<std::uint64_t> gate_carved_out;
@@ -107,8 +108,8 @@
   bool release_sent = false;
   /// Next time at which a change (deputy, clearing, rewrite) may be tried.
   base::TimePoint retry_at{};
-  /// Not released before: requests that entered through the parent's gate may
-  /// still run for a hot key that was just carved out.
+  /// Not released before: requests that entered through a gate closed since, or
+  /// through the parent's gate before a carve-out, may still run.
   base::TimePoint movable_at{};
   /// Since when the present deputy is named.
   base::TimePoint deputy_since{};
@@ -178,6 +179,9 @@
       by_owner;
   std::unordered_map<base::DaemonId, std::unordered_set<base::GroupId>>
       by_deputy;
+  /// When the present version of a hot key's row became known here; only these
+  /// rows are ever deleted.
+  std::unordered_map<base::GroupId, base::TimePoint> hot_learned_at;
   /// Ordinary groups of each owner: what the balance counts. Hot keys are left
   /// out, since a parent that moves for balance when its hot key comes back
   /// would make the two chase each other.
--- a/src/eelgrassbridge/ownership/balance.cpp
+++ b/src/eelgrassbridge/ownership/balance.cpp
@@ -71,28 +71,31 @@
   if (own->groups <= average) {
     return std::nullopt;
   }
-  // Donors with a surplus of two or more come first; those one above the
-  // average give only to receivers below it.
+  // Donors with a surplus of two or more must give anyway, so the slots that
+  // they can fill in the coming rounds are theirs; those one above the average
+  // give only to receivers below it, and only what is left.
   std::vector<base::DaemonId> large;
   std::vector<base::DaemonId> small;
+  std::size_t reserved = 0;
   for (const MemberLoad& load : loads) {
     if (load.groups > average + 1) {
       large.push_back(load.id);
+      reserved += load.groups - average - 1;
     } else if (load.groups == average + 1) {
       small.push_back(load.id);
     }
   }
   const Slots slots = FindSlots(loads, average);
-  std::vector<base::DaemonId> donors = Ordered(std::move(large));
-  const std::size_t large_count = donors.size();
-  std::ranges::copy(Ordered(std::move(small)), std::back_inserter(donors));
-  const auto position = static_cast<std::size_t>(
-      std::ranges::find(donors, self) - donors.begin());
+  const bool is_large = own->groups > average + 1;
+  const std::vector<base::DaemonId> donors =
+      Ordered(std::move(is_large ? large : small));
+  const auto rank = static_cast<std::size_t>(std::ranges::find(donors, self) -
+                                             donors.begin());
+  const std::size_t position = is_large ? rank : reserved + rank;
   std::optional<base::DaemonId> receiver;
   if (position < slots.urgent.size()) {
     receiver = slots.urgent[position];
-  } else if (position < large_count &&
-             position - slots.urgent.size() < slots.spare.size()) {
+  } else if (is_large && position - slots.urgent.size() < slots.spare.size()) {
     receiver = slots.spare[position - slots.urgent.size()];
   }
   if (!receiver) {
--- a/src/eelgrassbridge/ownership/hot_keys.cpp
+++ b/src/eelgrassbridge/ownership/hot_keys.cpp
@@ -169,7 +169,7 @@
       parent != state.owned.end() && !parent->second.row.intent &&
       !parent->second.release_to && !HasOpenWrite(state, parent->first);
   if (!is_possible) {
-    CancelRelease(owned, actions);
+    CancelRelease(state, now, owned, actions);
     UpdateGate(state, now, owned, actions);
     return;
   }
@@ -177,7 +177,7 @@
   std::erase(row.carved_out, *owned.row.group.hot_key);
   row.hot_epoch_floor = std::max(row.hot_epoch_floor, owned.row.epoch);
   owned.release_sent = true;
-  CloseGateOf(owned, actions);
+  CloseGateOf(state, now, owned, actions);
   Submit(state, now, WriteKind::kMerge, {{row}, {owned.row, true}}, actions);
 }
 
--- a/src/eelgrassbridge/ownership/owner_rules.cpp
+++ b/src/eelgrassbridge/ownership/owner_rules.cpp
@@ -28,7 +28,7 @@
     return;
   }
   owned.retry_at = now + kChangeRetry;
-  if (open->second.kind == WriteKind::kRelease) {
+  if (open->second.kind == WriteKind::kRelease && owned.release_sent) {
     detail::SubmitRelease(state, now, owned, actions);
     return;
   }
@@ -56,7 +56,7 @@
 
 /// The owner falls back on reads when two promises in a row are missing.
 void AskForRead(OwnershipState& state, base::TimePoint now, OwnedGroup& owned) {
-  if (owned.release_sent) {
+  if (owned.release_sent || state.reads_open.contains(owned.row.group)) {
     return;
   }
   const std::optional<base::TimePoint> end = detail::LeaseEnd(state, owned);
@@ -197,9 +197,15 @@
          OwnerLease(state.options);
 }
 
-void CloseGateOf(OwnedGroup& owned, Actions& actions) {
+void CloseGateOf(const OwnershipState& state,
+                 base::TimePoint now,
+                 OwnedGroup& owned,
+                 Actions& actions) {
   if (owned.gate_open) {
     owned.gate_open = false;
+    owned.movable_at = std::max(
+        owned.movable_at,
+        now + RunLimitWait(state.options, RunLimit(state, owned.row.group)));
     actions.emplace_back(CloseGate{{owned.row.group, owned.row.epoch}});
   }
 }
@@ -210,7 +216,7 @@
                 Actions& actions) {
   const std::optional<base::TimePoint> end = LeaseEnd(state, owned);
   if (!end) {
-    CloseGateOf(owned, actions);
+    CloseGateOf(state, now, owned, actions);
     return;
   }
   const bool is_releasing = owned.merging || owned.release_to;
@@ -219,7 +225,7 @@
   }
   const GroupEpoch group{owned.row.group, owned.row.epoch};
   if (owned.gate_open && owned.gate_carved_out != owned.row.carved_out) {
-    CloseGateOf(owned, actions);
+    CloseGateOf(state, now, owned, actions);
   }
   if (!owned.gate_open) {
     owned.gate_open = true;
--- a/src/eelgrassbridge/ownership/ownership_commands.cpp
+++ b/src/eelgrassbridge/ownership/ownership_commands.cpp
@@ -22,13 +22,16 @@
   if (now < state.reads_blocked_until || state.to_read.empty()) {
     return;
   }
+  // A row whose read is under way stays in the list: that read may have been
+  // answered before the event that asked for this one.
   ReadRows read;
-  for (const base::GroupId& group : state.to_read) {
-    if (state.reads_open.try_emplace(group, now).second) {
+  std::erase_if(state.to_read, [&](const base::GroupId& group) {
+    const bool is_asked = state.reads_open.try_emplace(group, now).second;
+    if (is_asked) {
       read.groups.push_back(group);
     }
-  }
-  state.to_read.clear();
+    return is_asked;
+  });
   if (!read.groups.empty()) {
     actions.emplace_back(std::move(read));
   }
--- a/src/eelgrassbridge/ownership/release_rules.cpp
+++ b/src/eelgrassbridge/ownership/release_rules.cpp
@@ -95,7 +95,7 @@
       !owned.release_sent) {
     owned.release_to = FindReceiver(state, owned.row.group);
     if (!owned.release_to) {
-      CancelRelease(owned, actions);
+      CancelRelease(state, now, owned, actions);
       UpdateGate(state, now, owned, actions);
       return;
     }
@@ -106,12 +106,15 @@
   row.deputy = DeputyAfterMove(state, owned.row, owned.release_to, now);
   row.intent = {};
   owned.release_sent = true;
-  CloseGateOf(owned, actions);
+  CloseGateOf(state, now, owned, actions);
   Submit(state, now, WriteKind::kRelease, {{row}}, actions);
 }
 
-void CancelRelease(OwnedGroup& owned, Actions& actions) {
-  CloseGateOf(owned, actions);
+void CancelRelease(const OwnershipState& state,
+                   base::TimePoint now,
+                   OwnedGroup& owned,
+                   Actions& actions) {
+  CloseGateOf(state, now, owned, actions);
   owned.release_to = {};
   owned.merging = false;
   owned.drained = false;
@@ -127,7 +130,7 @@
   for (auto& [group, owned] : state.owned) {
     BeginForcedMove(state, now, owned, actions);
     if (!owned.drained || owned.release_sent || owned.row.intent ||
-        HasOpenWrite(state, group)) {
+        now < owned.movable_at || HasOpenWrite(state, group)) {
       continue;
     }
     if (owned.merging) {
--- a/src/eelgrassbridge/ownership/row_intake.cpp
+++ b/src/eelgrassbridge/ownership/row_intake.cpp
@@ -50,11 +50,25 @@
   if (row.deputy) {
     state.by_deputy[row.deputy].insert(row.group);
   }
+  if (row.group.hot_key) {
+    state.hot_learned_at[row.group] = now;
+  }
   NoteId(state, now, row.owner);
   NoteId(state, now, row.deputy);
   NoteId(state, now, row.intent);
 }
 
+/// A carve-out whose reply was lost may have created a row that nobody knows.
+void ReadUnknownHotKeys(OwnershipState& state, const GroupRow& parent) {
+  for (const std::uint64_t key_hash : parent.carved_out) {
+    base::GroupId hot = parent.group;
+    hot.hot_key = key_hash;
+    if (!state.rows.contains(hot)) {
+      state.to_read.insert(std::move(hot));
+    }
+  }
+}
+
 void UpdateOwned(OwnershipState& state,
                  base::TimePoint now,
                  const GroupRow& row,
@@ -63,7 +77,7 @@
   auto found = state.owned.find(row.group);
   if (row.owner != state.self) {
     if (found != state.owned.end()) {
-      CloseGateOf(found->second, actions);
+      CloseGateOf(state, now, found->second, actions);
       state.owned.erase(found);
     }
     return;
@@ -76,7 +90,7 @@
   }
   if (found != state.owned.end() && found->second.row.epoch != row.epoch) {
     // The group left and came back between two reads.
-    CloseGateOf(found->second, actions);
+    CloseGateOf(state, now, found->second, actions);
     state.owned.erase(found);
     found = state.owned.end();
   }
@@ -88,6 +102,10 @@
   if (owned.row.deputy != row.deputy) {
     owned.deputy_since = now;
   }
+  if (owned.row.version != row.version) {
+    owned.learned_at = now;
+    ReadUnknownHotKeys(state, row);
+  }
   owned.row = row;
   if (row.intent) {
     owned.read_sent_at.reset();
@@ -96,7 +114,7 @@
     owned.read_sent_at = *evidence;
   }
   if (owned.release_sent && !HasOpenWrite(state, row.group)) {
-    CancelRelease(owned, actions);
+    CancelRelease(state, now, owned, actions);
   }
   UpdateGate(state, now, owned, actions);
 }
@@ -143,17 +161,37 @@
                                      *row.group.hot_key);
 }
 
+}  // namespace
+
+base::GroupId ParentOf(const base::GroupId& group) {
+  base::GroupId parent = group;
+  parent.hot_key.reset();
+  return parent;
+}
+
+base::Duration RunLimit(const OwnershipState& state,
+                        const base::GroupId& group) {
+  const catalogue::Service* service =
+      state.catalogue == nullptr
+          ? nullptr
+          : catalogue::FindService(*state.catalogue, group.service);
+  return service == nullptr ? catalogue::Service{}.run_limit
+                            : service->run_limit;
+}
+
 void RemoveRow(OwnershipState& state,
+               base::TimePoint now,
                const base::GroupId& group,
                Actions& actions) {
   const auto owned = state.owned.find(group);
   if (owned != state.owned.end()) {
-    CloseGateOf(owned->second, actions);
+    CloseGateOf(state, now, owned->second, actions);
     state.owned.erase(owned);
   }
   state.deputy_of.erase(group);
   state.take_overs.erase(group);
   state.stopped_at_version.erase(group);
+  state.hot_learned_at.erase(group);
   const auto known = state.rows.find(group);
   if (known == state.rows.end()) {
     return;
@@ -166,24 +204,6 @@
   actions.emplace_back(RowChanged{std::move(deleted)});
 }
 
-}  // namespace
-
-base::GroupId ParentOf(const base::GroupId& group) {
-  base::GroupId parent = group;
-  parent.hot_key.reset();
-  return parent;
-}
-
-base::Duration RunLimit(const OwnershipState& state,
-                        const base::GroupId& group) {
-  const catalogue::Service* service =
-      state.catalogue == nullptr
-          ? nullptr
-          : catalogue::FindService(*state.catalogue, group.service);
-  return service == nullptr ? catalogue::Service{}.run_limit
-                            : service->run_limit;
-}
-
 void AbsorbRow(OwnershipState& state,
                base::TimePoint now,
                const GroupRow& row,
@@ -195,7 +215,7 @@
   }
   if (!row.owner) {
     if (known != state.rows.end()) {
-      RemoveRow(state, row.group, actions);
+      RemoveRow(state, now, row.group, actions);
     }
     return;
   }
@@ -204,6 +224,10 @@
   }
   const bool is_newer =
       known == state.rows.end() || row.version > known->second.version;
+  // An owner that cleared an intent was alive just now: leave it to the sweep
+  // to try again if it stays lost.
+  const bool is_cleared = known != state.rows.end() && known->second.intent &&
+                          !row.intent && known->second.owner == row.owner;
   if (is_newer) {
     Index(state, now, row);
     actions.emplace_back(RowChanged{row});
@@ -214,7 +238,7 @@
   }
   UpdateOwned(state, now, row, evidence, actions);
   UpdateDeputyOf(state, row, evidence);
-  if (is_newer) {
+  if (is_newer && !is_cleared) {
     ConsiderTakeOver(state, now, row.group);
   }
 }
@@ -224,28 +248,31 @@
                    const base::GroupId& group,
                    base::TimePoint evidence,
                    Actions& actions) {
-  const auto owned = state.owned.find(group);
-  if (owned != state.owned.end() && owned->second.read_sent_at &&
-      *owned->second.read_sent_at > evidence) {
+  if (!group.hot_key) {
+    // Rows of ordinary groups are never deleted, so this read was answered
+    // before the row was created, or there is no row yet. A creation of unknown
+    // result that still takes effect later is harmless: like the next attempt
+    // it is conditional on absence.
+    const auto open = state.open_writes.find(group);
+    if (!state.rows.contains(group) && open != state.open_writes.end() &&
+        open->second.unknown) {
+      state.open_writes.erase(open);
+    }
     return;
   }
-  const auto open = state.open_writes.find(group);
-  if (open != state.open_writes.end() &&
-      (open->second.expected_version > 0 || open->second.unknown)) {
-    // An unanswered creation that still takes effect later is harmless: it is
-    // conditional on absence, like the next attempt.
-    state.open_writes.erase(open);
-  }
-  RemoveRow(state, group, actions);
-  if (!group.hot_key) {
-    state.missing.push_back(group);
+  // A read that was sent before the row was known here may have been answered
+  // before the row was created.
+  const auto learned = state.hot_learned_at.find(group);
+  if (learned != state.hot_learned_at.end() && learned->second >= evidence) {
     return;
   }
+  state.open_writes.erase(group);
+  RemoveRow(state, now, group, actions);
   // The list of the parent names a key without a row: serve it with the parent
   // again.
   const auto parent = state.owned.find(ParentOf(group));
-  if (parent == state.owned.end() || HasOpenWrite(state, parent->first) ||
-      parent->second.row.intent) {
+  if (parent == state.owned.end() || parent->second.learned_at >= evidence ||
+      HasOpenWrite(state, parent->first) || parent->second.row.intent) {
     return;
   }
   GroupRow row = parent->second.row;
--- a/src/eelgrassbridge/ownership/writes.cpp
+++ b/src/eelgrassbridge/ownership/writes.cpp
@@ -117,8 +117,7 @@
   for (std::size_t i = 0; i < operation.writes.size(); ++i) {
     GroupRow& row = operation.writes[i].row;
     if (operation.writes[i].is_delete) {
-      // The confirmation is the evidence that the row is gone.
-      detail::AbsorbAbsence(state, now, row.group, now, actions);
+      detail::RemoveRow(state, now, row.group, actions);
       continue;
     }
     row.version =
@@ -147,7 +146,7 @@
     const auto owned = state.owned.find(write.row.group);
     if (owned != state.owned.end() && owned->second.release_sent &&
         !detail::HasOpenWrite(state, write.row.group)) {
-      detail::CancelRelease(owned->second, actions);
+      detail::CancelRelease(state, now, owned->second, actions);
       detail::UpdateGate(state, now, owned->second, actions);
     }
   }
@@ -217,8 +216,16 @@
       for (const RowWrite& write : operation.writes) {
         state.to_read.insert(write.row.group);
         const auto open = state.open_writes.find(write.row.group);
-        if (open != state.open_writes.end() &&
-            open->second.operation_id == operation_id) {
+        if (open == state.open_writes.end() ||
+            open->second.operation_id != operation_id) {
+          continue;
+        }
+        const auto known = state.rows.find(write.row.group);
+        if (known != state.rows.end() &&
+            known->second.version > open->second.expected_version) {
+          // The row moved on while the reply was awaited.
+          state.open_writes.erase(open);
+        } else {
           open->second.unknown = true;
         }
       }
