--- a/src/eelgrassbridge/daemon/run_daemon.cpp
+++ b/src/eelgrassbridge/daemon/run_daemon.cpp
@@ -6,9 +6,9 @@
 #include <csignal>
 
 #include "eelgrassbridge/base/log.hpp"
+#include "eelgrassbridge/daemon/control_thread.hpp"
 #include "eelgrassbridge/daemon/hedger.hpp"
 #include "eelgrassbridge/daemon/http_server.hpp"
-#include "eelgrassbridge/daemon/standalone_view.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -29,9 +29,10 @@
   // A caller that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   RequestContext context(settings);
-  context.routing.view = MakeStandaloneView(settings, initial_catalogue);
   Hedger hedger(context);
   context.hedger = &hedger;
+  BOOST_OUTCOME_TRY(control,
+                    StartControl(settings, initial_catalogue, context));
   HttpServer server;
   BOOST_OUTCOME_TRY(StartHttpServer(server, context));
   base::LogChange("daemon_started", {{"name", settings.name},
@@ -39,7 +40,14 @@
   WaitForStopSignal();
   context.draining = true;
   base::LogChange("daemon_draining", {{"name", settings.name}});
+  // Callers are served until the groups are moved: the receivers cannot serve
+  // them earlier, and requests that arrive meanwhile are forwarded.
+  BeginControlDrain(*control);
+  if (!WaitForControlDrain(*control)) {
+    base::LogChange("drain_timed_out", {}, base::LogLevel::kWarning);
+  }
   StopHttpServer(server);
+  StopControl(*control);
   base::LogChange("daemon_stopped", {{"name", settings.name}});
   return base::outcome::success();
 }
