--- /dev/null
+++ b/src/eelgrassbridge/cli/docs_test.cpp
@@ -0,0 +1,67 @@
+// Guards docs/operators: the commands shown there that need no daemon must
+// give the output and the exit code that the pages show.
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "eelgrassbridge/cli/run.hpp"
+
+namespace eelgrassbridge::cli {
+
+namespace {
+
+constexpr std::string_view kPrompt = "$ eelgrassbridge ";
+
+/// The lines of each block that begins with the given fence.
+std::vector<std::string> Blocks(const std::string& file,
+                                std::string_view fence) {
+  std::ifstream stream(file);
+  std::vector<std::string> blocks;
+  bool is_inside = false;
+  for (std::string line; std::getline(stream, line);) {
+    if (!is_inside && line == fence) {
+      is_inside = true;
+      blocks.emplace_back();
+    } else if (line == "```") {
+      is_inside = false;
+    } else if (is_inside) {
+      blocks.back() += line + "\n";
+    }
+  }
+  return blocks;
+}
+
+/// Runs the command of a block's first line; gives the block as it should be.
+std::string Rerun(const std::string& block) {
+  const std::string command = block.substr(0, block.find('\n'));
+  REQUIRE(command.starts_with(kPrompt));
+  std::istringstream words(command.substr(kPrompt.size()));
+  std::vector<std::string> arguments;
+  for (std::string word; words >> word;) {
+    arguments.push_back(word);
+  }
+  std::ostringstream output;
+  const ExitCode code = Run(arguments, output, output);
+  return command + "\n" + output.str() + "exit code " +
+         std::to_string(static_cast<int>(code)) + "\n";
+}
+
+}  // namespace
+
+TEST_CASE("the commands in the operators' pages give what the pages show") {
+  std::filesystem::current_path(EELGRASSBRIDGE_SOURCE_DIR);
+  std::size_t count = 0;
+  for (const auto& page :
+       std::filesystem::directory_iterator("docs/operators")) {
+    for (const std::string& block :
+         Blocks(page.path().string(), "```console run")) {
+      CHECK(block == Rerun(block));
+      ++count;
+    }
+  }
+  CHECK(count >= 8);
+}
+
+}  // namespace eelgrassbridge::cli
--- a/src/eelgrassbridge/report/burn_report.cpp
+++ b/src/eelgrassbridge/report/burn_report.cpp
@@ -65,6 +65,9 @@
 struct WindowSums {
   double answered_us = 0;
   double allowed = 0;
+  /// Weighted counts for the latency objective.
+  double answered = 0;
+  double slow = 0;
   /// Total and failed of each bucket time over all daemons.
   std::map<std::int64_t, std::pair<double, double>> by_start;
 };
@@ -83,6 +86,8 @@
   const auto total = static_cast<double>(Total(bucket));
   sums.answered_us += static_cast<double>(bucket.answered) *
                       static_cast<double>(bucket.mean.count());
+  sums.answered += weight * static_cast<double>(bucket.answered);
+  sums.slow += weight * static_cast<double>(bucket.slow);
   sums.allowed += weight * total * allowed_share;
   auto& [span_total, span_failed] = sums.by_start[bucket.start_s];
   span_total += weight * total;
@@ -102,7 +107,7 @@
   const auto answered = static_cast<double>(figures.total - figures.failed);
   figures.burn_rate = Ratio(failed, sums.allowed);
   figures.latency_burn_rate =
-      Ratio(static_cast<double>(figures.slow), answered * kAllowedSlowShare);
+      Ratio(sums.slow, sums.answered * kAllowedSlowShare);
   figures.mean = base::Duration{
       static_cast<std::int64_t>(Ratio(sums.answered_us, answered))};
 }
--- a/src/eelgrassbridge/report/burn_report_test.cpp
+++ b/src/eelgrassbridge/report/burn_report_test.cpp
@@ -94,6 +94,9 @@
       Astillas(), {TakeSnapshot(recorder, "1", "listing-1", kNow)}, {}, kNow);
   // 50 failures of worth 10, allowed are 100 * 10 * 0.0005 + 900 * 0.001.
   CHECK(report.weighted[0].burn_rate == doctest::Approx(500.0 / (0.5 + 0.9)));
+  // 5 of the 50 answers of worth 10 were slow.
+  CHECK(report.weighted[0].latency_burn_rate ==
+        doctest::Approx(50.0 / (500 + 900) / 0.01));
   CHECK(report.weighted[0].unavailable_s == doctest::Approx(30.0 * 500 / 1900));
 }
 
