Bound the shares of account limits by windows of demand

Change: account_share computes from the least own and the most heard demand over a window, with the argument why the sum holds in its head comment; sums are kept in whole numbers as entries change. Remainders of numbers in flight are given only while all demands are settled. Figures of peers that are not numbers count as none. A new property holds the ramp against warming targets.

--- a/include/eelgrassbridge/limits/account_limiter.hpp
+++ b/include/eelgrassbridge/limits/account_limiter.hpp
@@ -17,6 +17,7 @@
 #include "eelgrassbridge/base/identifier.hpp"
 #include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/catalogue/catalogue.hpp"
+#include "eelgrassbridge/limits/account_share.hpp"
 
 namespace eelgrassbridge::limits {
 
@@ -26,8 +27,8 @@
   double floor_part = 0.2;
   /// Longest burst, as time at the admitted rate.
   base::Duration burst{base::milliseconds{1000}};
-  /// A share falls at once but rises only after this time, in which the
-  /// others hear of the change; so the sum stays at the limit meanwhile.
+  /// Longest time in which a change of demand reaches the other daemons. A
+  /// share falls at once but rises only after once or twice this time.
   base::Duration spread_delay{base::milliseconds{5000}};
   /// Time constant of the demand estimate.
   base::Duration demand_window{base::milliseconds{5000}};
@@ -61,46 +62,36 @@
   }
 };
 
-/// Smallest value of the current and the previous half of the spread delay.
-struct DelayedRise {
-  double least_now = 0;
-  double least_before = 0;
-  base::TimePoint half_began{};
-  bool primed = false;
-};
-
 struct LimitState {
   double tokens = 0;
   base::TimePoint refilled_at{};
   std::uint32_t in_flight = 0;
-  /// The limits that the admitted values below were computed from.
-  std::uint32_t rate_limit = 0;
-  std::uint32_t in_flight_limit = 0;
-  /// EWMA of offered requests per second, and the value last published.
+  /// EWMA of offered requests per second.
   double offered = 0;
   base::TimePoint offered_at{};
-  double published = 0;
-  std::unordered_map<base::DaemonId, double> peers;
-  /// Share of the rate, and number in flight, that this daemon admits. Not
-  /// primed: only heard of from peers so far.
-  DelayedRise rate_share;
-  DelayedRise running;
+  LimitShare share;
+  /// The limits that the admitted values below were computed from. Not in use:
+  /// only heard of from peers so far.
+  bool in_use = false;
+  std::uint32_t rate_limit = 0;
+  std::uint32_t in_flight_limit = 0;
+  /// What this daemon admits: part of the rate, and number in flight.
+  double rate_part = 0;
+  double in_flight_part = 0;
 };
 
 }  // namespace detail
 
 /// @brief Shares and buckets of one daemon.
 ///
-/// Invariant: with the same published demands and the same member list at all
-/// daemons, the admitted rates of one limit add up to at most the limit, and
-/// so do the admitted numbers in flight.
+/// Invariant: while changes of demand spread in order and within spread_delay
+/// and the member list stays, the admitted parts of one limit add up to at
+/// most the limit, for the rate and for the number in flight.
 struct AccountLimiter {
+  explicit AccountLimiter(const AccountLimiterOptions& limiter_options = {});
+
   AccountLimiterOptions options;
-  base::DaemonId self;
-  /// Daemons that may admit requests, this one included, and the position of
-  /// this one in the order of ids.
-  std::uint32_t daemons = 1;
-  std::uint32_t position = 0;
+  detail::Fleet fleet;
   std::unordered_map<std::string,
                      detail::LimitState,
                      detail::NameHash,
@@ -112,13 +103,6 @@
 std::string ServiceLimitName(std::string_view service);
 std::string KindLimitName(std::string_view service, std::string_view kind);
 
-/// @brief Share of a limit for a daemon with that part of the demand. Over all
-/// daemons the shares add up to 1.
-double ShareOf(double own_demand,
-               double total_demand,
-               std::uint32_t daemons,
-               double floor_part);
-
 /// @brief Takes one request from all limits, or from none and returns
 /// account_limit. On success, Release must be called once with the same span.
 std::optional<base::ErrorKind> TakeAll(AccountLimiter& limiter,
@@ -134,6 +118,8 @@
 std::vector<Demand> PublishDemand(AccountLimiter& limiter, base::TimePoint now);
 
 /// @brief Demand heard from another daemon; names left out keep their value.
+/// The caller drops older messages that arrive after newer ones, and messages
+/// must arrive within the spread delay for the sum to stay at the limit.
 void MergeDemand(AccountLimiter& limiter,
                  base::DaemonId peer,
                  std::span<const Demand> demands,
--- a/src/eelgrassbridge/limits/account_limiter.cpp
+++ b/src/eelgrassbridge/limits/account_limiter.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using base::TimePoint;
-using detail::DelayedRise;
 using detail::LimitState;
 
 /// Demand below this many requests per second counts as none.
@@ -32,90 +31,19 @@
          std::exp(-SecondsBetween(state.offered_at, now) / window);
 }
 
-/// Takes a newly computed value: falls at once, rises after the delay.
-void Update(DelayedRise& rise,
-            double value,
-            base::Duration delay,
-            TimePoint now) {
-  if (!rise.primed) {
-    rise = {value, value, now, true};
-    return;
-  }
-  if (now - rise.half_began >= delay) {
-    rise.least_before = rise.least_now;
-    rise.least_now = value;
-    rise.half_began = now;
-  }
-  rise.least_now = std::min(rise.least_now, value);
-}
-
-double Admitted(const DelayedRise& rise) {
-  return std::min(rise.least_now, rise.least_before);
-}
-
-/// Demand of the daemons with smaller ids, and of all.
-struct DemandSums {
-  double before = 0;
-  double total = 0;
-};
-
-DemandSums Sums(const LimitState& state, base::DaemonId self) {
-  DemandSums sums{0, state.published};
-  for (const auto& [peer, demand] : state.peers) {
-    sums.total += demand;
-    if (peer < self) {
-      sums.before += demand;
-    }
-  }
-  return sums;
-}
-
-/// Whole part of `amount` that falls to [from, to) of 1. Parts that cover 1
-/// without overlap add up to exactly `amount`.
-double WholePart(double amount, double from, double to) {
-  constexpr double kRounding = 1e-9;
-  return std::floor(amount * to + kRounding) -
-         std::floor(amount * from + kRounding);
-}
-
-/// Number in flight for this daemon: an even part by position and a part
-/// proportional to the demand.
-double InFlightShare(const AccountLimiter& limiter,
-                     std::string_view name,
-                     const LimitState& state,
-                     const DemandSums& sums) {
-  const double limit = state.in_flight_limit;
-  const double even =
-      sums.total > 0 ? std::floor(limit * limiter.options.floor_part) : limit;
-  // The name shifts the order, so that the same daemons are not always the
-  // ones that are left without an even part.
-  const double count = limiter.daemons;
-  const double place = static_cast<double>(
-      (limiter.position + base::Hash64(name) % limiter.daemons) %
-      limiter.daemons);
-  double share = WholePart(even, place / count, (place + 1) / count);
-  if (sums.total > 0) {
-    share += WholePart(limit - even, sums.before / sums.total,
-                       (sums.before + state.published) / sums.total);
-  }
-  return share;
-}
-
 void Recompute(const AccountLimiter& limiter,
                std::string_view name,
                LimitState& state,
                TimePoint now) {
-  const DemandSums sums = Sums(state, limiter.self);
-  const base::Duration delay = limiter.options.spread_delay;
-  Update(state.rate_share,
-         ShareOf(state.published, sums.total, limiter.daemons,
-                 limiter.options.floor_part),
-         delay, now);
-  Update(state.running, InFlightShare(limiter, name, state, sums), delay, now);
+  detail::Advance(state.share, limiter.fleet, now);
+  state.rate_part = detail::RatePart(state.share, limiter.fleet);
+  state.in_flight_part =
+      detail::InFlightPart(state.share, limiter.fleet, state.in_flight_limit,
+                           base::Hash64(name) % limiter.fleet.daemons, now);
 }
 
 double RateOf(const LimitState& state) {
-  return state.rate_limit * Admitted(state.rate_share);
+  return state.rate_limit * state.rate_part;
 }
 
 double BucketSize(const LimitState& state,
@@ -145,19 +73,17 @@
     found = limiter.limits.emplace(ref.name, LimitState{}).first;
   }
   LimitState& state = found->second;
-  const bool is_new = !state.rate_share.primed;
+  const bool is_new = !state.in_use;
   if (is_new || state.rate_limit != ref.requests_per_second ||
       state.in_flight_limit != ref.in_flight) {
+    state.in_use = true;
     state.rate_limit = ref.requests_per_second;
     state.in_flight_limit = ref.in_flight;
-    // A changed limit applies at all daemons, so the number in flight that
-    // follows from it needs no delay.
-    state.running.primed = false;
     Recompute(limiter, ref.name, state, now);
-    if (is_new) {
-      state.refilled_at = now;
-      state.tokens = BucketSize(state, limiter.options);
-    }
+  }
+  if (is_new) {
+    state.refilled_at = now;
+    state.tokens = BucketSize(state, limiter.options);
   }
   return &state;
 }
@@ -173,12 +99,17 @@
 
 bool MayTake(const LimitState& state) {
   return (state.rate_limit == 0 || state.tokens >= 1) &&
-         (state.in_flight_limit == 0 ||
-          state.in_flight < Admitted(state.running));
+         (state.in_flight_limit == 0 || state.in_flight < state.in_flight_part);
 }
 
 }  // namespace
 
+AccountLimiter::AccountLimiter(const AccountLimiterOptions& limiter_options)
+    : options(limiter_options) {
+  this->fleet.floor_part = this->options.floor_part;
+  this->fleet.spread_delay = this->options.spread_delay;
+}
+
 std::string AccountLimitName(std::string_view account) {
   return "account/" + std::string(account);
 }
@@ -191,17 +122,6 @@
   return "kind/" + std::string(service) + '/' + std::string(kind);
 }
 
-double ShareOf(double own_demand,
-               double total_demand,
-               std::uint32_t daemons,
-               double floor_part) {
-  const double even = 1.0 / std::max(1U, daemons);
-  if (total_demand <= 0) {
-    return even;
-  }
-  return floor_part * even + (1 - floor_part) * own_demand / total_demand;
-}
-
 std::optional<base::ErrorKind> TakeAll(AccountLimiter& limiter,
                                        std::span<const LimitRef> limits,
                                        TimePoint now) {
@@ -238,16 +158,16 @@
 std::vector<Demand> PublishDemand(AccountLimiter& limiter, TimePoint now) {
   std::vector<Demand> changed;
   for (auto& [name, state] : limiter.limits) {
-    if (!state.rate_share.primed) {
-      continue;
-    }
-    double offered = OfferedAt(state, limiter.options, now);
-    offered = offered < kLeastDemand ? 0 : offered;
-    if (std::abs(offered - state.published) >
-            kPublishedChange * state.published ||
-        (offered == 0) != (state.published == 0)) {
-      state.published = offered;
-      changed.push_back({name, offered});
+    if (state.in_use) {
+      double offered = OfferedAt(state, limiter.options, now);
+      offered = offered < kLeastDemand ? 0 : offered;
+      const detail::Millionths demand = detail::ToMillionths(offered);
+      const detail::Millionths known = state.share.own.latest;
+      if (static_cast<double>(std::abs(demand - known)) >
+          kPublishedChange * static_cast<double>(known)) {
+        detail::SetOwn(state.share, demand, now);
+        changed.push_back({name, offered});
+      }
     }
     Recompute(limiter, name, state, now);
   }
@@ -267,22 +187,16 @@
       found = limiter.limits.emplace(demand.name, LimitState{}).first;
     }
     LimitState& state = found->second;
-    if (demand.requests_per_second > 0) {
-      state.peers[peer] = demand.requests_per_second;
-    } else {
-      state.peers.erase(peer);
-    }
-    if (state.rate_share.primed) {
-      Recompute(limiter, demand.name, state, now);
-    }
+    detail::SetPeer(state.share, limiter.fleet, peer,
+                    detail::ToMillionths(demand.requests_per_second), now);
+    Recompute(limiter, demand.name, state, now);
   }
 }
 
 void ForgetPeer(AccountLimiter& limiter, base::DaemonId peer, TimePoint now) {
   for (auto& [name, state] : limiter.limits) {
-    if (state.peers.erase(peer) > 0 && state.rate_share.primed) {
-      Recompute(limiter, name, state, now);
-    }
+    detail::SetPeer(state.share, limiter.fleet, peer, 0, now);
+    Recompute(limiter, name, state, now);
   }
 }
 
@@ -291,21 +205,20 @@
               std::uint32_t position,
               std::uint32_t daemons,
               TimePoint now) {
-  limiter.self = self;
-  limiter.daemons = std::max(1U, daemons);
-  limiter.position = position % limiter.daemons;
+  limiter.fleet.self = self;
+  limiter.fleet.daemons = std::max(1U, daemons);
+  limiter.fleet.position = position % limiter.fleet.daemons;
   for (auto& [name, state] : limiter.limits) {
-    if (state.rate_share.primed) {
-      Recompute(limiter, name, state, now);
-    }
+    detail::SumPeers(state.share, self);
+    Recompute(limiter, name, state, now);
   }
 }
 
 double RateShareOf(const AccountLimiter& limiter, std::string_view name) {
   const auto found = limiter.limits.find(name);
-  return found == limiter.limits.end() || !found->second.rate_share.primed
+  return found == limiter.limits.end() || !found->second.in_use
              ? 0
-             : Admitted(found->second.rate_share);
+             : found->second.rate_part;
 }
 
 base::Duration RetryAfter(const AccountLimiter& limiter,
--- a/src/eelgrassbridge/limits/target_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -176,6 +176,33 @@
   CHECK(ramp.level == 1);
 }
 
+TEST_CASE("a target that warms up within four rounds a slot is never overrun") {
+  CHECK(
+      rc::check([](const std::vector<std::uint8_t>& picks, std::uint8_t pace) {
+        // The target bears one request and one more after each `rounds` rounds.
+        const std::uint32_t rounds = 1 + pace % 4;
+        std::uint32_t bears = 1;
+        std::uint32_t successes = 0;
+        ColdStartRamp ramp = MakeRamp(9);
+        SetInstance(ramp, "first");
+        for (std::size_t i = 0; i < 20 * picks.size(); ++i) {
+          const unsigned pick = picks[i % picks.size()] + i;
+          RC_ASSERT(ramp.level <= bears);
+          if (bears < 9 && ++successes >= rounds * bears) {
+            ++bears;
+            successes = 0;
+          }
+          NoteSuccess(ramp, base::Duration{1000 + pick % 900},
+                      1 + pick % ramp.level, ramp.generation);
+          if (pick % 251 == 0) {
+            SetInstance(ramp, std::to_string(i));
+            bears = 1;
+            successes = 0;
+          }
+        }
+      }));
+}
+
 TEST_CASE("extra attempts never exceed a tenth of the first attempts") {
   CHECK(rc::check([](const std::vector<bool>& sends) {
     RetryBudget budget;
