Bound the reads and announcements that wait for a slow store

Cause: a slow table makes the core ask again for rows that wait already, and each second brought one more announcement. Change: waiting reads are merged, at most two are open; one announcement at a time; deletions seen by a poll are told to the core; gauge groups_serving. Conclusion: lists stay bounded.

--- a/include/eelgrassbridge/daemon/control_state.hpp
+++ b/include/eelgrassbridge/daemon/control_state.hpp
@@ -77,6 +77,8 @@
 /// other threads. The control thread empties these lists into the rings after
 /// each round; tests look into them.
 struct ControlState {
+  static constexpr std::uint32_t kMaxReadsOpen = 2;
+
   ControlState(const settings::Settings& daemon_settings,
                const catalogue::Catalogue& first_catalogue,
                RequestContext& request_context,
@@ -114,6 +116,9 @@
 
   std::vector<wire::Outgoing> to_peers;
   std::deque<StoreRead> to_reader;
+  /// Reads given to the reader and not answered. At most kMaxReadsOpen, so
+  /// that waiting reads can still be merged.
+  std::uint32_t reads_open = 0;
   std::deque<StoreWrite> to_writer;
   std::deque<ownership::GroupEpoch> to_target;
 };
@@ -127,6 +132,11 @@
                   base::DaemonId to,
                   wire::Message message);
 
+/// @brief Puts keys on the list for the store reader. Keys that wait already
+/// are not read twice: while the store is slow the core asks again, and the
+/// list would grow.
+void QueueRead(ControlState& state, std::vector<std::string> keys);
+
 /// @brief A fresh operation id of this daemon's own transactions.
 std::string NextOperationId(ControlState& state);
 
--- a/src/eelgrassbridge/daemon/control_membership.cpp
+++ b/src/eelgrassbridge/daemon/control_membership.cpp
@@ -29,6 +29,11 @@
 /// the table does not grow with each restart of a daemon.
 void Announce(ControlState& state,
               const std::vector<membership::Member>& members) {
+  if (!state.table.announcements.empty()) {
+    // The core repeats what is not confirmed; a second write would wait behind
+    // the first one.
+    return;
+  }
   store::Transaction transaction;
   transaction.operation_id = NextOperationId(state);
   OpenAnnouncement open;
--- a/src/eelgrassbridge/daemon/control_ownership.cpp
+++ b/src/eelgrassbridge/daemon/control_ownership.cpp
@@ -65,11 +65,11 @@
     this->state.to_writer.emplace_back(action.transaction);
   }
   void operator()(const ownership::ReadRows& action) {
-    ReadKeys read;
+    std::vector<std::string> keys;
     for (const base::GroupId& group : action.groups) {
-      read.keys.push_back(ownership::RowKey(group));
+      keys.push_back(ownership::RowKey(group));
     }
-    this->state.to_reader.emplace_back(std::move(read));
+    QueueRead(this->state, std::move(keys));
   }
   void operator()(const ownership::SendGrant& action) {
     this->state.to_target.push_back(action.group);
--- a/src/eelgrassbridge/daemon/control_state.cpp
+++ b/src/eelgrassbridge/daemon/control_state.cpp
@@ -3,6 +3,8 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+
 #include "eelgrassbridge/daemon/peer_thread.hpp"
 #include "eelgrassbridge/membership/membership_queries.hpp"
 
@@ -93,6 +95,20 @@
                             member->region != state.settings.region});
 }
 
+void QueueRead(ControlState& state, std::vector<std::string> keys) {
+  for (StoreRead& waiting : state.to_reader) {
+    if (auto* const read = std::get_if<ReadKeys>(&waiting)) {
+      for (std::string& key : keys) {
+        if (std::ranges::find(read->keys, key) == read->keys.end()) {
+          read->keys.push_back(std::move(key));
+        }
+      }
+      return;
+    }
+  }
+  state.to_reader.emplace_back(ReadKeys{std::move(keys)});
+}
+
 std::string NextOperationId(ControlState& state) {
   return fmt::format("{}-control-{}", base::ToString(state.self),
                      state.next_operation++);
--- a/src/eelgrassbridge/daemon/control_status.cpp
+++ b/src/eelgrassbridge/daemon/control_status.cpp
@@ -87,6 +87,13 @@
 void UpdateGauges(const ControlState& state) {
   const ownership::OwnershipCounters& owned = state.ownership.counters;
   Set(state, "groups_owned", state.gates.open.size());
+  const base::TimePoint now = base::BootClock::now();
+  Set(state, "groups_serving",
+      static_cast<std::uint64_t>(
+          std::ranges::count_if(state.gates.open, [&](const auto& entry) {
+            return !entry.second->released.load() &&
+                   IsLeaseValid(*entry.second, now);
+          })));
   Set(state, "take_overs_begun_total", owned.take_overs_begun);
   Set(state, "take_overs_done_total", owned.take_overs_done);
   Set(state, "take_overs_given_up_total", owned.take_overs_given_up);
--- a/src/eelgrassbridge/daemon/control_table.cpp
+++ b/src/eelgrassbridge/daemon/control_table.cpp
@@ -26,6 +26,8 @@
 struct SortedRows {
   std::vector<ownership::GroupRow> groups;
   std::vector<base::GroupId> asked;
+  /// Deletions, as rows without an owner under the version of the read.
+  std::vector<ownership::GroupRow> deleted;
   std::vector<membership::Member> members;
 };
 
@@ -65,9 +67,9 @@
 
 SortedRows SortRows(ControlState& state,
                     base::TimePoint now,
-                    const std::vector<store::Row>& rows) {
+                    const store::RowsRead& read) {
   SortedRows sorted;
-  for (const store::Row& row : rows) {
+  for (const store::Row& row : read.rows) {
     if (row.key.starts_with(kMemberPrefix)) {
       SortMemberRow(state, row, sorted);
     } else if (row.key == kCatalogueKey) {
@@ -75,6 +77,10 @@
     } else if (auto group = GroupOfRowKey(row.key)) {
       auto decoded = ownership::DecodeRow(row);
       if (row.version == 0) {
+        ownership::GroupRow deleted;
+        deleted.group = *group;
+        deleted.version = read.revision;
+        sorted.deleted.push_back(std::move(deleted));
         sorted.asked.push_back(std::move(*group));
       } else if (decoded) {
         sorted.asked.push_back(std::move(*group));
@@ -106,6 +112,10 @@
        is_whole ? std::span<const base::GroupId>() : sorted.asked, is_whole,
        sorted.groups},
       actions);
+  // Only a read of the changes has a revision of its own.
+  if (std::holds_alternative<ReadTableChanges>(result.read)) {
+    ownership::OnRowsHeard(state.ownership, now, sorted.deleted, actions);
+  }
   CarryOut(state, now, actions, RowSource::kElsewhere);
 }
 
@@ -163,7 +173,7 @@
                      const store::TransactionResult& result) {
   using Status = store::TransactionResult::Status;
   if (result.status == Status::kConflict) {
-    const SortedRows sorted = SortRows(state, now, result.conflicts);
+    const SortedRows sorted = SortRows(state, now, {result.conflicts, 0});
     membership::Actions actions;
     membership::OnTableMembers(state.membership, now, sorted.members, actions);
     CarryOut(state, now, actions);
@@ -233,7 +243,7 @@
     ownership::OnReadFailed(state.ownership, now);
   }
   if (result.rows) {
-    GiveRows(state, now, result, SortRows(state, now, result.rows->rows));
+    GiveRows(state, now, result, SortRows(state, now, *result.rows));
   }
 }
 
--- a/src/eelgrassbridge/daemon/control_thread.cpp
+++ b/src/eelgrassbridge/daemon/control_thread.cpp
@@ -78,7 +78,11 @@
     wire::SendToPeer(*control.peers, std::move(outgoing));
   }
   state.to_peers.clear();
-  if (FlushTo(state.to_reader, control.store.reads)) {
+  while (!state.to_reader.empty() &&
+         state.reads_open < ControlState::kMaxReadsOpen &&
+         control.store.reads.Push(state.to_reader.front())) {
+    state.to_reader.pop_front();
+    ++state.reads_open;
     base::Signal(control.store.reader_wake);
   }
   if (FlushTo(state.to_writer, control.store.writes)) {
