Count answered reads in the control loop

Seen in a trial with three processes: 14 reads in 6 s and leases that ended. Change: each result lowers the counter.

--- a/src/eelgrassbridge/daemon/control_thread.cpp
+++ b/src/eelgrassbridge/daemon/control_thread.cpp
@@ -46,9 +46,11 @@
   more |=
       DrainRing([&] { return control.target.events.Pop(); },
                 [&](TargetEvent event) { OnTargetEvent(state, now(), event); });
-  more |= DrainRing(
-      [&] { return control.store.read_results.Pop(); },
-      [&](StoreReadResult result) { OnReadResult(state, now(), result); });
+  more |= DrainRing([&] { return control.store.read_results.Pop(); },
+                    [&](StoreReadResult result) {
+                      --state.reads_open;
+                      OnReadResult(state, now(), result);
+                    });
   more |= DrainRing([&] { return control.store.write_results.Pop(); },
                     [&](StoreWriteResult result) {
                       OnWriteResult(state, now(), std::move(result));
