--- a/src/eelgrassbridge/daemon/control_catalogue.cpp
+++ b/src/eelgrassbridge/daemon/control_catalogue.cpp
@@ -84,7 +84,7 @@
   const std::uint64_t version = current->version;
   ownership::OnCatalogue(state.ownership, now, current);
   ApplyCatalogue(state.view, current);
-  membership::PublishItem(state.membership,
+  membership::PublishItem(state.membership, now,
                           {static_cast<std::uint32_t>(ItemKind::kCatalogue),
                            "catalogue", version, ""});
   base::GetCounter(state.context.counters, "catalogue_version")
--- a/src/eelgrassbridge/daemon/control_exchange.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange.cpp
@@ -27,10 +27,11 @@
 constexpr std::size_t kMaxPayloadBytes = 8192;
 
 void PublishItem(ControlState& state,
+                 base::TimePoint now,
                  ItemKind kind,
                  std::string key,
                  const json& payload) {
-  membership::PublishItem(state.membership,
+  membership::PublishItem(state.membership, now,
                           {static_cast<std::uint32_t>(kind), std::move(key),
                            state.next_item_version++, payload.dump()});
 }
@@ -55,7 +56,7 @@
     state.own_demand[bucket][demand.name] = demand.requests_per_second;
   }
   for (const std::uint64_t bucket : buckets) {
-    PublishItem(state, ItemKind::kDemand,
+    PublishItem(state, now, ItemKind::kDemand,
                 fmt::format("{}/{}", base::ToString(state.self), bucket),
                 state.own_demand[bucket]);
   }
@@ -80,7 +81,7 @@
         std::chrono::duration_cast<base::milliseconds>(record.age).count();
     // Each daemon publishes under its own id, since two of them may know
     // different deaths and only the highest version of a key is kept.
-    PublishItem(state, ItemKind::kSuspect,
+    PublishItem(state, now, ItemKind::kSuspect,
                 fmt::format("{}/{:016x}{:016x}", base::ToString(state.self),
                             record.fingerprint.high, record.fingerprint.low),
                 {record.fingerprint.high, record.fingerprint.low, deaths,
--- a/src/eelgrassbridge/daemon/control_ownership.cpp
+++ b/src/eelgrassbridge/daemon/control_ownership.cpp
@@ -24,12 +24,15 @@
   return item;
 }
 
-void PublishRow(ControlState& state, const ownership::GroupRow& row) {
-  membership::PublishItem(state.membership, ItemOf(state, row));
+void PublishRow(ControlState& state,
+                base::TimePoint now,
+                const ownership::GroupRow& row) {
+  membership::PublishItem(state.membership, now, ItemOf(state, row));
 }
 
 struct OwnershipVisitor {
   ControlState& state;
+  base::TimePoint now;
   RowSource source;
 
   void operator()(const ownership::SendPromiseRequest& action) {
@@ -91,7 +94,7 @@
   void operator()(const ownership::RowChanged& action) {
     ApplyRow(this->state.view, action.row);
     if (this->source == RowSource::kOwnWrite) {
-      PublishRow(this->state, action.row);
+      PublishRow(this->state, this->now, action.row);
     }
   }
 };
@@ -99,10 +102,10 @@
 }  // namespace
 
 void CarryOut(ControlState& state,
-              base::TimePoint /*now*/,
+              base::TimePoint now,
               const ownership::Actions& actions,
               RowSource source) {
-  OwnershipVisitor visitor{state, source};
+  OwnershipVisitor visitor{state, now, source};
   for (const ownership::Action& action : actions) {
     std::visit(visitor, action);
   }
