Add membership: records, deltas, relays, watchers, suspicion, join

Cause: ownership needs to know who runs and who was lost. Change: gossip of changes since a partner's acknowledgement under 1 KB, partners at distances 1, 2, 4 in the order of ids, relays, three watchers by rendezvous score, two observers for a verdict, refutation, join by seeds or table, announcements by the relay. Figures: 13 tests; a silent member of 12 is found lost after 1.2 s and within 1.9 s of simulated time.

--- /dev/null
+++ b/include/eelgrassbridge/membership/detail.hpp
@@ -0,0 +1,36 @@
+// Steps of the membership core that several of its sources share. Not public.
+#ifndef EELGRASSBRIDGE_MEMBERSHIP_DETAIL_HPP
+#define EELGRASSBRIDGE_MEMBERSHIP_DETAIL_HPP
+
+#include "eelgrassbridge/membership/membership_actions.hpp"
+#include "eelgrassbridge/membership/membership_state.hpp"
+
+namespace eelgrassbridge::membership::detail {
+
+/// @brief Takes in a record if it is newer than the one known.
+void AbsorbMember(MembershipState& state,
+                  base::TimePoint now,
+                  const Member& member,
+                  base::DaemonId from,
+                  Actions& actions);
+
+/// @brief Puts a change at the end of the log.
+void LogChange(MembershipState& state,
+               base::TimePoint now,
+               ChangeKey key,
+               base::DaemonId from);
+
+/// @brief Raises the version of this daemon's own record and spreads it.
+void PublishSelf(MembershipState& state, base::TimePoint now, Actions& actions);
+
+/// @brief Works out partners and watched members after a change.
+void RefreshPeers(MembershipState& state, base::TimePoint now);
+
+void TickGossip(MembershipState& state, base::TimePoint now, Actions& actions);
+void TickLiveness(MembershipState& state,
+                  base::TimePoint now,
+                  Actions& actions);
+
+}  // namespace eelgrassbridge::membership::detail
+
+#endif  // EELGRASSBRIDGE_MEMBERSHIP_DETAIL_HPP
--- a/include/eelgrassbridge/membership/membership_commands.hpp
+++ b/include/eelgrassbridge/membership/membership_commands.hpp
@@ -42,7 +42,7 @@
             base::TimePoint echoed_sent_at);
 
 /// @brief Any authenticated message shows that its sender runs.
-void OnHeard(MembershipState& state, base::TimePoint now, base::DaemonId from);
+void OnHeard(MembershipState& state, base::DaemonId from);
 
 /// @brief Report of an observer: a watcher, or a deputy without requests from
 /// its owner (see ReportSuspicion).
@@ -85,7 +85,7 @@
                   Actions& actions);
 
 /// @brief Puts an item on the channel; an older version changes nothing.
-void PublishItem(MembershipState& state, GossipItem item);
+void PublishItem(MembershipState& state, base::TimePoint now, GossipItem item);
 
 }  // namespace eelgrassbridge::membership
 
--- a/include/eelgrassbridge/membership/membership_options.hpp
+++ b/include/eelgrassbridge/membership/membership_options.hpp
@@ -20,7 +20,7 @@
   /// Items in one gossip message, in bytes.
   std::size_t gossip_bytes = 1024;
   /// Members in one message of a join reply, in bytes.
-  std::size_t join_bytes = 64 * 1024;
+  std::size_t join_bytes = 65536;
   std::uint32_t watchers_inside = 2;
   std::uint32_t watchers_outside = 1;
   /// Repeat of an unanswered join request.
@@ -28,8 +28,14 @@
   /// How long the relay collects announcements before it writes them.
   base::Duration announce_interval = base::milliseconds{1000};
   std::uint32_t announce_batch = 64;
-  /// Records of lost and left members are dropped after this time. Longer than
-  /// any plausible delay of a message, so that an old record cannot revive one.
+  /// How long a daemon that is no relay remembers what may not be announced.
+  base::Duration announce_memory = base::seconds{30};
+  /// How far back a new gossip partner is told changes; older ones came with
+  /// its full list.
+  base::Duration new_partner_window = base::seconds{60};
+  /// Records of lost and left members, and items, are dropped after this time.
+  /// Longer than any plausible delay of a message, so that an old record cannot
+  /// revive one, and than the partitions after which deltas must suffice.
   base::Duration forget_after = base::seconds{3600};
   /// Peer addresses asked at the start.
   std::vector<std::string> seeds;
--- a/include/eelgrassbridge/membership/membership_state.hpp
+++ b/include/eelgrassbridge/membership/membership_state.hpp
@@ -28,6 +28,14 @@
   auto operator<=>(const ChangeKey&) const = default;
 };
 
+/// @brief An entry of the change log.
+struct LoggedChange {
+  ChangeKey key;
+  /// Who told it; it is not sent back there. None: a change of this daemon.
+  base::DaemonId learned_from;
+  base::TimePoint at;
+};
+
 /// @brief What a gossip partner has confirmed.
 struct PeerProgress {
   /// Every change up to this local sequence has been confirmed.
@@ -39,7 +47,9 @@
 
 /// @brief A member that this daemon pings.
 struct Watched {
-  base::TimePoint last_heard;
+  base::TimePoint last_ping{};
+  /// Send time of the first ping that is not answered; silence counts from it.
+  std::optional<base::TimePoint> unanswered_since;
   base::TimePoint next_ping;
   base::TimePoint last_report{};
 };
@@ -61,6 +71,7 @@
   Member self;
   MembershipOptions options;
   base::TimePoint started_at;
+  base::TimePoint last_tick;
   std::unordered_map<base::DaemonId, Member> members;
   std::map<std::string, std::set<base::DaemonId>, std::less<>> by_data_centre;
   /// Region of each data centre seen.
@@ -69,7 +80,7 @@
   std::unordered_map<base::DaemonId, base::TimePoint> ended_at;
 
   std::map<std::pair<std::uint32_t, std::string>, GossipItem> items;
-  std::map<std::uint64_t, ChangeKey> log;
+  std::map<std::uint64_t, LoggedChange> log;
   std::map<ChangeKey, std::uint64_t> log_position;
   std::uint64_t next_sequence = 1;
   std::uint64_t next_message = 1;
@@ -80,8 +91,15 @@
   std::unordered_map<base::DaemonId,
                      std::unordered_map<base::DaemonId, base::TimePoint>>
       suspicions;
-  /// Who is watched is worked out again after a change of members.
-  bool watch_list_stale = true;
+  /// Who is watched and gossiped with is worked out again after a change of
+  /// members, at most once a second.
+  bool peers_stale = true;
+  base::TimePoint next_peers{};
+  /// Gossip partners in the data centre: at distances 1, 2, 4, ... in the order
+  /// of ids. A partner comes round every few seconds, so that what it has not
+  /// confirmed yet stays within one message.
+  std::vector<base::DaemonId> partners;
+  std::size_t next_partner = 0;
 
   /// A full list came from a peer or from the table.
   bool joined = false;
@@ -90,11 +108,14 @@
   base::TimePoint next_gossip{};
   base::TimePoint next_announce{};
   base::TimePoint next_forget{};
-  /// Records of this data centre that are not in the table yet.
-  std::set<base::DaemonId> to_announce;
-  /// Another, older daemon uses this daemon's name: this one must not serve.
-  bool name_taken = false;
-  std::uint64_t random_state = 0;
+  /// Changed records of this data centre, with the time of the change. The
+  /// relay keeps them until they are in the table, the others for a while in
+  /// case they become relay.
+  std::map<base::DaemonId, base::TimePoint> to_announce;
+  /// Versions given out with AnnounceMembers.
+  std::map<base::DaemonId, std::uint64_t> announcing;
+  /// Other daemons alive under this daemon's name.
+  std::set<base::DaemonId> name_rivals;
   MembershipCounters counters;
 };
 
--- /dev/null
+++ b/src/eelgrassbridge/membership/liveness.cpp
@@ -0,0 +1,350 @@
+// Who watches whom, pings, suspicions and verdicts.
+#include <algorithm>
+
+#include "eelgrassbridge/base/hash.hpp"
+#include "eelgrassbridge/membership/detail.hpp"
+#include "eelgrassbridge/membership/membership_commands.hpp"
+#include "eelgrassbridge/membership/membership_queries.hpp"
+
+namespace eelgrassbridge::membership {
+
+namespace {
+
+constexpr base::Duration kRefreshInterval = base::seconds{1};
+/// With fewer members than this alive, one observer is enough.
+constexpr std::size_t kMembersForTwoObservers = 3;
+
+std::uint64_t Score(base::DaemonId watched, base::DaemonId watcher) {
+  const std::string_view item(reinterpret_cast<const char*>(&watched.value),
+                              sizeof watched.value);
+  return base::RendezvousScore(item, watcher);
+}
+
+std::uint64_t DataCentreScore(base::DaemonId watched,
+                              std::string_view data_centre) {
+  return base::Hash64(data_centre, watched.value);
+}
+
+/// The data centre that holds a member's outside watcher: another one of its
+/// region, so that pings do not cross the billed link, or any other.
+std::string_view OutsideDataCentre(const MembershipState& state,
+                                   base::DaemonId watched,
+                                   std::string_view data_centre,
+                                   std::string_view region) {
+  std::string_view best;
+  std::pair<bool, std::uint64_t> best_score{};
+  for (const auto& [name, alive] : state.by_data_centre) {
+    if (name == data_centre || alive.empty()) {
+      continue;
+    }
+    const std::pair score{state.region_of.find(name)->second == region,
+                          DataCentreScore(watched, name)};
+    if (best.empty() || score > best_score) {
+      best = name;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+/// Whether fewer than `places` members of the set score higher than `self`.
+/// Stops early, so that looking at all members costs little.
+bool IsAmongHighest(const std::set<base::DaemonId>& alive,
+                    base::DaemonId watched,
+                    base::DaemonId self,
+                    std::uint32_t places) {
+  const std::uint64_t own = Score(watched, self);
+  std::uint32_t higher = 0;
+  for (const base::DaemonId id : alive) {
+    if (id != watched && id != self && Score(watched, id) > own &&
+        ++higher >= places) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool WatchesHere(const MembershipState& state, const Member& member) {
+  const Member& self = state.self;
+  const auto own = state.by_data_centre.find(self.data_centre);
+  if (member.id == self.id || !IsAlive(member) ||
+      own == state.by_data_centre.end()) {
+    return false;
+  }
+  if (member.data_centre == self.data_centre) {
+    return IsAmongHighest(own->second, member.id, self.id,
+                          state.options.watchers_inside);
+  }
+  return OutsideDataCentre(state, member.id, member.data_centre,
+                           member.region) == self.data_centre &&
+         IsAmongHighest(own->second, member.id, self.id,
+                        state.options.watchers_outside);
+}
+
+void RefreshPartners(MembershipState& state) {
+  state.partners.clear();
+  const auto found = state.by_data_centre.find(state.self.data_centre);
+  if (found == state.by_data_centre.end()) {
+    return;
+  }
+  const std::vector<base::DaemonId> ring(found->second.begin(),
+                                         found->second.end());
+  const auto self = std::ranges::find(ring, state.self.id);
+  if (self == ring.end()) {
+    return;
+  }
+  const auto position = static_cast<std::size_t>(self - ring.begin());
+  for (std::size_t step = 1; step < ring.size(); step *= 2) {
+    state.partners.push_back(ring[(position + step) % ring.size()]);
+  }
+}
+
+/// Inserts into a list of the best few, highest first.
+void Offer(std::vector<std::pair<std::uint64_t, base::DaemonId>>& best,
+           std::uint64_t score,
+           base::DaemonId id,
+           std::size_t places) {
+  best.emplace_back(score, id);
+  std::ranges::sort(best, std::ranges::greater{});
+  if (best.size() > places) {
+    best.pop_back();
+  }
+}
+
+void AddHighest(const std::set<base::DaemonId>& alive,
+                base::DaemonId watched,
+                std::size_t places,
+                std::vector<base::DaemonId>& watchers) {
+  std::vector<std::pair<std::uint64_t, base::DaemonId>> best;
+  for (const base::DaemonId id : alive) {
+    if (id != watched) {
+      Offer(best, Score(watched, id), id, places);
+    }
+  }
+  for (const auto& [score, id] : best) {
+    watchers.push_back(id);
+  }
+}
+
+bool IsSilent(const MembershipOptions& options,
+              const Watched& watched,
+              base::TimePoint now) {
+  return watched.unanswered_since &&
+         now - *watched.unanswered_since > options.suspicion_timeout;
+}
+
+bool IsSilent(const MembershipState& state,
+              base::TimePoint now,
+              base::DaemonId id) {
+  const auto watched = state.watched.find(id);
+  return watched != state.watched.end() &&
+         IsSilent(state.options, watched->second, now);
+}
+
+/// Finds the member lost if enough observers have reported it lately.
+void Judge(MembershipState& state,
+           base::TimePoint now,
+           base::DaemonId suspect,
+           Actions& actions) {
+  const auto found = state.suspicions.find(suspect);
+  const Member* known = FindMember(state, suspect);
+  if (found == state.suspicions.end() || known == nullptr || !IsAlive(*known)) {
+    return;
+  }
+  std::erase_if(found->second, [&](const auto& report) {
+    return now - report.second > state.options.suspicion_lifetime;
+  });
+  const std::size_t needed =
+      AliveCount(state) < kMembersForTwoObservers ? 1 : 2;
+  if (found->second.size() < needed) {
+    return;
+  }
+  Member lost = *known;
+  lost.state = MemberState::kLost;
+  detail::AbsorbMember(state, now, lost, {}, actions);
+}
+
+void Observe(MembershipState& state,
+             base::TimePoint now,
+             const Member& suspect,
+             Actions& actions) {
+  state.suspicions[suspect.id][state.self.id] = now;
+  std::vector<base::DaemonId> receivers = Watchers(state, suspect.id);
+  // The suspect hears of it as well: if it is alive, it refutes.
+  receivers.push_back(suspect.id);
+  for (const base::DaemonId receiver : receivers) {
+    if (receiver != state.self.id) {
+      ++state.counters.suspicions_sent;
+      actions.emplace_back(
+          SendSuspicion{receiver, suspect.id, suspect.record_version});
+    }
+  }
+  Judge(state, now, suspect.id, actions);
+}
+
+}  // namespace
+
+std::vector<base::DaemonId> Watchers(const MembershipState& state,
+                                     base::DaemonId watched) {
+  std::vector<base::DaemonId> watchers;
+  const Member* member = FindMember(state, watched);
+  if (member == nullptr) {
+    return watchers;
+  }
+  const auto inside = state.by_data_centre.find(member->data_centre);
+  if (inside != state.by_data_centre.end()) {
+    AddHighest(inside->second, watched, state.options.watchers_inside,
+               watchers);
+  }
+  const auto outside = state.by_data_centre.find(
+      OutsideDataCentre(state, watched, member->data_centre, member->region));
+  if (outside != state.by_data_centre.end()) {
+    AddHighest(outside->second, watched, state.options.watchers_outside,
+               watchers);
+  }
+  return watchers;
+}
+
+namespace detail {
+
+void RefreshPeers(MembershipState& state, base::TimePoint now) {
+  if (!state.peers_stale || now < state.next_peers) {
+    return;
+  }
+  state.peers_stale = false;
+  state.next_peers = now + kRefreshInterval;
+  RefreshPartners(state);
+  std::unordered_map<base::DaemonId, Watched> watched;
+  for (const auto& [id, member] : state.members) {
+    if (WatchesHere(state, member)) {
+      const auto known = state.watched.find(id);
+      watched[id] = known == state.watched.end() ? Watched{{}, {}, now, {}}
+                                                 : known->second;
+    }
+  }
+  state.watched = std::move(watched);
+}
+
+void TickLiveness(MembershipState& state,
+                  base::TimePoint now,
+                  Actions& actions) {
+  // After a pause of this daemon the answers are still on their way: its own
+  // silence must not count against those that it watches.
+  const base::Duration gap = now - state.last_tick;
+  state.last_tick = now;
+  std::vector<base::DaemonId> silent;
+  for (auto& [id, watched] : state.watched) {
+    if (gap > state.options.ping_interval && watched.unanswered_since) {
+      *watched.unanswered_since += gap;
+    }
+    if (now >= watched.next_ping) {
+      watched.next_ping = now + state.options.ping_interval;
+      watched.last_ping = now;
+      watched.unanswered_since = watched.unanswered_since.value_or(now);
+      actions.emplace_back(SendPing{id, now});
+    }
+    if (IsSilent(state.options, watched, now) &&
+        now - watched.last_report >= state.options.ping_interval) {
+      watched.last_report = now;
+      silent.push_back(id);
+    }
+  }
+  for (const base::DaemonId id : silent) {
+    const Member* member = FindMember(state, id);
+    if (member != nullptr && IsAlive(*member)) {
+      Observe(state, now, Member(*member), actions);
+    }
+  }
+}
+
+}  // namespace detail
+
+void OnPing(MembershipState& state,
+            base::TimePoint /*now*/,
+            base::DaemonId from,
+            base::TimePoint sent_at,
+            Actions& actions) {
+  OnHeard(state, from);
+  actions.emplace_back(SendPong{from, sent_at});
+  const Member* member = FindMember(state, from);
+  if (member != nullptr && member->state == MemberState::kLost) {
+    // It runs and does not know that it was found lost.
+    actions.emplace_back(SendSuspicion{from, from, member->record_version});
+  }
+}
+
+void OnPong(MembershipState& state,
+            base::TimePoint now,
+            base::DaemonId from,
+            base::TimePoint echoed_sent_at) {
+  const auto watched = state.watched.find(from);
+  // A pong shows life at the time of its ping, not of its arrival: it may have
+  // waited in a queue.
+  if (watched == state.watched.end() || echoed_sent_at > now ||
+      !watched->second.unanswered_since ||
+      echoed_sent_at < *watched->second.unanswered_since) {
+    return;
+  }
+  const bool is_last = echoed_sent_at >= watched->second.last_ping;
+  watched->second.unanswered_since =
+      is_last ? std::nullopt : std::optional(watched->second.last_ping);
+}
+
+void OnHeard(MembershipState& state, base::DaemonId from) {
+  const auto watched = state.watched.find(from);
+  if (watched != state.watched.end()) {
+    watched->second.unanswered_since.reset();
+  }
+}
+
+void OnSuspicion(MembershipState& state,
+                 base::TimePoint now,
+                 base::DaemonId observer,
+                 base::DaemonId suspect,
+                 std::uint64_t record_version,
+                 Actions& actions) {
+  OnHeard(state, observer);
+  if (suspect == state.self.id) {
+    if (record_version >= state.self.record_version && IsAlive(state.self)) {
+      state.self.record_version = record_version + 1;
+      ++state.counters.refutations;
+      detail::PublishSelf(state, now, actions);
+    }
+    return;
+  }
+  const Member* known = FindMember(state, suspect);
+  if (known == nullptr || record_version < known->record_version) {
+    ++state.counters.stale_records;
+    return;
+  }
+  if (!IsAlive(*known)) {
+    // The verdict fell already: tell the observer the record, which it does not
+    // answer, and not a suspicion, which it would.
+    if (known->state == MemberState::kLost &&
+        record_version == known->record_version) {
+      actions.emplace_back(SendGossip{observer, 0, {*known}, {}});
+    }
+    return;
+  }
+  state.suspicions[suspect][observer] = now;
+  const bool is_own = IsSilent(state, now, suspect);
+  if (is_own) {
+    state.suspicions[suspect][state.self.id] = now;
+    // The observer, e.g. the deputy, needs a second report to act on.
+    actions.emplace_back(
+        SendSuspicion{observer, suspect, known->record_version});
+  }
+  Judge(state, now, suspect, actions);
+}
+
+void ReportSuspicion(MembershipState& state,
+                     base::TimePoint now,
+                     base::DaemonId suspect,
+                     Actions& actions) {
+  const Member* known = FindMember(state, suspect);
+  if (known != nullptr && IsAlive(*known) && suspect != state.self.id) {
+    Observe(state, now, Member(*known), actions);
+  }
+}
+
+}  // namespace eelgrassbridge::membership
--- /dev/null
+++ b/src/eelgrassbridge/membership/membership_commands.cpp
@@ -0,0 +1,269 @@
+// Entry points of the membership core: records, join, announcements.
+#include "eelgrassbridge/membership/membership_commands.hpp"
+
+#include <algorithm>
+
+#include "eelgrassbridge/membership/detail.hpp"
+#include "eelgrassbridge/membership/membership_queries.hpp"
+
+namespace eelgrassbridge::membership {
+
+namespace {
+
+constexpr base::Duration kForgetInterval = base::seconds{60};
+
+/// Keeps the lists that are derived from the records.
+void Reindex(MembershipState& state,
+             base::TimePoint now,
+             const Member& member) {
+  auto& alive = state.by_data_centre[member.data_centre];
+  state.region_of[member.data_centre] = member.region;
+  const bool is_changed = IsAlive(member) ? alive.insert(member.id).second
+                                          : alive.erase(member.id) > 0;
+  state.peers_stale = state.peers_stale || is_changed;
+  if (IsAlive(member)) {
+    state.ended_at.erase(member.id);
+  } else {
+    state.ended_at.try_emplace(member.id, now);
+    state.suspicions.erase(member.id);
+    state.progress.erase(member.id);
+  }
+  if (member.name == state.self.name && member.id != state.self.id) {
+    if (IsAlive(member)) {
+      if (state.name_rivals.insert(member.id).second) {
+        ++state.counters.name_collisions;
+      }
+    } else {
+      state.name_rivals.erase(member.id);
+    }
+  }
+  if (member.data_centre == state.self.data_centre) {
+    state.to_announce[member.id] = now;
+  }
+}
+
+void TickJoin(MembershipState& state, base::TimePoint now, Actions& actions) {
+  const std::vector<std::string>& seeds = state.options.seeds;
+  if (state.joined || seeds.empty() || now < state.next_join) {
+    return;
+  }
+  state.next_join = now + state.options.join_interval;
+  const std::string& seed = seeds[state.next_seed++ % seeds.size()];
+  if (seed != state.self.peer_address) {
+    actions.emplace_back(SendJoinRequest{seed, state.self});
+  }
+}
+
+void TickAnnounce(MembershipState& state,
+                  base::TimePoint now,
+                  Actions& actions) {
+  if (now < state.next_announce || state.to_announce.empty()) {
+    return;
+  }
+  state.next_announce = now + state.options.announce_interval;
+  if (DataCentreRelay(state, state.self.data_centre) != state.self.id) {
+    std::erase_if(state.to_announce, [&](const auto& item) {
+      return now - item.second > state.options.announce_memory;
+    });
+    return;
+  }
+  AnnounceMembers announce;
+  for (const auto& [id, since] : state.to_announce) {
+    const auto member = state.members.find(id);
+    if (member == state.members.end()) {
+      continue;
+    }
+    announce.members.push_back(member->second);
+    state.announcing[id] = member->second.record_version;
+    if (announce.members.size() >= state.options.announce_batch) {
+      break;
+    }
+  }
+  if (!announce.members.empty()) {
+    actions.emplace_back(std::move(announce));
+  }
+}
+
+/// Drops what ended long ago.
+void TickForget(MembershipState& state, base::TimePoint now) {
+  if (now < state.next_forget) {
+    return;
+  }
+  state.next_forget = now + kForgetInterval;
+  const base::Duration limit = state.options.forget_after;
+  while (!state.log.empty() && now - state.log.begin()->second.at > limit) {
+    const ChangeKey& key = state.log.begin()->second.key;
+    if (!key.member) {
+      state.items.erase({key.item_kind, key.item_key});
+    }
+    state.log_position.erase(key);
+    state.log.erase(state.log.begin());
+  }
+  std::erase_if(state.ended_at, [&](const auto& item) {
+    const bool is_old = now - item.second > limit;
+    if (is_old) {
+      state.members.erase(item.first);
+      state.to_announce.erase(item.first);
+      state.announcing.erase(item.first);
+    }
+    return is_old;
+  });
+}
+
+}  // namespace
+
+namespace detail {
+
+void LogChange(MembershipState& state,
+               base::TimePoint now,
+               ChangeKey key,
+               base::DaemonId from) {
+  const auto known = state.log_position.find(key);
+  if (known != state.log_position.end()) {
+    state.log.erase(known->second);
+  }
+  const std::uint64_t sequence = state.next_sequence++;
+  state.log_position[key] = sequence;
+  state.log[sequence] = {std::move(key), from, now};
+}
+
+void PublishSelf(MembershipState& state,
+                 base::TimePoint now,
+                 Actions& actions) {
+  state.members[state.self.id] = state.self;
+  Reindex(state, now, state.self);
+  LogChange(state, now, {state.self.id, 0, {}}, {});
+  actions.emplace_back(MemberChanged{state.self});
+}
+
+void AbsorbMember(MembershipState& state,
+                  base::TimePoint now,
+                  const Member& member,
+                  base::DaemonId from,
+                  Actions& actions) {
+  if (member.id == state.self.id) {
+    // Somebody takes this daemon for lost: a higher version says otherwise.
+    if (!IsAlive(member) && IsAlive(state.self) &&
+        member.record_version >= state.self.record_version) {
+      state.self.record_version = member.record_version + 1;
+      ++state.counters.refutations;
+      PublishSelf(state, now, actions);
+    }
+    return;
+  }
+  const auto known = state.members.find(member.id);
+  if (known != state.members.end() && !IsNewer(member, known->second)) {
+    ++state.counters.stale_records;
+    return;
+  }
+  if (member.state == MemberState::kLost) {
+    ++state.counters.members_lost;
+  }
+  state.members[member.id] = member;
+  Reindex(state, now, member);
+  LogChange(state, now, {member.id, 0, {}}, from);
+  actions.emplace_back(MemberChanged{member});
+}
+
+}  // namespace detail
+
+MembershipState MakeMembershipState(Member self,
+                                    MembershipOptions options,
+                                    base::TimePoint now) {
+  MembershipState state;
+  state.self = std::move(self);
+  state.options = std::move(options);
+  state.started_at = now;
+  state.last_tick = now;
+  Actions ignored;
+  detail::PublishSelf(state, now, ignored);
+  return state;
+}
+
+void OnTick(MembershipState& state, base::TimePoint now, Actions& actions) {
+  TickJoin(state, now, actions);
+  detail::RefreshPeers(state, now);
+  detail::TickLiveness(state, now, actions);
+  detail::TickGossip(state, now, actions);
+  TickAnnounce(state, now, actions);
+  TickForget(state, now);
+}
+
+void OnJoinRequest(MembershipState& state,
+                   base::TimePoint now,
+                   const Member& joining,
+                   Actions& actions) {
+  if (!state.joined || joining.id == state.self.id) {
+    return;
+  }
+  detail::AbsorbMember(state, now, joining, {}, actions);
+  SendJoinReply reply{joining.id, {}, false};
+  std::size_t bytes = 0;
+  for (const auto& [id, member] : state.members) {
+    const std::size_t size = EstimatedSize(member);
+    if (bytes + size > state.options.join_bytes && !reply.members.empty()) {
+      actions.emplace_back(reply);
+      reply.members.clear();
+      bytes = 0;
+    }
+    reply.members.push_back(member);
+    bytes += size;
+  }
+  reply.last = true;
+  actions.emplace_back(std::move(reply));
+}
+
+void OnJoinReply(MembershipState& state,
+                 base::TimePoint now,
+                 const SendJoinReply& message,
+                 Actions& actions) {
+  for (const Member& member : message.members) {
+    detail::AbsorbMember(state, now, member, {}, actions);
+  }
+  state.joined = state.joined || message.last;
+}
+
+void OnTableMembers(MembershipState& state,
+                    base::TimePoint now,
+                    std::span<const Member> members,
+                    Actions& actions) {
+  for (const Member& member : members) {
+    detail::AbsorbMember(state, now, member, {}, actions);
+  }
+  state.joined = true;
+}
+
+void OnAnnounced(MembershipState& state, std::span<const base::DaemonId> ids) {
+  for (const base::DaemonId id : ids) {
+    const auto member = state.members.find(id);
+    const auto written = state.announcing.find(id);
+    if (member == state.members.end() ||
+        (written != state.announcing.end() &&
+         written->second == member->second.record_version)) {
+      state.to_announce.erase(id);
+    }
+    state.announcing.erase(id);
+  }
+}
+
+void SetSelfState(MembershipState& state,
+                  base::TimePoint now,
+                  MemberState new_state,
+                  Actions& actions) {
+  if (state.self.state == new_state || state.self.state == MemberState::kLeft) {
+    return;
+  }
+  state.self.state = new_state;
+  ++state.self.record_version;
+  detail::PublishSelf(state, now, actions);
+}
+
+void PublishItem(MembershipState& state, base::TimePoint now, GossipItem item) {
+  GossipItem& known = state.items[{item.kind, item.key}];
+  if (item.version > known.version) {
+    detail::LogChange(state, now, {{}, item.kind, item.key}, {});
+    known = std::move(item);
+  }
+}
+
+}  // namespace eelgrassbridge::membership
--- /dev/null
+++ b/src/eelgrassbridge/membership/membership_test.cpp
@@ -0,0 +1,310 @@
+// Tests of membership with a few daemons that exchange messages in memory.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <type_traits>
+
+#include "eelgrassbridge/membership/membership_commands.hpp"
+#include "eelgrassbridge/membership/membership_queries.hpp"
+
+namespace eelgrassbridge::membership {
+namespace {
+
+using base::milliseconds;
+using base::TimePoint;
+
+constexpr base::Duration kStep = milliseconds{50};
+
+Member MemberOf(std::uint64_t id) {
+  Member member;
+  member.id = {id};
+  member.name = "d" + std::to_string(id);
+  member.peer_address = "127.0.0.1:" + std::to_string(id);
+  member.data_centre = "dc" + std::to_string(id % 3);
+  member.region = id % 3 == 2 ? "litoral" : "sur";
+  member.service = "listing";
+  member.state = MemberState::kServing;
+  return member;
+}
+
+/// Daemons in one thread; every message arrives at the next step unless one of
+/// its ends is silent.
+struct Fleet {
+  std::map<base::DaemonId, MembershipState> daemons;
+  std::set<base::DaemonId> silent;
+  std::map<base::DaemonId, std::set<base::DaemonId>> lost_seen;
+  std::size_t largest_message = 0;
+  TimePoint now{milliseconds{1000}};
+};
+
+void Deliver(Fleet& fleet, base::DaemonId from, const Actions& actions);
+
+template <typename Step>
+void To(Fleet& fleet, base::DaemonId from, base::DaemonId to, Step step) {
+  const auto receiver = fleet.daemons.find(to);
+  if (receiver == fleet.daemons.end() || fleet.silent.contains(to) ||
+      fleet.silent.contains(from)) {
+    return;
+  }
+  Actions actions;
+  step(receiver->second, actions);
+  Deliver(fleet, to, actions);
+}
+
+void Deliver(Fleet& fleet, base::DaemonId from, const Actions& actions) {
+  const TimePoint now = fleet.now;
+  for (const Action& action : actions) {
+    if (const auto* gossip = std::get_if<SendGossip>(&action)) {
+      std::size_t bytes = 0;
+      for (const Member& member : gossip->members) {
+        bytes += EstimatedSize(member);
+      }
+      fleet.largest_message = std::max(fleet.largest_message, bytes);
+      To(fleet, from, gossip->to,
+         [&](auto& s, auto& a) { OnGossip(s, now, *gossip, from, a); });
+    } else if (const auto* ack = std::get_if<SendGossipAck>(&action)) {
+      To(fleet, from, ack->to,
+         [&](auto& s, auto&) { OnGossipAck(s, from, ack->sequence); });
+    } else if (const auto* ping = std::get_if<SendPing>(&action)) {
+      To(fleet, from, ping->to,
+         [&](auto& s, auto& a) { OnPing(s, now, from, ping->sent_at, a); });
+    } else if (const auto* pong = std::get_if<SendPong>(&action)) {
+      To(fleet, from, pong->to,
+         [&](auto& s, auto&) { OnPong(s, now, from, pong->echoed_sent_at); });
+    } else if (const auto* report = std::get_if<SendSuspicion>(&action)) {
+      To(fleet, from, report->to, [&](auto& s, auto& a) {
+        OnSuspicion(s, now, from, report->suspect, report->record_version, a);
+      });
+    } else if (const auto* reply = std::get_if<SendJoinReply>(&action)) {
+      To(fleet, from, reply->to,
+         [&](auto& s, auto& a) { OnJoinReply(s, now, *reply, a); });
+    } else if (const auto* change = std::get_if<MemberChanged>(&action)) {
+      if (change->member.state == MemberState::kLost) {
+        fleet.lost_seen[change->member.id].insert(from);
+      }
+    } else if (const auto* join = std::get_if<SendJoinRequest>(&action)) {
+      const auto port = join->address.substr(join->address.find(':') + 1);
+      To(fleet, from, {std::stoull(port)},
+         [&](auto& s, auto& a) { OnJoinRequest(s, now, join->self, a); });
+    }
+  }
+}
+
+void Run(Fleet& fleet, base::Duration length) {
+  const TimePoint end = fleet.now + length;
+  for (; fleet.now < end; fleet.now += kStep) {
+    for (auto& [id, state] : fleet.daemons) {
+      if (!fleet.silent.contains(id)) {
+        Actions actions;
+        OnTick(state, fleet.now, actions);
+        Deliver(fleet, id, actions);
+      }
+    }
+  }
+}
+
+Fleet MakeFleet(std::uint64_t count) {
+  Fleet fleet;
+  std::vector<Member> members;
+  for (std::uint64_t id = 1; id <= count; ++id) {
+    members.push_back(MemberOf(id));
+  }
+  for (const Member& member : members) {
+    MembershipState state = MakeMembershipState(member, {}, fleet.now);
+    Actions ignored;
+    OnTableMembers(state, fleet.now, members, ignored);
+    fleet.daemons.emplace(member.id, std::move(state));
+  }
+  return fleet;
+}
+
+TEST_CASE("member: the table's JSON keeps every field") {
+  Member member = MemberOf(7);
+  member.fencing_checked = true;
+  member.record_version = 3;
+  const auto decoded =
+      DecodeMember({MemberKey(member.id), 1, EncodeMember(member)});
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value() == member);
+  CHECK_FALSE(DecodeMember({MemberKey(member.id), 1, "{}"}).has_value());
+}
+
+TEST_CASE("gossip: a change reaches all regions, within the byte bound") {
+  Fleet fleet = MakeFleet(30);
+  Run(fleet, milliseconds{3000});
+  fleet.largest_message = 0;
+  Actions actions;
+  SetSelfState(fleet.daemons.at({4}), fleet.now, MemberState::kDraining,
+               actions);
+  Run(fleet, milliseconds{10000});
+  for (const auto& [id, state] : fleet.daemons) {
+    CHECK(FindMember(state, {4})->state == MemberState::kDraining);
+  }
+  CHECK(fleet.largest_message <= 1024);
+}
+
+TEST_CASE("gossip: nothing is sent when nothing changed") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{70000});
+  const auto sent = fleet.daemons.at({5}).counters.gossip_messages;
+  Run(fleet, milliseconds{10000});
+  CHECK(fleet.daemons.at({5}).counters.gossip_messages == sent);
+}
+
+TEST_CASE("gossip: an older version of an item changes nothing") {
+  MembershipState state = MakeMembershipState(MemberOf(1), {}, TimePoint{});
+  Actions actions;
+  const SendGossip message{{1}, 1, {}, {{2, "k", 5, "new"}}};
+  OnGossip(state, TimePoint{}, message, {2}, actions);
+  const SendGossip older{{1}, 2, {}, {{2, "k", 4, "old"}}};
+  OnGossip(state, TimePoint{}, older, {3}, actions);
+  CHECK(state.items.at({2, "k"}).payload == "new");
+  CHECK(std::ranges::count_if(actions, [](const Action& action) {
+          return std::holds_alternative<ItemReceived>(action);
+        }) == 1);
+}
+
+TEST_CASE("liveness: a silent member is found lost in 1.2 s to 1.9 s") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{3000});
+  fleet.silent.insert({6});
+  Run(fleet, milliseconds{1150});
+  CHECK(fleet.lost_seen[{6}].empty());
+  Run(fleet, milliseconds{750});
+  CHECK_FALSE(fleet.lost_seen[{6}].empty());
+  Run(fleet, milliseconds{10000});
+  CHECK(fleet.lost_seen[{6}].size() == 11);
+}
+
+TEST_CASE("liveness: the deputy gets the second observer's word at once") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{3000});
+  // A daemon that does not watch the member, but misses it as its deputy.
+  const auto watchers = Watchers(fleet.daemons.at({1}), {6});
+  base::DaemonId deputy{1};
+  while (std::ranges::find(watchers, deputy) != watchers.end() ||
+         deputy == base::DaemonId{6}) {
+    ++deputy.value;
+  }
+  fleet.silent.insert({6});
+  Run(fleet, milliseconds{1400});
+  for (int i = 0; i < 2; ++i) {
+    Actions actions;
+    ReportSuspicion(fleet.daemons.at(deputy), fleet.now, {6}, actions);
+    Deliver(fleet, deputy, actions);
+    Run(fleet, milliseconds{250});
+  }
+  CHECK(fleet.lost_seen[{6}].contains(deputy));
+}
+
+TEST_CASE("liveness: one observer alone does not find a member lost") {
+  MembershipState state = MakeMembershipState(MemberOf(1), {}, TimePoint{});
+  Actions actions;
+  OnTableMembers(state, TimePoint{},
+                 std::vector{MemberOf(2), MemberOf(3), MemberOf(4)}, actions);
+  OnSuspicion(state, TimePoint{}, {2}, {3}, 1, actions);
+  OnSuspicion(state, TimePoint{}, {2}, {3}, 1, actions);
+  CHECK(IsAlive(*FindMember(state, {3})));
+  OnSuspicion(state, TimePoint{}, {4}, {3}, 1, actions);
+  CHECK_FALSE(IsAlive(*FindMember(state, {3})));
+}
+
+TEST_CASE("liveness: a member that was found lost refutes when it is back") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{3000});
+  fleet.silent.insert({6});
+  Run(fleet, milliseconds{10000});
+  fleet.silent.clear();
+  Run(fleet, milliseconds{15000});
+  for (const auto& [id, state] : fleet.daemons) {
+    CHECK(IsAlive(*FindMember(state, {6})));
+  }
+  CHECK(fleet.daemons.at({6}).counters.refutations >= 1);
+}
+
+TEST_CASE("liveness: a paused watcher does not blame those it watches") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{3000});
+  MembershipState& state = fleet.daemons.at({3});
+  Actions actions;
+  OnTick(state, fleet.now + milliseconds{20000}, actions);
+  CHECK(std::ranges::none_of(actions, [](const Action& action) {
+    return std::holds_alternative<SendSuspicion>(action);
+  }));
+}
+
+TEST_CASE("watchers: each member has two inside and one outside") {
+  Fleet fleet = MakeFleet(30);
+  Run(fleet, milliseconds{100});
+  std::map<base::DaemonId, std::vector<base::DaemonId>> watching;
+  for (const auto& [id, state] : fleet.daemons) {
+    for (const auto& [watched, unused] : state.watched) {
+      watching[watched].push_back(id);
+    }
+  }
+  for (const auto& [id, state] : fleet.daemons) {
+    std::vector<base::DaemonId> expected = Watchers(state, id);
+    std::ranges::sort(expected);
+    CHECK(watching[id] == expected);
+    const std::uint64_t own = id.value % 3;
+    CHECK(std::ranges::count_if(expected, [own](base::DaemonId watcher) {
+            return watcher.value % 3 == own;
+          }) == 2);
+    CHECK(expected.size() == 3);
+  }
+}
+
+TEST_CASE("join: a new daemon gets the full list and is known to all") {
+  Fleet fleet = MakeFleet(10);
+  Member joining = MemberOf(11);
+  joining.state = MemberState::kJoining;
+  MembershipOptions options;
+  options.seeds = {"127.0.0.1:11", "127.0.0.1:99", "127.0.0.1:4"};
+  fleet.daemons.emplace(joining.id,
+                        MakeMembershipState(joining, options, fleet.now));
+  CHECK_FALSE(MayServe(fleet.daemons.at({11})));
+  Run(fleet, milliseconds{12000});
+  CHECK(MayServe(fleet.daemons.at({11})));
+  CHECK(AliveCount(fleet.daemons.at({11})) == 11);
+  for (const auto& [id, state] : fleet.daemons) {
+    CHECK(FindMember(state, {11}) != nullptr);
+  }
+}
+
+TEST_CASE("join: the younger daemon of one name does not serve") {
+  MembershipState state = MakeMembershipState(MemberOf(9), {}, TimePoint{});
+  state.self.state = MemberState::kJoining;
+  Member older = MemberOf(2);
+  older.name = "d9";
+  Actions actions;
+  OnTableMembers(state, TimePoint{}, std::vector{older}, actions);
+  CHECK_FALSE(MayServe(state));
+  older.state = MemberState::kLost;
+  OnTableMembers(state, TimePoint{}, std::vector{older}, actions);
+  CHECK(MayServe(state));
+}
+
+TEST_CASE("announcements: the relay writes a change once it is confirmed") {
+  MembershipState state = MakeMembershipState(MemberOf(3), {}, TimePoint{});
+  Actions actions;
+  OnTick(state, TimePoint{milliseconds{1000}}, actions);
+  const auto announced = [](const Actions& list) {
+    return std::ranges::count_if(list, [](const Action& action) {
+      return std::holds_alternative<AnnounceMembers>(action);
+    });
+  };
+  CHECK(announced(actions) == 1);
+  actions.clear();
+  OnTick(state, TimePoint{milliseconds{2000}}, actions);
+  CHECK(announced(actions) == 1);
+  const base::DaemonId id{3};
+  OnAnnounced(state, {&id, 1});
+  actions.clear();
+  OnTick(state, TimePoint{milliseconds{3000}}, actions);
+  CHECK(announced(actions) == 0);
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::membership
