--- a/src/eelgrassbridge/daemon/control_thread.cpp
+++ b/src/eelgrassbridge/daemon/control_thread.cpp
@@ -46,9 +46,11 @@
   more |=
       DrainRing([&] { return control.target.events.Pop(); },
                 [&](TargetEvent event) { OnTargetEvent(state, now(), event); });
-  more |= DrainRing(
-      [&] { return control.store.read_results.Pop(); },
-      [&](StoreReadResult result) { OnReadResult(state, now(), result); });
+  more |= DrainRing([&] { return control.store.read_results.Pop(); },
+                    [&](StoreReadResult result) {
+                      --state.reads_open;
+                      OnReadResult(state, now(), result);
+                    });
   more |= DrainRing([&] { return control.store.write_results.Pop(); },
                     [&](StoreWriteResult result) {
                       OnWriteResult(state, now(), std::move(result));
@@ -78,7 +80,11 @@
     wire::SendToPeer(*control.peers, std::move(outgoing));
   }
   state.to_peers.clear();
-  if (FlushTo(state.to_reader, control.store.reads)) {
+  while (!state.to_reader.empty() &&
+         state.reads_open < ControlState::kMaxReadsOpen &&
+         control.store.reads.Push(state.to_reader.front())) {
+    state.to_reader.pop_front();
+    ++state.reads_open;
     base::Signal(control.store.reader_wake);
   }
   if (FlushTo(state.to_writer, control.store.writes)) {
