--- a/bench/site/load_scenarios.cpp
+++ b/bench/site/load_scenarios.cpp
@@ -74,8 +74,8 @@
   print("not_answered", "count",
         through.value("requests", 0.0) - through.value("count", 0.0),
         direct.value("requests", 0.0) - direct.value("count", 0.0), 0, true);
-  for (const auto& [error, count] :
-       through.value("errors", nlohmann::json::object()).items()) {
+  const auto errors = through.value("errors", nlohmann::json::object());
+  for (const auto& [error, count] : errors.items()) {
     print(("error_" + error).c_str(), "count", count.get<double>(), 0,
           std::nullopt, true);
   }
