--- a/bench/site/process.cpp
+++ b/bench/site/process.cpp
@@ -40,6 +40,7 @@
 Process Launch(const std::vector<std::string>& arguments,
                const std::string& output_file) {
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
   for (const auto& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
   }
