--- a/include/eelgrassbridge/membership/detail.hpp
+++ b/include/eelgrassbridge/membership/detail.hpp
@@ -23,6 +23,11 @@
 /// @brief Raises the version of this daemon's own record and spreads it.
 void PublishSelf(MembershipState& state, base::TimePoint now, Actions& actions);
 
+/// @brief Begins or ends watching one member of another data centre.
+void UpdateWatch(MembershipState& state,
+                 base::TimePoint now,
+                 const Member& member);
+
 /// @brief Works out partners and watched members after a change.
 void RefreshPeers(MembershipState& state, base::TimePoint now);
 
--- a/include/eelgrassbridge/ownership/placement.hpp
+++ b/include/eelgrassbridge/ownership/placement.hpp
@@ -34,7 +34,8 @@
 /// @brief Members and the lists of candidates derived from them.
 ///
 /// Invariant: a list in `candidates` is complete for the members and the
-/// catalogue known; both changes clear the lists they concern.
+/// catalogue known: a changed member is put in or taken out (UpdateCandidates),
+/// a changed catalogue clears all lists.
 struct PlacementView {
   std::unordered_map<base::DaemonId, PlacementMember> members;
   /// Members found lost or left, with the time.
@@ -58,6 +59,12 @@
     const catalogue::Catalogue& catalogue,
     const base::GroupId& group);
 
+/// @brief Brings the kept lists up to date after a change of one member. Making
+/// them anew for each change would cost 2 ms at 15,000 members.
+void UpdateCandidates(PlacementView& view,
+                      const catalogue::Catalogue& catalogue,
+                      base::DaemonId member);
+
 /// @brief Candidate with the highest rendezvous score; none if there is none.
 base::DaemonId PreferredOwner(PlacementView& view,
                               const catalogue::Catalogue& catalogue,
--- a/src/eelgrassbridge/membership/liveness.cpp
+++ b/src/eelgrassbridge/membership/liveness.cpp
@@ -207,6 +207,16 @@
 
 namespace detail {
 
+void UpdateWatch(MembershipState& state,
+                 base::TimePoint now,
+                 const Member& member) {
+  if (WatchesHere(state, member)) {
+    state.watched.try_emplace(member.id, Watched{{}, {}, now, {}});
+  } else {
+    state.watched.erase(member.id);
+  }
+}
+
 void RefreshPeers(MembershipState& state, base::TimePoint now) {
   if (!state.peers_stale || now < state.next_peers) {
     return;
--- a/src/eelgrassbridge/membership/membership_commands.cpp
+++ b/src/eelgrassbridge/membership/membership_commands.cpp
@@ -18,9 +18,19 @@
              const Member& member) {
   auto& alive = state.by_data_centre[member.data_centre];
   state.region_of[member.data_centre] = member.region;
+  const bool was_empty = alive.empty();
   const bool is_changed = IsAlive(member) ? alive.insert(member.id).second
                                           : alive.erase(member.id) > 0;
-  state.peers_stale = state.peers_stale || is_changed;
+  if (is_changed) {
+    // A member elsewhere changes nobody else's watcher in this data centre;
+    // looking at all members each time would cost 35 ms at 15,000.
+    if (member.data_centre == state.self.data_centre ||
+        was_empty != alive.empty()) {
+      state.peers_stale = true;
+    } else {
+      detail::UpdateWatch(state, now, member);
+    }
+  }
   if (IsAlive(member)) {
     state.ended_at.erase(member.id);
   } else {
--- a/src/eelgrassbridge/ownership/ownership_commands.cpp
+++ b/src/eelgrassbridge/ownership/ownership_commands.cpp
@@ -171,7 +171,9 @@
   view.unknown_since.erase(member.id);
   const bool is_back = member.serving && view.gone.erase(member.id) > 0;
   if (is_changed || is_back) {
-    view.candidates.clear();
+    if (state.catalogue != nullptr) {
+      UpdateCandidates(view, *state.catalogue, member.id);
+    }
     state.balance_stale = true;
   }
 }
@@ -183,7 +185,9 @@
       !state.placement.gone.try_emplace(member, now).second) {
     return;
   }
-  state.placement.candidates.clear();
+  if (state.catalogue != nullptr) {
+    UpdateCandidates(state.placement, *state.catalogue, member);
+  }
   state.balance_stale = true;
   NoteLoss(state, now, member);
   for (auto* index : {&state.by_owner, &state.by_deputy}) {
--- a/src/eelgrassbridge/ownership/placement.cpp
+++ b/src/eelgrassbridge/ownership/placement.cpp
@@ -73,6 +73,27 @@
   return view.candidates.emplace(name, std::move(list)).first->second;
 }
 
+void UpdateCandidates(PlacementView& view,
+                      const catalogue::Catalogue& catalogue,
+                      base::DaemonId member) {
+  const auto record = view.members.find(member);
+  for (auto& [name, list] : view.candidates) {
+    const std::size_t slash = name.find('/');
+    const bool is_in = record != view.members.end() &&
+                       !view.gone.contains(member) &&
+                       IsEligible(catalogue, record->second,
+                                  std::string_view(name).substr(0, slash),
+                                  std::string_view(name).substr(slash + 1));
+    const auto at = std::ranges::lower_bound(list, member);
+    const bool was_in = at != list.end() && *at == member;
+    if (is_in && !was_in) {
+      list.insert(at, member);
+    } else if (!is_in && was_in) {
+      list.erase(at);
+    }
+  }
+}
+
 base::DaemonId PreferredOwner(PlacementView& view,
                               const catalogue::Catalogue& catalogue,
                               const base::GroupId& group,
