--- /dev/null
+++ b/src/eelgrassbridge/ownership/taker_rules_test.cpp
@@ -0,0 +1,156 @@
+// Directed tests of the rules of the deputy and of takers.
+#include "rules_test_support.hpp"
+
+namespace eelgrassbridge::ownership {
+namespace {
+
+/// What the deputy grants at that time.
+std::size_t Granted(OwnershipState& state,
+                    base::TimePoint now,
+                    base::DaemonId from = kOwner,
+                    std::uint64_t epoch = 1) {
+  Actions actions;
+  const GroupEpoch group{kGroup, epoch};
+  OnPromiseRequest(state, now, from, now, {&group, 1}, actions);
+  const auto reply = Find<SendPromiseReply>(actions);
+  return reply ? reply->granted.size() : 0;
+}
+
+TEST_CASE("deputy: promises only for the row it read, and for at most H") {
+  OwnershipState state = Core(kDeputy);
+  Actions actions;
+  const GroupRow row = Row(7);
+  OnRowsHeard(state, T(2500), {&row, 1}, actions);
+  CHECK(Granted(state, T(2500)) == 0);
+  Read(state, T(2500), row, actions);
+  CHECK(Granted(state, T(2600)) == 1);
+  CHECK(Granted(state, T(2600), kThird) == 0);
+  CHECK(Granted(state, T(2600), kOwner, 2) == 0);
+  CHECK(Granted(state, T(2500) + seconds{890}) == 1);
+  CHECK(Granted(state, T(2500) + seconds{892}) == 0);
+}
+
+TEST_CASE("deputy: gives no promise right after its start") {
+  OwnershipState state = Core(kDeputy);
+  Actions actions;
+  Read(state, T(100), Row(7), actions);
+  CHECK(Granted(state, T(2019)) == 0);
+  CHECK(Granted(state, T(2021)) == 1);
+}
+
+TEST_CASE("deputy: takes over after the intent and both waits") {
+  OwnershipState state = Core(kDeputy);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  CHECK(Granted(state, T(3000)) == 1);
+  OnMemberLost(state, T(3100), kOwner);
+  actions = Ticked(state, T(3100));
+  const GroupRow intent = Written(actions);
+  CHECK(intent.intent == kDeputy);
+  CHECK(Granted(state, T(3110)) == 0);
+  OnTransactionResult(state, T(3120), SubmittedId(actions),
+                      {Status::kApplied, {8}, {}}, actions);
+  // L(1 + rho) and the run limit on a clock that may be fast.
+  const base::TimePoint due = T(3120) + milliseconds{2020 + 1030};
+  CHECK_FALSE(Find<SubmitTransaction>(Ticked(state, due - milliseconds{1}))
+                  .has_value());
+  actions = Ticked(state, due);
+  const GroupRow final_row = Written(actions);
+  CHECK(final_row.owner == kDeputy);
+  CHECK(final_row.epoch == 2);
+  CHECK(final_row.version == 8);
+  actions.clear();
+  CHECK_FALSE(ServingUntil(state, kGroup, due).has_value());
+}
+
+TEST_CASE("deputy: gives up when the owner cleared its intent") {
+  OwnershipState state = Core(kDeputy);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  OnMemberLost(state, T(3100), kOwner);
+  actions = Ticked(state, T(3100));
+  OnTransactionResult(state, T(3120), SubmittedId(actions),
+                      {Status::kApplied, {8}, {}}, actions);
+  Read(state, T(3500), Row(9), actions);
+  CHECK(state.take_overs.empty());
+  CHECK(state.counters.take_overs_given_up == 1);
+}
+
+TEST_CASE("deputy: resolves a lost reply to its intent by reading") {
+  OwnershipState state = Core(kDeputy);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  OnMemberLost(state, T(3100), kOwner);
+  actions = Ticked(state, T(3100));
+  const GroupRow intent = Written(actions);
+  const std::string intent_id = SubmittedId(actions);
+  Read(state, T(3100), Row(7), actions);
+  OnTransactionResult(state, T(4100), intent_id, {Status::kUnknown, {}, {}},
+                      actions);
+  actions = Ticked(state, T(4200));
+  CHECK_FALSE(Find<SubmitTransaction>(actions).has_value());
+  REQUIRE(Find<ReadRows>(actions).has_value());
+  GroupRow applied = intent;
+  applied.version = 8;
+  Read(state, T(4200), applied, actions);
+  CHECK(state.take_overs.at(kGroup).phase == TakeOver::Phase::kWaiting);
+}
+
+TEST_CASE("third party: waits for the deputy's bound or its word") {
+  OwnershipState state = Core(kThird);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  OnMemberLost(state, T(3000), kOwner);
+  OnMemberLost(state, T(3000), kDeputy);
+  actions = Ticked(state, T(3100));
+  OnTransactionResult(state, T(3120), SubmittedId(actions),
+                      {Status::kApplied, {8}, {}}, actions);
+  actions = Ticked(state, T(3200));
+  const auto stop = Find<SendStopPromising>(actions);
+  REQUIRE(stop.has_value());
+  CHECK(stop->row_version == 8);
+  CHECK_FALSE(Find<SubmitTransaction>(Ticked(state, T(3200) + seconds{900}))
+                  .has_value());
+  // A confirmation about an older intent does not count.
+  OnStoppedPromising(state, T(904000), kDeputy, {kGroup, 1}, 7);
+  CHECK_FALSE(Find<SubmitTransaction>(Ticked(state, T(908000))).has_value());
+  OnStoppedPromising(state, T(908000), kDeputy, {kGroup, 1}, 8);
+  CHECK_FALSE(Find<SubmitTransaction>(Ticked(state, T(911049))).has_value());
+  CHECK(Written(Ticked(state, T(911050))).owner == kThird);
+}
+
+TEST_CASE("deputy: keeps its word to a third party until the row moves on") {
+  OwnershipState state = Core(kDeputy);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  OnStopPromising(state, T(3000), kThird, {kGroup, 1}, 8, actions);
+  CHECK(Find<SendStoppedPromising>(actions).has_value());
+  CHECK(Granted(state, T(3100)) == 0);
+  Read(state, T(3200), Row(9), actions);
+  CHECK(Granted(state, T(3300)) == 1);
+}
+
+TEST_CASE(
+    "third party: an operator's word that the deputy is stopped shortens "
+    "the wait") {
+  OwnershipState state = Core(kThird);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  OnMemberLost(state, T(3000), kOwner);
+  OnMemberLost(state, T(3000), kDeputy);
+  actions = Ticked(state, T(3100));
+  OnTransactionResult(state, T(3120), SubmittedId(actions),
+                      {Status::kApplied, {8}, {}}, actions);
+  auto catalogue = *TestCatalogue();
+  catalogue.version = 2;
+  catalogue.out_of_service.push_back(
+      {catalogue::OutOfService::What::kDataCentre, "dc-b", true});
+  OnCatalogue(state, T(6000),
+              std::make_shared<const catalogue::Catalogue>(catalogue));
+  Ticked(state, T(6000));
+  CHECK_FALSE(Find<SubmitTransaction>(Ticked(state, T(9049))).has_value());
+  CHECK(Written(Ticked(state, T(9050))).owner == kThird);
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::ownership
