Report how a daemon ended and fail fast when one has ended

Cause: a daemon program that could not start was waited for 60 s, and an unclean end at a planned stop went unnoticed. Change: WaitReady gives up when the process has ended; StopSite prints a status other than 0.

--- a/bench/site/process.cpp
+++ b/bench/site/process.cpp
@@ -52,21 +52,32 @@
   return {.pid = pid > 0 ? pid : 0};
 }
 
-void Stop(Process& process, int signal) {
+bool IsRunning(const Process& process) {
+  siginfo_t info{};
+  // WNOWAIT leaves the end of the process to be reaped by Stop.
+  return process.pid != 0 &&
+         ::waitid(P_PID, static_cast<id_t>(process.pid), &info,
+                  WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == 0;
+}
+
+int Stop(Process& process, int signal) {
   if (process.pid == 0) {
-    return;
+    return 0;
   }
+  int status = 0;
   ::kill(process.pid, signal);
   const auto end = std::chrono::steady_clock::now() + kStopTimeout;
-  while (::waitpid(process.pid, nullptr, WNOHANG) == 0) {
+  while (::waitpid(process.pid, &status, WNOHANG) == 0) {
     if (std::chrono::steady_clock::now() > end) {
       ::kill(process.pid, SIGKILL);
-      ::waitpid(process.pid, nullptr, 0);
+      ::waitpid(process.pid, &status, 0);
       break;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds{2});
   }
   process.pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
 std::string RunForOutput(const std::vector<std::string>& arguments,
--- a/bench/site/process.hpp
+++ b/bench/site/process.hpp
@@ -20,9 +20,13 @@
 Process Launch(const std::vector<std::string>& arguments,
                const std::string& output_file);
 
+/// @brief Whether the program has not ended yet.
+bool IsRunning(const Process& process);
+
 /// @brief Sends the signal and waits for the end; after 40 s, which is longer
-/// than the drain timeout of the examples, kills it.
-void Stop(Process& process, int signal);
+/// than the drain timeout of the examples, kills it. Returns the exit status,
+/// or the negative number of the signal that ended it.
+int Stop(Process& process, int signal);
 
 /// @brief Runs a program to its end and returns what it printed.
 std::string RunForOutput(const std::vector<std::string>& arguments,
--- a/bench/site/site.cpp
+++ b/bench/site/site.cpp
@@ -188,7 +188,7 @@
 bool WaitReady(const Member& member, double seconds) {
   const auto end =
       std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
-  while (std::chrono::steady_clock::now() < end) {
+  while (IsRunning(member.daemon) && std::chrono::steady_clock::now() < end) {
     httplib::Client client("127.0.0.1", member.http_port);
     client.set_read_timeout(std::chrono::seconds{1});
     if (const auto reply = client.Get("/ready");
@@ -240,7 +240,10 @@
     }
   }
   for (auto& member : site.members) {
-    Stop(member.daemon, SIGTERM);
+    if (const int status = Stop(member.daemon, SIGTERM); status != 0) {
+      std::fprintf(stderr, "%s ended with status %d, see %s\n",
+                   member.spec.name.c_str(), status, site.folder.c_str());
+    }
     Stop(member.target, SIGTERM);
   }
   Stop(site.table, SIGTERM);
