Send SIGTERM once to each daemon at the end of a run

Cause: StopSite signalled all daemons and then each one again; the second SIGTERM ended 8 of 9 daemons with status -15 in the middle of their drain. Conclusion: the daemon itself does not ignore a second SIGTERM during a drain; that is left to the daemon's part.

--- a/bench/site/site.cpp
+++ b/bench/site/site.cpp
@@ -240,7 +240,8 @@
     }
   }
   for (auto& member : site.members) {
-    if (const int status = Stop(member.daemon, SIGTERM); status != 0) {
+    // Signal 0 only waits: a second SIGTERM would end the drain at once.
+    if (const int status = Stop(member.daemon, 0); status != 0) {
       std::fprintf(stderr, "%s ended with status %d, see %s\n",
                    member.spec.name.c_str(), status, site.folder.c_str());
     }
