Join at the seeds also after the table was read; spread a loss at once

Cause: with the real membership core a daemon that was killed and restarted as the only one of its data centre never served again: the table still showed its earlier run alive, so it was not announced and its name counted as taken. And one of two deputies heard of a loss only 2.0 s after it, which took the take-over to 5.05 s.

--- a/include/eelgrassbridge/daemon/control_state.hpp
+++ b/include/eelgrassbridge/daemon/control_state.hpp
@@ -102,6 +102,11 @@
   std::uint64_t next_operation = 1;
   std::uint64_t next_item_version = 1;
   base::TimePoint next_silence_check{};
+  base::TimePoint started_at;
+  /// A daemon of the seeds has answered the join.
+  bool join_answered = false;
+  std::size_t next_seed = 0;
+  base::TimePoint next_join{};
   base::TimePoint next_exchange{};
   base::TimePoint next_demand{};
   /// Own demand as published, by item.
--- a/src/eelgrassbridge/daemon/control_events.cpp
+++ b/src/eelgrassbridge/daemon/control_events.cpp
@@ -21,6 +21,29 @@
 
 /// How often a deputy looks for owners that have fallen silent.
 constexpr base::Duration kSilenceInterval = base::milliseconds{250};
+/// Repeat of an unanswered join: often at first, rarely in a site whose seeds
+/// do not run.
+constexpr base::Duration kJoinTime = base::seconds{10};
+constexpr base::Duration kJoinInterval = base::seconds{1};
+constexpr base::Duration kLateJoinInterval = base::seconds{10};
+
+/// Joins at the seeds after the table was read, too. The table may show a lost
+/// daemon as alive, e.g. an earlier run of this one that was the only daemon of
+/// its data centre, and then neither announces this one nor lets it serve.
+void TickSeeds(ControlState& state, base::TimePoint now) {
+  const std::vector<std::string>& seeds = state.membership.options.seeds;
+  if (state.join_answered || !state.membership.joined || seeds.empty() ||
+      now < state.next_join) {
+    return;
+  }
+  state.next_join =
+      now +
+      (now - state.started_at < kJoinTime ? kJoinInterval : kLateJoinInterval);
+  membership::Actions actions;
+  actions.emplace_back(membership::SendJoinRequest{
+      seeds[state.next_seed++ % seeds.size()], state.membership.self});
+  CarryOut(state, now, actions);
+}
 
 void ReportSilentOwners(ControlState& state, base::TimePoint now) {
   if (now < state.next_silence_check) {
@@ -129,6 +152,7 @@
   }
   TickCatalogue(state, now);
   TickExchange(state, now);
+  TickSeeds(state, now);
   ReportSilentOwners(state, now);
   membership::Actions membership_actions;
   membership::OnTick(state.membership, now, membership_actions);
--- a/src/eelgrassbridge/daemon/control_membership.cpp
+++ b/src/eelgrassbridge/daemon/control_membership.cpp
@@ -16,6 +16,9 @@
   ApplyMember(state.view, member);
   NoteFleetChange(state, now, member);
   if (!membership::IsAlive(member)) {
+    // Told at once: the deputies of other groups of the lost daemon may have
+    // heard nothing yet, and their take-overs wait for the verdict.
+    state.membership.next_gossip = std::min(state.membership.next_gossip, now);
     ownership::OnMemberLost(state.ownership, now, member.id);
     return;
   }
--- a/src/eelgrassbridge/daemon/control_messages.cpp
+++ b/src/eelgrassbridge/daemon/control_messages.cpp
@@ -88,6 +88,7 @@
                               this->membership_actions);
   }
   void operator()(const wire::JoinReply& message) {
+    this->state.join_answered = this->state.join_answered || message.last;
     if (!message.catalogue_json.empty()) {
       AdoptCatalogueText(this->state, this->now, message.catalogue_json);
     }
--- a/src/eelgrassbridge/daemon/control_state.cpp
+++ b/src/eelgrassbridge/daemon/control_state.cpp
@@ -71,6 +71,7 @@
           membership::MakeMembershipState(SelfRecord(daemon_settings, id),
                                           MembershipOptionsOf(daemon_settings),
                                           now)) {
+  this->started_at = now;
   this->view.next.self = id;
   this->view.is_changed = true;
 }
