Serve the operators' endpoints, the burn data and TLS from the daemon

A stop right after a start hung for ever, because the HTTP library ignores a stop before it runs. Change: /admin/ goes to its handlers; the entry daemon records each outcome for the burn report; with TLS set the server and the forwarding client use it and the certificate files are looked at every 5 s; the start waits until the library runs. A target is no longer avoided for what a caller or the catalogue caused.

--- a/include/eelgrassbridge/daemon/http_exchange.hpp
+++ b/include/eelgrassbridge/daemon/http_exchange.hpp
@@ -94,6 +94,9 @@
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
   ExchangeOptions options;
+  /// Not empty: TLS, and the other side's certificate must be signed by one of
+  /// this file.
+  std::string trusted_certificates_file;
   std::mutex mutex;
   std::map<settings::Address, std::vector<IdleConnection>> idle;
 };
--- a/include/eelgrassbridge/daemon/http_server.hpp
+++ b/include/eelgrassbridge/daemon/http_server.hpp
@@ -6,7 +6,9 @@
 #include <thread>
 
 #include "eelgrassbridge/base/error.hpp"
+#include "eelgrassbridge/daemon/admin_handler.hpp"
 #include "eelgrassbridge/daemon/request_context.hpp"
+#include "eelgrassbridge/daemon/tls_credentials.hpp"
 
 namespace httplib {
 class Server;
@@ -21,12 +23,17 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// Outlives the server, which reads it at each handshake.
+  TlsCredentials tls;
   std::unique_ptr<httplib::Server> server;
   std::thread acceptor;
 };
 
 /// @brief Binds the address of the settings and starts to serve.
-base::Result<void> StartHttpServer(HttpServer& server, RequestContext& context);
+/// @param admin hooks of the operators' endpoints; must outlive the server.
+base::Result<void> StartHttpServer(HttpServer& server,
+                                   RequestContext& context,
+                                   const AdminHooks& admin);
 
 /// @brief Stops accepting, lets running requests finish and joins all threads.
 void StopHttpServer(HttpServer& server);
--- a/include/eelgrassbridge/daemon/request_context.hpp
+++ b/include/eelgrassbridge/daemon/request_context.hpp
@@ -18,6 +18,7 @@
 #include "eelgrassbridge/daemon/routing_view.hpp"
 #include "eelgrassbridge/limits/account_limiter.hpp"
 #include "eelgrassbridge/limits/retry_budget.hpp"
+#include "eelgrassbridge/report/burn_recorder.hpp"
 #include "eelgrassbridge/routing/cross_region_meter.hpp"
 #include "eelgrassbridge/routing/poison_quarantine.hpp"
 #include "eelgrassbridge/routing/target_choice.hpp"
@@ -85,6 +86,9 @@
   base::CounterRegistry counters;
   RequestCounters request_counters;
   base::Latency latency;
+  /// Outcomes for the burn report, recorded by the entry daemon only, so that
+  /// no request is counted twice.
+  report::BurnRecorder burn;
   /// Set before the server starts; null only in tests without hedging.
   Hedger* hedger = nullptr;
   /// Bytes of request bodies held in memory now; bounded so that uploads
--- a/src/eelgrassbridge/daemon/hedger_test.cpp
+++ b/src/eelgrassbridge/daemon/hedger_test.cpp
@@ -53,7 +53,7 @@
     booking.kinds = {view};
     catalogue.services = {booking};
     this->context.routing.view = MakeStandaloneView(this->settings, catalogue);
-    REQUIRE(StartHttpServer(this->server, this->context));
+    REQUIRE(StartHttpServer(this->server, this->context, this->admin));
   }
   ~BookingDaemon() { StopHttpServer(this->server); }
 
@@ -73,6 +73,7 @@
   settings::Settings settings;
   RequestContext context;
   Hedger hedger;
+  AdminHooks admin;
   HttpServer server;
 };
 
--- a/src/eelgrassbridge/daemon/http_exchange.cpp
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -41,7 +41,12 @@
     }
   }
   if (client == nullptr) {
-    client = std::make_unique<httplib::Client>(address.ip, address.port);
+    const bool is_tls = !pool.trusted_certificates_file.empty();
+    client = std::make_unique<httplib::Client>(fmt::format(
+        "{}://{}:{}", is_tls ? "https" : "http", address.ip, address.port));
+    if (is_tls) {
+      client->set_ca_cert_path(pool.trusted_certificates_file);
+    }
     client->set_tcp_nodelay(true);
     client->set_keep_alive(true);
     client->set_decompress(false);
--- a/src/eelgrassbridge/daemon/http_server.cpp
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -201,6 +201,47 @@
   });
 }
 
+AdminRequest ToAdminRequest(const httplib::Request& request) {
+  AdminRequest converted{request.method, request.target, {}, request.body};
+  for (const auto& [name, value] : request.headers) {
+    converted.headers.push_back({name, value});
+  }
+  return converted;
+}
+
+void AddAdminHandlers(httplib::Server& server,
+                      RequestContext& context,
+                      const AdminHooks& hooks) {
+  const auto handle = [&](const httplib::Request& request,
+                          httplib::Response& response) {
+    const AdminContext admin{context.settings.operators, hooks,
+                             context.counters, base::UnixMilliseconds()};
+    AdminResponse answer = HandleAdminRequest(admin, ToAdminRequest(request));
+    response.status = answer.status;
+    for (Header& header : answer.headers) {
+      response.headers.emplace(std::move(header.name), std::move(header.value));
+    }
+    response.body = std::move(answer.body);
+  };
+  server.Get("/admin/.*", handle);
+  server.Post("/admin/.*", handle);
+}
+
+base::Result<std::unique_ptr<httplib::Server>> MakeServer(
+    HttpServer& server,
+    const settings::Settings& settings) {
+  if (!settings.tls) {
+    return std::make_unique<httplib::Server>();
+  }
+  BOOST_OUTCOME_TRY(pair, LoadTlsPair(*settings.tls));
+  server.tls.pair = pair;
+  auto secure = std::make_unique<httplib::SSLServer>([&](SSL_CTX& context) {
+    UseTlsCredentials(&context, server.tls);
+    return true;
+  });
+  return std::unique_ptr<httplib::Server>(std::move(secure));
+}
+
 void AddCallerHandlers(httplib::Server& server, RequestContext& context) {
   const auto without_body = [&](const httplib::Request& request,
                                 httplib::Response& response) {
@@ -226,8 +267,10 @@
 HttpServer::~HttpServer() = default;
 
 base::Result<void> StartHttpServer(HttpServer& server,
-                                   RequestContext& context) {
-  server.server = std::make_unique<httplib::Server>();
+                                   RequestContext& context,
+                                   const AdminHooks& admin) {
+  BOOST_OUTCOME_TRY(made, MakeServer(server, context.settings));
+  server.server = std::move(made);
   httplib::Server& library = *server.server;
   library.set_tcp_nodelay(true);
   library.set_keep_alive_max_count(kKeepAliveRequests);
@@ -236,6 +279,7 @@
   const std::uint32_t workers = context.settings.http_workers;
   library.new_task_queue = [workers] { return new ConnectionWorkers(workers); };
   AddStatusHandlers(library, context);
+  AddAdminHandlers(library, context, admin);
   AddCallerHandlers(library, context);
   // Without SO_REUSEPORT, which the library sets by default: two daemons on one
   // address would each get a part of the connections.
@@ -253,6 +297,11 @@
   }
   listen(listener, kListenBacklog);
   server.acceptor = std::thread([&library] { library.listen_after_bind(); });
+  // A stop before the library runs would be ignored, and the thread would never
+  // end.
+  while (!library.is_running()) {
+    std::this_thread::yield();
+  }
   return base::outcome::success();
 }
 
--- a/src/eelgrassbridge/daemon/request_context.cpp
+++ b/src/eelgrassbridge/daemon/request_context.cpp
@@ -26,6 +26,12 @@
 RequestContext::RequestContext(const settings::Settings& daemon_settings)
     : settings(daemon_settings),
       target(daemon_settings.target),
-      request_counters(this->counters) {}
+      request_counters(this->counters) {
+  // Daemons forward to the port that callers use.
+  if (daemon_settings.tls) {
+    this->peers.trusted_certificates_file =
+        daemon_settings.tls->certificate_file;
+  }
+}
 
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/request_handler.cpp
+++ b/src/eelgrassbridge/daemon/request_handler.cpp
@@ -198,6 +198,21 @@
   return answer;
 }
 
+void RecordBurn(RequestContext& context,
+                const CallerRequest& request,
+                const routing::EntryFacts& entry,
+                const CallerAnswer& answer) {
+  if (request.hops > 0) {
+    return;
+  }
+  report::RecordOutcome(
+      context.burn,
+      {entry.service->name, entry.kind->name,
+       report::AccountClass(entry.account)},
+      answer.outcome, base::BootClock::now() - request.received_at,
+      entry.kind->objective.p99, base::UnixMilliseconds() / 1000);
+}
+
 CallerAnswer Plan(RequestContext& context, const CallerRequest& request) {
   const auto view = context.routing.view.load();
   if (view == nullptr) {
@@ -230,7 +245,12 @@
       limits::ParseRequestId(request.request_id),
       routing::DeadlineOf(request.allowed_time, *entry.value().kind,
                           request.received_at)};
-  return RunWithinLimits(context, planned);
+  CallerAnswer answer = TellRefusal(request, RunWithinLimits(context, planned));
+  if (answer.error != base::ErrorKind::kBadRequest &&
+      answer.error != base::ErrorKind::kIdRequired) {
+    RecordBurn(context, request, entry.value(), answer);
+  }
+  return answer;
 }
 
 void CountOutcome(RequestContext& context, const CallerAnswer& answer) {
--- a/src/eelgrassbridge/daemon/request_path_test.cpp
+++ b/src/eelgrassbridge/daemon/request_path_test.cpp
@@ -110,12 +110,13 @@
         context(this->settings) {
     this->context.routing.view =
         MakeStandaloneView(this->settings, ListingCatalogue());
-    REQUIRE(StartHttpServer(this->server, this->context));
+    REQUIRE(StartHttpServer(this->server, this->context, this->admin));
   }
   ~Daemon() { StopHttpServer(this->server); }
 
   settings::Settings settings;
   RequestContext context;
+  AdminHooks admin;
   HttpServer server;
 };
 
@@ -271,7 +272,7 @@
   const settings::Settings settings = DaemonSettings(1, kPort);
   RequestContext context(settings);
   HttpServer server;
-  CHECK_FALSE(StartHttpServer(server, context).has_value());
+  CHECK_FALSE(StartHttpServer(server, context, AdminHooks{}).has_value());
 }
 
 TEST_CASE("an unreachable target is proved not run") {
--- a/src/eelgrassbridge/daemon/run_daemon.cpp
+++ b/src/eelgrassbridge/daemon/run_daemon.cpp
@@ -3,24 +3,65 @@
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 #include <csignal>
+#include <optional>
 
 #include "eelgrassbridge/base/log.hpp"
 #include "eelgrassbridge/daemon/control_thread.hpp"
 #include "eelgrassbridge/daemon/hedger.hpp"
 #include "eelgrassbridge/daemon/http_server.hpp"
+#include "eelgrassbridge/report/burn_snapshot.hpp"
 
 namespace eelgrassbridge::daemon {
 
 namespace {
 
-void WaitForStopSignal() {
+constexpr std::chrono::seconds kTlsReloadInterval{5};
+
+/// @brief Looks at the certificate files every few seconds.
+struct TlsReloader {
+  asio::steady_timer timer;
+  HttpServer& server;
+  const settings::TlsSettings& files;
+};
+
+void ScheduleTlsReload(TlsReloader& reloader) {
+  reloader.timer.expires_after(kTlsReloadInterval);
+  reloader.timer.async_wait([&reloader](const std::error_code& error) {
+    if (error) {
+      return;
+    }
+    const auto changed = ReloadTls(reloader.server.tls, reloader.files);
+    if (changed && changed.value()) {
+      base::LogChange("tls_certificate_reloaded");
+    }
+    ScheduleTlsReload(reloader);
+  });
+}
+
+void WaitForStopSignal(HttpServer& server, const settings::Settings& settings) {
   asio::io_context context;
+  std::optional<TlsReloader> reloader;
+  if (settings.tls) {
+    reloader.emplace(asio::steady_timer(context), server, *settings.tls);
+    ScheduleTlsReload(*reloader);
+  }
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([](const std::error_code&, int) {});
+  signals.async_wait(
+      [&context](const std::error_code&, int) { context.stop(); });
   context.run();
 }
 
+std::string BurnJson(const settings::Settings& settings,
+                     const RequestContext& context) {
+  const auto view = context.routing.view.load();
+  const base::DaemonId self = view == nullptr ? base::DaemonId{} : view->self;
+  return report::WriteSnapshotJson(
+      report::TakeSnapshot(context.burn, base::ToString(self), settings.name,
+                           base::UnixMilliseconds() / 1000));
+}
+
 }  // namespace
 
 base::Result<void> RunDaemon(const settings::Settings& settings,
@@ -33,11 +74,13 @@
   context.hedger = &hedger;
   BOOST_OUTCOME_TRY(control,
                     StartControl(settings, initial_catalogue, context));
+  AdminHooks admin = MakeAdminHooks(*control);
+  admin.read_burn = [&] { return BurnJson(settings, context); };
   HttpServer server;
-  BOOST_OUTCOME_TRY(StartHttpServer(server, context));
+  BOOST_OUTCOME_TRY(StartHttpServer(server, context, admin));
   base::LogChange("daemon_started", {{"name", settings.name},
                                      {"data_centre", settings.data_centre}});
-  WaitForStopSignal();
+  WaitForStopSignal(server, settings);
   context.draining = true;
   base::LogChange("daemon_draining", {{"name", settings.name}});
   // Callers are served until the groups are moved: the receivers cannot serve
--- a/src/eelgrassbridge/daemon/target_selection.cpp
+++ b/src/eelgrassbridge/daemon/target_selection.cpp
@@ -90,13 +90,17 @@
     case base::ErrorKind::kDeadlineBeforeRun:
     case base::ErrorKind::kTargetRefused:
       return routing::AnswerReport::Kind::kOverloaded;
-    case base::ErrorKind::kCancelled:
-    case base::ErrorKind::kIdRequired:
-    case base::ErrorKind::kAccountLimit:
-    case base::ErrorKind::kQuarantined:
-      return routing::AnswerReport::Kind::kCancelled;
-    default:
+    case base::ErrorKind::kPeerUnreachable:
+    case base::ErrorKind::kPeerLost:
+    case base::ErrorKind::kPeerTimeout:
+    case base::ErrorKind::kTargetUnreachable:
+    case base::ErrorKind::kTargetLost:
+    case base::ErrorKind::kTargetTimeout:
+    case base::ErrorKind::kAnswerCut:
       return routing::AnswerReport::Kind::kFailed;
+    default:
+      // What the caller or the catalogue caused says nothing about the target.
+      return routing::AnswerReport::Kind::kCancelled;
   }
 }
 
