--- a/src/eelgrassbridge/daemon/control_site_test.cpp
+++ b/src/eelgrassbridge/daemon/control_site_test.cpp
@@ -139,7 +139,8 @@
     for (const auto& node : this->nodes) {
       for (const auto& [group, gate] : node->state.gates.open) {
         if (!gate->released.load() && IsLeaseValid(*gate, this->now)) {
-          CAPTURE(base::ToString(group));
+          const std::string name = base::ToString(group);
+          CAPTURE(name);
           REQUIRE(served.insert(group).second);
         }
       }
--- a/src/eelgrassbridge/daemon/control_thread.cpp
+++ b/src/eelgrassbridge/daemon/control_thread.cpp
@@ -47,7 +47,7 @@
       DrainRing([&] { return control.target.events.Pop(); },
                 [&](TargetEvent event) { OnTargetEvent(state, now(), event); });
   more |= DrainRing([&] { return control.store.read_results.Pop(); },
-                    [&](StoreReadResult result) {
+                    [&](const StoreReadResult& result) {
                       --state.reads_open;
                       OnReadResult(state, now(), result);
                     });
