Add partitions of the fleet with the store on one side to the model

Cause: the rule on the deputy's bound needs owner and deputy together on the side without the store, which single cuts rarely made. Change: a fault that cuts the fleet in two.

--- a/bench/histories/faults.cpp
+++ b/bench/histories/faults.cpp
@@ -46,6 +46,24 @@
   }
 }
 
+/// Cuts the fleet in two, with the store on one side, as between regions.
+void Partition(Simulation& sim, Micros until) {
+  const Micros mask = Draw(sim, 1, (Micros{1} << sim.slots.size()) - 2);
+  const auto is_cut_off = [mask](const Slot& slot) {
+    return ((mask >> slot.index) & 1) != 0;
+  };
+  for (const Slot& slot : sim.slots) {
+    if (is_cut_off(slot)) {
+      sim.store_cut_until[slot.index] = until;
+    }
+    for (const Slot& other : sim.slots) {
+      if (is_cut_off(slot) != is_cut_off(other)) {
+        sim.cut_until[slot.index][other.index] = until;
+      }
+    }
+  }
+}
+
 void Kill(Simulation& sim, Slot& slot, Micros down) {
   slot.alive = false;
   const std::uint32_t index = slot.index;
@@ -134,7 +152,7 @@
   Slot& other = AnySlot(sim);
   const Micros length = FaultTime(sim);
   const Micros until = sim.now + length;
-  switch (Draw(sim, 0, 14)) {
+  switch (Draw(sim, 0, 16)) {
     case 0:
     case 1:
       slot.paused_until = std::max(slot.paused_until, until);
@@ -173,6 +191,10 @@
     case 12:
       Chance(sim, 70) ? TakeOut(sim, slot) : StopDataCentre(sim, slot);
       break;
+    case 14:
+    case 15:
+      Partition(sim, until);
+      break;
     case 13:
       FalseVerdict(sim, slot, other);
       break;
