Give targets fewer workers in a large fleet

Cause: a worker is a thread, and 80 targets with 256 workers each would be 20,480 threads. Change: 16 workers for each target in a fleet of more than 20.

--- a/bench/site/site.cpp
+++ b/bench/site/site.cpp
@@ -23,6 +23,10 @@
 
 constexpr double kReadySeconds = 60;
 constexpr std::size_t kSeeds = 3;
+// A worker is a thread; 80 targets with 256 each would be 20,480 threads.
+constexpr std::size_t kWorkers = 256;
+constexpr std::size_t kWorkersInLargeFleet = 16;
+constexpr std::size_t kLargeFleet = 20;
 
 // Key pair and token hash of the examples; they guard nothing but loopback.
 constexpr std::string_view kKeysYaml = R"(keys:
@@ -81,7 +85,10 @@
       "--service-time-us",
       std::to_string(site.options.service_time_us),
       "--run-log",
-      RunLogFile(site)};
+      RunLogFile(site),
+      "--workers",
+      std::to_string(site.members.size() > kLargeFleet ? kWorkersInLargeFleet
+                                                       : kWorkers)};
   if (site.options.targets_start_warm) {
     arguments.emplace_back("--warm");
   }
