Name both causes when a site does not start

Cause: the message told of a timeout although the daemon had ended. Change: the message names both. Conclusion: the log of the daemon, whose folder is printed, tells which.

--- a/bench/site/site.cpp
+++ b/bench/site/site.cpp
@@ -230,7 +230,7 @@
   }
   for (const auto& member : site.members) {
     if (!WaitReady(member, kReadySeconds)) {
-      std::fprintf(stderr, "%s is not ready after %.0f s, see %s\n",
+      std::fprintf(stderr, "%s ended or was not ready within %.0f s, see %s\n",
                    member.spec.name.c_str(), kReadySeconds,
                    site.folder.c_str());
       StopSite(site);
