--- a/src/eelgrassbridge/cli/run_test.cpp
+++ b/src/eelgrassbridge/cli/run_test.cpp
@@ -27,7 +27,10 @@
 
 using daemon::ChangeResult;
 
-const std::string kExamples = EELGRASSBRIDGE_SOURCE_DIR "/examples/";
+/// A file below examples/.
+std::string Example(const std::string& name) {
+  return EELGRASSBRIDGE_SOURCE_DIR "/examples/" + name;
+}
 
 struct Output {
   ExitCode code;
@@ -48,7 +51,7 @@
 
   Fleet() {
     this->operators.push_back(
-        settings::ReadSettingsFile(kExamples + "astillas/listing-1.yaml")
+        settings::ReadSettingsFile(Example("astillas/listing-1.yaml"))
             .value()
             .operators[0]);
     this->hooks.read_catalogue = [this] {
@@ -150,14 +153,13 @@
   Output Run(std::vector<std::string> arguments) const {
     arguments.insert(arguments.end(),
                      {"--address", "127.0.0.1:" + std::to_string(this->port),
-                      "--token-file", kExamples + "operator.token"});
+                      "--token-file", Example("operator.token")});
     return RunWith(arguments);
   }
 
   Output ApplyExample() const {
-    return this->Run({"catalogue", "apply",
-                      kExamples + "astillas/catalogue.yaml", "--reason",
-                      "first"});
+    return this->Run({"catalogue", "apply", Example("astillas/catalogue.yaml"),
+                      "--reason", "first"});
   }
 
   std::mutex mutex;
@@ -269,7 +271,7 @@
   fleet.operators.clear();
   CHECK(fleet.Run({"status"}).code == ExitCode::kRefused);
   CHECK(RunWith({"status", "--address", "127.0.0.1:1", "--token-file",
-                 kExamples + "operator.token"})
+                 Example("operator.token")})
             .code == ExitCode::kUnavailable);
   CHECK(RunWith({"status", "--address", "localhost:1"}).code ==
         ExitCode::kInvalid);
@@ -279,7 +281,7 @@
   Fleet fleet;
   fleet.is_booking_late = true;
   const Output out =
-      fleet.Run({"catalogue", "apply", kExamples + "astillas/catalogue.yaml",
+      fleet.Run({"catalogue", "apply", Example("astillas/catalogue.yaml"),
                  "--wait", "--wait-timeout", "1ms"});
   CHECK(out.code == ExitCode::kWaitEnded);
   CHECK(Has(out.err, "in force on 1 of 2 daemons; missing: booking-1"));
--- a/src/eelgrassbridge/cli/submit_change.cpp
+++ b/src/eelgrassbridge/cli/submit_change.cpp
@@ -36,6 +36,7 @@
 std::vector<std::string> Printed(
     const std::vector<catalogue::Change>& changes) {
   std::vector<std::string> lines;
+  lines.reserve(changes.size());
   for (const catalogue::Change& change : changes) {
     lines.push_back(catalogue::ToString(change));
   }
--- /dev/null
+++ b/src/eelgrassbridge/store/table_snapshot_test.cpp
@@ -0,0 +1,43 @@
+// Guards snapshots: a damaged one must not be taken for the table's content.
+#include "eelgrassbridge/store/table_snapshot.hpp"
+
+#include <doctest/doctest.h>
+
+namespace eelgrassbridge::store {
+
+TEST_CASE("a snapshot holds catalogue and groups and survives the store") {
+  Store store = MakeMemoryStore(std::make_shared<MemoryTable>());
+  const auto written =
+      Transact(store, {"op",
+                       {{"catalogue/current", 0, "{\"version\":1}"},
+                        {"group/listing/sur/0", 0, "row \"quoted\""},
+                        {"member/1", 0, "not copied"}}});
+  REQUIRE(written.status == TransactionResult::Status::kApplied);
+  const auto taken = TakeTableSnapshot(store);
+  REQUIRE(taken.has_value());
+  REQUIRE(taken.value().rows.size() == 2);
+  REQUIRE(SaveSnapshot(store, "snapshot", taken.value()).has_value());
+  const auto loaded = LoadSnapshot(store, "snapshot");
+  REQUIRE(loaded.has_value());
+  CHECK(loaded.value().rows == taken.value().rows);
+  CHECK(loaded.value().revision == taken.value().revision);
+  CHECK_FALSE(LoadSnapshot(store, "absent").has_value());
+}
+
+TEST_CASE("cut, damaged and foreign snapshots are refused") {
+  const std::string good =
+      EncodeSnapshot({7, {{"group/listing/sur/0", 3, "value"}}});
+  CHECK(DecodeSnapshot(good).has_value());
+  for (std::size_t size = 0; size < good.size(); ++size) {
+    CHECK_FALSE(DecodeSnapshot(good.substr(0, size)).has_value());
+  }
+  for (std::size_t at = 0; at < good.size(); ++at) {
+    std::string damaged = good;
+    damaged[at] = static_cast<char>(damaged[at] ^ 1);
+    CHECK_FALSE(DecodeSnapshot(damaged).has_value());
+  }
+  CHECK_FALSE(
+      DecodeSnapshot(EncodeSnapshot({7, {{"member/1", 1, "x"}}})).has_value());
+}
+
+}  // namespace eelgrassbridge::store
