--- a/include/eelgrassbridge/daemon/admin_handler.hpp
+++ b/include/eelgrassbridge/daemon/admin_handler.hpp
@@ -26,7 +26,8 @@
   /// id, which also goes into the history row.
   std::function<ChangeResult(const CatalogueChange&)> submit_change;
   std::function<FleetStatus()> read_status;
-  /// Burn data of all daemons that answered, as JSON (report part).
+  /// Burn data of this daemon, as JSON (report::WriteSnapshotJson); without
+  /// it /admin/burn is not found and the daemon shows as missing in reports.
   std::function<std::string()> read_burn;
   /// The newest entries, newest first.
   std::function<base::Result<std::vector<HistoryEntry>>(std::uint32_t limit)>
--- a/include/eelgrassbridge/report/burn_recorder.hpp
+++ b/include/eelgrassbridge/report/burn_recorder.hpp
@@ -7,12 +7,12 @@
 #define EELGRASSBRIDGE_REPORT_BURN_RECORDER_HPP
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "eelgrassbridge/base/answer_table.hpp"
@@ -29,7 +29,11 @@
   /// As from AccountClass; never the name of an account.
   std::string account_class;
 
-  auto operator<=>(const BurnKey&) const = default;
+  bool operator==(const BurnKey&) const = default;
+  bool operator<(const BurnKey& other) const {
+    return std::tie(this->service, this->kind, this->account_class) <
+           std::tie(other.service, other.kind, other.account_class);
+  }
 };
 
 /// @brief "no-account", "any-region" or the home regions joined by '+': with
--- a/src/eelgrassbridge/daemon/admin_handler.cpp
+++ b/src/eelgrassbridge/daemon/admin_handler.cpp
@@ -206,7 +206,7 @@
   if (path == "/admin/status") {
     return Success(WriteStatusJson(context.hooks.read_status()));
   }
-  if (path == "/admin/burn") {
+  if (path == "/admin/burn" && context.hooks.read_burn) {
     return Success(context.hooks.read_burn());
   }
   return Failure(ErrorKind::kNotFound, "no such endpoint");
--- a/src/eelgrassbridge/report/burn_report.cpp
+++ b/src/eelgrassbridge/report/burn_report.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
 
@@ -22,7 +23,10 @@
   std::int64_t start_s;
   std::string daemon_id;
 
-  auto operator<=>(const BucketId&) const = default;
+  bool operator<(const BucketId& other) const {
+    return std::tie(this->key, this->ring, this->start_s, this->daemon_id) <
+           std::tie(other.key, other.ring, other.start_s, other.daemon_id);
+  }
 };
 
 using Buckets = std::map<BucketId, BurnBucket>;
