--- a/src/eelgrassbridge/daemon/http_server.cpp
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 
+#include "eelgrassbridge/daemon/admin_http.hpp"
 #include "eelgrassbridge/daemon/connection_workers.hpp"
 #include "eelgrassbridge/daemon/request_handler.hpp"
 
@@ -201,32 +202,6 @@
   });
 }
 
-AdminRequest ToAdminRequest(const httplib::Request& request) {
-  AdminRequest converted{request.method, request.target, {}, request.body};
-  for (const auto& [name, value] : request.headers) {
-    converted.headers.push_back({name, value});
-  }
-  return converted;
-}
-
-void AddAdminHandlers(httplib::Server& server,
-                      RequestContext& context,
-                      const AdminHooks& hooks) {
-  const auto handle = [&](const httplib::Request& request,
-                          httplib::Response& response) {
-    const AdminContext admin{context.settings.operators, hooks,
-                             context.counters, base::UnixMilliseconds()};
-    AdminResponse answer = HandleAdminRequest(admin, ToAdminRequest(request));
-    response.status = answer.status;
-    for (Header& header : answer.headers) {
-      response.headers.emplace(std::move(header.name), std::move(header.value));
-    }
-    response.body = std::move(answer.body);
-  };
-  server.Get("/admin/.*", handle);
-  server.Post("/admin/.*", handle);
-}
-
 base::Result<std::unique_ptr<httplib::Server>> MakeServer(
     HttpServer& server,
     const settings::Settings& settings) {
@@ -279,7 +254,8 @@
   const std::uint32_t workers = context.settings.http_workers;
   library.new_task_queue = [workers] { return new ConnectionWorkers(workers); };
   AddStatusHandlers(library, context);
-  AddAdminHandlers(library, context, admin);
+  AddAdminHandlers(library, context.settings.operators, admin,
+                   context.counters);
   AddCallerHandlers(library, context);
   // Without SO_REUSEPORT, which the library sets by default: two daemons on one
   // address would each get a part of the connections.
