--- a/src/eelgrassbridge/daemon/control_events.cpp
+++ b/src/eelgrassbridge/daemon/control_events.cpp
@@ -90,7 +90,7 @@
         state.ownership, now,
         {state.self, state.settings.name, state.settings.target.service,
          state.settings.data_centre, state.settings.region,
-         wanted == MemberState::kServing});
+         wanted == MemberState::kServing, state.membership.self.peer_address});
     base::LogChange("state_changed",
                     {{"state", std::string(membership::StateName(wanted))}});
   }
--- a/src/eelgrassbridge/daemon/control_membership.cpp
+++ b/src/eelgrassbridge/daemon/control_membership.cpp
@@ -19,18 +19,19 @@
                 const membership::Member& member) {
   ApplyMember(state.view, member);
   NoteFleetChange(state, now, member);
+  // A lost member is told with its record too: the address of a lost deputy
+  // decides whether its successor lives there.
+  ownership::OnMember(
+      state.ownership, now,
+      {member.id, member.name, member.service, member.data_centre,
+       member.region, member.state == membership::MemberState::kServing,
+       member.peer_address});
   if (!membership::IsAlive(member)) {
     // Told at once: the deputies of other groups of the lost daemon may have
     // heard nothing yet, and their take-overs wait for the verdict.
     state.membership.next_gossip = std::min(state.membership.next_gossip, now);
     ownership::OnMemberLost(state.ownership, now, member.id);
-    return;
   }
-  ownership::OnMember(
-      state.ownership, now,
-      {member.id, member.name, member.service, member.data_centre,
-       member.region, member.state == membership::MemberState::kServing,
-       member.peer_address});
 }
 
 /// Writes member records. Rows of lost and left members are deleted, so that
--- a/src/eelgrassbridge/membership/membership_commands.cpp
+++ b/src/eelgrassbridge/membership/membership_commands.cpp
@@ -120,6 +120,14 @@
   });
 }
 
+/// This daemon listens at the address of its record, so another run that is
+/// recorded there has ended. Its own data centre may have no other member that
+/// would notice.
+bool IsPredecessor(const MembershipState& state, const Member& member) {
+  return IsAlive(member) && !member.peer_address.empty() &&
+         member.peer_address == state.self.peer_address;
+}
+
 }  // namespace
 
 namespace detail {
@@ -161,6 +169,12 @@
     }
     return;
   }
+  if (IsPredecessor(state, member)) {
+    Member ended = member;
+    ended.state = MemberState::kLost;
+    AbsorbMember(state, now, ended, {}, actions);
+    return;
+  }
   const auto known = state.members.find(member.id);
   if (known != state.members.end() && !IsNewer(member, known->second)) {
     ++state.counters.stale_records;
--- a/src/eelgrassbridge/membership/membership_test.cpp
+++ b/src/eelgrassbridge/membership/membership_test.cpp
@@ -286,6 +286,19 @@
   CHECK(MayServe(state));
 }
 
+TEST_CASE("join: an earlier run at the own address is found lost at once") {
+  // Guards against a restarted daemon, alone in its data centre, that waits for
+  // ever for a verdict about its predecessor.
+  MembershipState state = MakeMembershipState(MemberOf(9), {}, TimePoint{});
+  state.self.state = MemberState::kJoining;
+  Member earlier = MemberOf(9);
+  earlier.id = {2};
+  Actions actions;
+  OnTableMembers(state, TimePoint{}, std::vector{earlier}, actions);
+  CHECK(MayServe(state));
+  CHECK(FindMember(state, {2})->state == MemberState::kLost);
+}
+
 TEST_CASE("announcements: the relay writes a change once it is confirmed") {
   MembershipState state = MakeMembershipState(MemberOf(3), {}, TimePoint{});
   Actions actions;
