--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -22,15 +22,6 @@
 target_link_libraries(eelgrassbridge_options INTERFACE
   Threads::Threads spdlog::spdlog ${XXHASH_LIBRARY})
 
-# Call in a folder whose sources include <regex> through a library: with a
-# sanitizer, g++ 12 reports members of std::function in std::regex as maybe
-# uninitialized. The build without sanitizers keeps the warning.
-macro(eelgrassbridge_regex_sources)
-  if(EELGRASSBRIDGE_SANITIZE)
-    add_compile_options(-Wno-maybe-uninitialized)
-  endif()
-endmacro()
-
 # eelgrassbridge_part(NAME [DEPENDS part...] [LIBRARIES library...])
 # Builds all sources of the folder into eelgrassbridge_NAME, and all files
 # named *_test.cpp into the test program NAME_test.
--- a/src/eelgrassbridge/daemon/run_daemon.cpp
+++ b/src/eelgrassbridge/daemon/run_daemon.cpp
@@ -86,6 +86,9 @@
   base::LogChange("daemon_started", {{"name", settings.name},
                                      {"data_centre", settings.data_centre}});
   WaitForStopSignal(server, settings);
+  // A second signal during the drain must not cut off requests in flight.
+  std::signal(SIGTERM, SIG_IGN);
+  std::signal(SIGINT, SIG_IGN);
   context.draining = true;
   base::LogChange("daemon_draining", {{"name", settings.name}});
   // Callers are served until the groups are moved: the receivers cannot serve
