Move the evidence about a stopped deputy into a file of its own

Change: IsConfirmedStopped and IsReplacedAtAddress stand in stopped_deputy.cpp; no behaviour changed.

--- a/include/eelgrassbridge/ownership/detail/core.hpp
+++ b/include/eelgrassbridge/ownership/detail/core.hpp
@@ -123,6 +123,16 @@
                  Actions& actions);
 std::uint32_t GroupCountOf(const OwnershipState& state, base::DaemonId owner);
 
+/// Whether an operator stated that the deputy's data centre or target is
+/// stopped for good.
+bool IsConfirmedStopped(const OwnershipState& state, base::DaemonId deputy);
+/// Whether another daemon is alive under the name and at the address of a lost
+/// deputy. Only one process at a time listens there, so the requests of the old
+/// owner reach the successor, which does not answer for its predecessor: the
+/// deputy promises no more. Without this, a restart of a whole site would wait
+/// for the deputy's bound of 900 s.
+bool IsReplacedAtAddress(const OwnershipState& state, base::DaemonId deputy);
+
 }  // namespace eelgrassbridge::ownership::detail
 
 #endif  // EELGRASSBRIDGE_OWNERSHIP_DETAIL_CORE_HPP
--- a/src/eelgrassbridge/ownership/take_over.cpp
+++ b/src/eelgrassbridge/ownership/take_over.cpp
@@ -60,43 +60,6 @@
   state.take_overs.erase(group);
 }
 
-/// Whether an operator stated that the deputy's data centre or target is
-/// stopped for good.
-bool IsConfirmedStopped(const OwnershipState& state, base::DaemonId deputy) {
-  const auto member = state.placement.members.find(deputy);
-  if (member == state.placement.members.end() || state.catalogue == nullptr) {
-    return false;
-  }
-  using What = catalogue::OutOfService::What;
-  return std::ranges::any_of(state.catalogue->out_of_service,
-                             [&](const catalogue::OutOfService& item) {
-                               return item.confirmed_stopped &&
-                                      item.name ==
-                                          (item.what == What::kDataCentre
-                                               ? member->second.data_centre
-                                               : member->second.name);
-                             });
-}
-
-/// Whether another daemon is alive under the name and at the address of a lost
-/// deputy. Only one process at a time listens there, so the requests of the old
-/// owner reach the successor, which does not answer for its predecessor: the
-/// deputy promises no more. Without this, a restart of a whole site would wait
-/// for the deputy's bound of 900 s.
-bool IsReplacedAtAddress(const OwnershipState& state, base::DaemonId deputy) {
-  const auto& members = state.placement.members;
-  const auto lost = members.find(deputy);
-  if (lost == members.end() || lost->second.peer_address.empty()) {
-    return false;
-  }
-  return std::ranges::any_of(members, [&](const auto& item) {
-    const PlacementMember& other = item.second;
-    return other.id != deputy && !state.placement.gone.contains(other.id) &&
-           other.name == lost->second.name &&
-           other.peer_address == lost->second.peer_address;
-  });
-}
-
 /// All daemons see about the same list of orphaned groups; the place of a group
 /// in the order of demand spreads their writes over the store's budget.
 base::TimePoint TakeOverDue(const OwnershipState& state,
@@ -206,8 +169,8 @@
                  Actions& actions) {
   if (!take_over.as_deputy && !take_over.deputy_stopped_at) {
     const bool may_ask = now >= take_over.asked_at + kStopRepeat;
-    if (IsConfirmedStopped(state, take_over.row.deputy) ||
-        (may_ask && IsReplacedAtAddress(state, take_over.row.deputy))) {
+    if (detail::IsConfirmedStopped(state, take_over.row.deputy) ||
+        (may_ask && detail::IsReplacedAtAddress(state, take_over.row.deputy))) {
       take_over.deputy_stopped_at = now;
     } else if (may_ask) {
       take_over.asked_at = now;
