Keep the store test's replies alive until its server has stopped

Cause: under the thread sanitizer store_test failed with a heap-use-after-free: the handler of the late reply read the test's body after the test case had destroyed it, because the server was declared first and stopped last. Change: the variables are declared before the server. No check changed. Conclusion: a fault of the test, not of the store client.

--- a/src/eelgrassbridge/store/store_test.cpp
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -100,10 +100,11 @@
 // Guards against a write that may take effect being reported as not sent, and
 // the reverse.
 TEST_CASE("Replies of the table service map to results") {
-  ServerFixture fixture;
+  // Outlive the server, whose late handler still reads them.
   int status = 200;
   std::string body = R"({"versions":[7]})";
   bool late = false;
+  ServerFixture fixture;
   fixture.server.Post("/table/transact", [&](const httplib::Request& request,
                                              httplib::Response& response) {
     CHECK(ParseTransaction(request.body)->writes.size() == 1);
