Pass multipart bodies and ranges on, and bound the memory of answers

Cause: the HTTP library takes multipart bodies apart and cuts answers to a Range itself, so the daemon refused both, although photographs are uploaded as multipart forms. Answers of up to 16 MiB each were held by every worker without a common bound, and a request body without room was refused at once.

Change: a hook before routing hides the multipart type from the library and clears the ranges, so the target interprets both. Request bodies and answer bodies each share 32 MiB; a body without room is not read until there is some, in the order of arrival, for 2 s or until the deadline. max_body_bytes is at most 32 MiB, because one larger body could not be bounded.

Conclusion: forms and partial reads work, and bodies hold at most 64 MiB of a daemon. A body is still received whole before it is sent on.

--- a/include/eelgrassbridge/daemon/caller_request.hpp
+++ b/include/eelgrassbridge/daemon/caller_request.hpp
@@ -66,6 +66,8 @@
   std::optional<base::ErrorKind> error;
   std::vector<Header> headers;
   std::string body;
+  /// Room for the body, held until the caller has it.
+  BodyShare share;
   /// "Not run" holds for every sending of the request's id, because the record
   /// of ids was asked, here or at the daemon that answered.
   bool is_checked_by_record = false;
--- a/include/eelgrassbridge/daemon/http_exchange.hpp
+++ b/include/eelgrassbridge/daemon/http_exchange.hpp
@@ -15,6 +15,7 @@
 
 #include "eelgrassbridge/base/error.hpp"
 #include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/daemon/body_budget.hpp"
 #include "eelgrassbridge/daemon/interrupt.hpp"
 #include "eelgrassbridge/settings/settings.hpp"
 
@@ -52,6 +53,8 @@
   int status = 0;
   std::vector<Header> headers;
   std::string body;
+  /// Room for the body in the pool's budget.
+  BodyShare share;
 };
 
 /// @brief Error kinds for one kind of remote.
@@ -97,6 +100,8 @@
   /// Not empty: TLS, and the other side's certificate must be signed by one of
   /// this file.
   std::string trusted_certificates_file;
+  /// Bounds the bodies of all answers together; null: no bound.
+  BodyBudget* answer_budget = nullptr;
   std::mutex mutex;
   std::map<settings::Address, std::vector<IdleConnection>> idle;
 };
--- a/include/eelgrassbridge/daemon/request_context.hpp
+++ b/include/eelgrassbridge/daemon/request_context.hpp
@@ -12,6 +12,7 @@
 
 #include "eelgrassbridge/base/counters.hpp"
 #include "eelgrassbridge/base/latency.hpp"
+#include "eelgrassbridge/daemon/body_budget.hpp"
 #include "eelgrassbridge/daemon/http_exchange.hpp"
 #include "eelgrassbridge/daemon/local_target.hpp"
 #include "eelgrassbridge/daemon/request_id_records.hpp"
@@ -76,6 +77,9 @@
 
   const settings::Settings& settings;
   RoutingViewSlot routing;
+  /// Outlive the answers and connections that hold shares of them.
+  BodyBudget request_bodies{kBodyBudgetBytes};
+  BodyBudget answer_bodies{kBodyBudgetBytes};
   LocalTarget target;
   ConnectionPool peers;
   RequestIdRecords request_ids;
@@ -91,9 +95,6 @@
   report::BurnRecorder burn;
   /// Set before the server starts; null only in tests without hedging.
   Hedger* hedger = nullptr;
-  /// Bytes of request bodies held in memory now; bounded so that uploads
-  /// cannot exceed the daemon's memory.
-  std::atomic<std::int64_t> buffered_body_bytes = 0;
   /// Set at the start of a planned stop: every answer then asks its caller to
   /// close the connection.
   std::atomic<bool> draining = false;
--- a/include/eelgrassbridge/settings/settings.hpp
+++ b/include/eelgrassbridge/settings/settings.hpp
@@ -12,6 +12,10 @@
 
 namespace eelgrassbridge::settings {
 
+/// A daemon has 128 MB for everything and holds each body whole, so larger
+/// bodies could not be bounded.
+inline constexpr std::uint64_t kMaxBodyBytes = 32ULL * 1024 * 1024;
+
 /// @brief An IP address (never a name) and a port.
 struct Address {
   std::string ip = "127.0.0.1";
--- /dev/null
+++ b/src/eelgrassbridge/daemon/body_budget_test.cpp
@@ -0,0 +1,83 @@
+// Guards the memory bound on bodies, and against a body that waits for ever.
+#include "eelgrassbridge/daemon/body_budget.hpp"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+#include <vector>
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+constexpr std::uint64_t kMiB = 1024 * 1024;
+
+base::TimePoint Passed() {
+  return base::BootClock::now() - base::seconds{1};
+}
+
+base::TimePoint FarAway() {
+  return base::BootClock::now() + base::seconds{60};
+}
+
+}  // namespace
+
+TEST_CASE("bodies never hold more than the budget") {
+  BodyBudget budget(4 * kMiB);
+  auto first = TakeBodyShare(budget, 3 * kMiB, Passed());
+  REQUIRE(first);
+  CHECK_FALSE(TakeBodyShare(budget, 2 * kMiB, Passed()));
+  CHECK(TakeBodyShare(budget, 1 * kMiB, Passed()));
+  CHECK(budget.free == 1 * kMiB);
+  first.reset();
+  CHECK(budget.free == 4 * kMiB);
+}
+
+TEST_CASE("a small body does not wait for large ones") {
+  BodyBudget budget(kMiB);
+  const auto all = TakeBodyShare(budget, kMiB, Passed());
+  REQUIRE(all);
+  CHECK(TakeBodyShare(budget, kFreeBodyBytes, Passed()));
+}
+
+TEST_CASE("a body larger than the budget takes all of it") {
+  BodyBudget budget(kMiB);
+  const auto share = TakeBodyShare(budget, 5 * kMiB, Passed());
+  REQUIRE(share);
+  CHECK(budget.free == 0);
+}
+
+TEST_CASE("a share that shrinks or moves gives back each byte once") {
+  BodyBudget budget(4 * kMiB);
+  auto share = TakeBodyShare(budget, 4 * kMiB, Passed());
+  REQUIRE(share);
+  ShrinkBodyShare(*share, 1 * kMiB);
+  CHECK(budget.free == 3 * kMiB);
+  BodyShare moved = std::move(*share);
+  share.reset();
+  CHECK(budget.free == 3 * kMiB);
+  ShrinkBodyShare(moved, 10);
+  CHECK(budget.free == 4 * kMiB);
+}
+
+TEST_CASE("those who wait are all served, in any order of release") {
+  BodyBudget budget(2 * kMiB);
+  std::atomic<int> served = 0;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 8; ++i) {
+    threads.emplace_back([&, i] {
+      for (int round = 0; round < 50; ++round) {
+        const auto share = TakeBodyShare(budget, (i % 2 + 1) * kMiB, FarAway());
+        served += share ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(served == 400);
+  CHECK(budget.free == 2 * kMiB);
+  CHECK(budget.waiting.empty());
+}
+
+}  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/caller_request.cpp
+++ b/src/eelgrassbridge/daemon/caller_request.cpp
@@ -158,6 +158,7 @@
   });
   converted.headers = std::move(answer.headers);
   converted.body = std::move(answer.body);
+  converted.share = std::move(answer.share);
   converted.is_checked_by_record = true;
   return converted;
 }
--- a/src/eelgrassbridge/daemon/http_exchange.cpp
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -89,6 +89,32 @@
          response.status == 204 || response.status == 304;
 }
 
+/// Room for the answer's body, taken before any of it is read. An answer
+/// without a length takes the most that it may need, so that no two half-read
+/// answers wait for each other.
+bool TakeRoom(const ConnectionPool& pool,
+              const httplib::Response& response,
+              base::TimePoint deadline,
+              BodyShare& share) {
+  if (pool.answer_budget == nullptr) {
+    return true;
+  }
+  const std::uint64_t needed =
+      response.has_header("Content-Length")
+          ? response.get_header_value<std::uint64_t>("Content-Length")
+          : pool.options.max_answer_bytes;
+  if (needed > pool.options.max_answer_bytes) {
+    // Refused when its body exceeds the limit.
+    return true;
+  }
+  auto taken = TakeBodyShare(*pool.answer_budget, needed, deadline);
+  if (!taken) {
+    return false;
+  }
+  share = std::move(*taken);
+  return true;
+}
+
 base::Error ToError(httplib::Error error,
                     base::TimePoint deadline,
                     const ExchangeErrors& errors) {
@@ -149,6 +175,13 @@
   httplib::Request outgoing = ToLibraryRequest(request);
   ExchangeAnswer answer;
   bool too_large = false;
+  bool has_room = true;
+  if (request.method != "HEAD") {
+    outgoing.response_handler = [&](const httplib::Response& response) {
+      has_room = TakeRoom(pool, response, deadline, answer.share);
+      return has_room;
+    };
+  }
   outgoing.content_receiver = [&](const char* data, std::size_t size,
                                   std::uint64_t, std::uint64_t) {
     too_large = answer.body.size() + size > pool.options.max_answer_bytes;
@@ -170,6 +203,10 @@
     is_whole = client->send(outgoing, incoming, error);
   }
   if (!is_whole) {
+    if (!has_room) {
+      return base::Fail(base::ErrorKind::kAnswerCut,
+                        "no room for the answer became free in time");
+    }
     if (IsCancelled(request.interrupt)) {
       return base::Fail(base::ErrorKind::kCancelled,
                         "another copy was answered first");
@@ -190,6 +227,7 @@
       answer.headers.push_back({name, value});
     }
   }
+  ShrinkBodyShare(answer.share, answer.body.size());
   ReturnConnection(pool, address, std::move(client));
   return answer;
 }
--- a/src/eelgrassbridge/daemon/http_server.cpp
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -23,35 +23,40 @@
 /// Connections that wait to be accepted. The library asks for 5, which made
 /// callers' connections fail when 64 of them came at once.
 constexpr int kListenBacklog = 1024;
-/// Request bodies held at once; with 16 MiB a body this leaves room for the
-/// rest of the daemon inside 128 MB.
-constexpr std::int64_t kMaxBufferedBodyBytes = 64LL * 1024 * 1024;
+/// Longest wait for room for a request body. The caller's connection is not
+/// read meanwhile, so a caller that is refused has sent little in vain.
+constexpr base::Duration kBodyRoomWait = base::seconds{2};
+/// Keeps the content type of a multipart body away from the library, which
+/// would take the body apart instead of giving its bytes.
+constexpr const char* kMultipartTypeHeader = "Eelgrassbridge-Multipart-Type";
 
-/// @brief Part of the budget for request bodies, held while a body is held.
-struct BodyBudget {
-  BodyBudget(RequestContext& owner, std::int64_t wanted)
-      : context(owner), bytes(wanted) {
-    this->is_granted =
-        this->context.buffered_body_bytes.fetch_add(this->bytes) +
-            this->bytes <=
-        kMaxBufferedBodyBytes;
+/// @brief Stops the library from acting on multipart bodies and on Range, which
+/// are for the target to interpret.
+httplib::Server::HandlerResponse PassUninterpreted(
+    const httplib::Request& request,
+    httplib::Response& /*response*/) {
+  // The hook is given a const reference to a request that the library made as
+  // a local variable that is not const.
+  auto& changed = const_cast<httplib::Request&>(request);
+  changed.ranges.clear();
+  changed.headers.erase(kMultipartTypeHeader);
+  if (changed.is_multipart_form_data()) {
+    const std::string type = changed.get_header_value("Content-Type");
+    changed.headers.erase("Content-Type");
+    changed.headers.emplace(kMultipartTypeHeader, type);
   }
-  BodyBudget(const BodyBudget&) = delete;
-  BodyBudget& operator=(const BodyBudget&) = delete;
-  ~BodyBudget() { this->context.buffered_body_bytes.fetch_sub(this->bytes); }
-
-  RequestContext& context;
-  std::int64_t bytes;
-  bool is_granted = false;
-};
+  return httplib::Server::HandlerResponse::Unhandled;
+}
 
 CallerRequest ToCallerRequest(const httplib::Request& request) {
   CallerRequest converted;
   converted.method = request.method;
   converted.target = request.target;
   for (const auto& [name, value] : request.headers) {
-    // The library has decoded the body already.
-    if (!IsHopHeader(name) && name != "Content-Encoding") {
+    if (name == kMultipartTypeHeader) {
+      converted.headers.push_back({"Content-Type", value});
+    } else if (!IsHopHeader(name) && name != "Content-Encoding") {
+      // The library has decoded the body already.
       converted.headers.push_back({name, value});
     }
   }
@@ -82,11 +87,16 @@
   }
   // A content provider keeps the library from compressing a body that the
   // target may have encoded already.
-  auto body = std::make_shared<std::string>(std::move(answer.body));
+  struct HeldBody {
+    std::string bytes;
+    BodyShare share;
+  };
+  auto body = std::make_shared<HeldBody>(
+      HeldBody{std::move(answer.body), std::move(answer.share)});
   response.set_content_provider(
-      body->size(), content_type,
+      body->bytes.size(), content_type,
       [body](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
-        return sink.write(body->data() + offset, length);
+        return sink.write(body->bytes.data() + offset, length);
       });
 }
 
@@ -99,26 +109,19 @@
 }
 
 bool IsRefusedAtOnce(const RequestContext& context,
-                     const httplib::Request& request,
                      httplib::Response& response) {
-  if (IsOverflowWorker()) {
+  const bool is_refused = IsOverflowWorker();
+  if (is_refused) {
     Refuse(context, base::ErrorKind::kOverloaded,
            "all connections of this daemon are in use", response);
-    return true;
   }
-  if (!request.ranges.empty()) {
-    // The library would cut the answer to the range a second time.
-    Refuse(context, base::ErrorKind::kBadRequest, "Range is not supported",
-           response);
-    return true;
-  }
-  return false;
+  return is_refused;
 }
 
 void HandleWithoutBody(RequestContext& context,
                        const httplib::Request& request,
                        httplib::Response& response) {
-  if (IsRefusedAtOnce(context, request, response)) {
+  if (IsRefusedAtOnce(context, response)) {
     return;
   }
   if (request.get_header_value<std::uint64_t>("Content-Length") > 0 ||
@@ -136,14 +139,7 @@
                     const httplib::Request& request,
                     httplib::Response& response,
                     const httplib::ContentReader& reader) {
-  if (IsRefusedAtOnce(context, request, response)) {
-    return;
-  }
-  if (request.is_multipart_form_data()) {
-    // The library takes multipart bodies apart and does not give the bytes.
-    Refuse(context, base::ErrorKind::kBadRequest,
-           "multipart/form-data is not supported; send the bytes themselves",
-           response);
+  if (IsRefusedAtOnce(context, response)) {
     return;
   }
   const std::uint64_t max = context.settings.max_body_bytes;
@@ -156,10 +152,11 @@
            fmt::format("a body has at most {} bytes", max), response);
     return;
   }
-  const BodyBudget budget(context, static_cast<std::int64_t>(announced));
-  if (!budget.is_granted) {
+  const auto share = TakeBodyShare(context.request_bodies, announced,
+                                   base::BootClock::now() + kBodyRoomWait);
+  if (!share) {
     Refuse(context, base::ErrorKind::kOverloaded,
-           "this daemon holds too many request bodies", response);
+           "no room for the request body became free in time", response);
     return;
   }
   CallerRequest converted = ToCallerRequest(request);
@@ -227,6 +224,7 @@
                              const httplib::ContentReader& reader) {
     HandleWithBody(context, request, response, reader);
   };
+  server.set_pre_routing_handler(PassUninterpreted);
   constexpr const char* kPattern = "/s/.*";
   server.Get(kPattern, without_body);
   server.Options(kPattern, without_body);
--- a/src/eelgrassbridge/daemon/local_target.cpp
+++ b/src/eelgrassbridge/daemon/local_target.cpp
@@ -166,6 +166,7 @@
   converted.outcome = base::Outcome::kAnswered;
   converted.headers = std::move(answer.headers);
   converted.body = std::move(answer.body);
+  converted.share = std::move(answer.share);
   return converted;
 }
 
--- a/src/eelgrassbridge/settings/read_settings.cpp
+++ b/src/eelgrassbridge/settings/read_settings.cpp
@@ -24,6 +24,7 @@
 using base::YamlNode;
 
 constexpr base::YamlLimits kLimits{std::size_t{256} * 1024, 5'000, 8};
+constexpr std::uint64_t kMinBodyBytes = 1024;
 constexpr std::size_t kCurveKeyLength = 40;
 constexpr std::size_t kSha256Digits = 64;
 constexpr std::string_view kAddressAccepted =
@@ -295,7 +296,7 @@
     ReadParts(map, out);
     base::ReadInteger(map, "http_workers", out.http_workers, {1, 4096});
     base::ReadByteSize(map, "max_body_bytes", out.max_body_bytes,
-                       {1024, 1ULL << 30U});
+                       {kMinBodyBytes, kMaxBodyBytes});
     base::ReadDuration(map, "drain_timeout", out.drain_timeout,
                        {milliseconds{100}, seconds{3600}});
     base::ReadText(map, "initial_catalogue_file", out.initial_catalogue_file);
