--- a/include/eelgrassbridge/catalogue/diff.hpp
+++ b/include/eelgrassbridge/catalogue/diff.hpp
@@ -48,6 +48,12 @@
 std::vector<std::string> UnsafeReasons(const Catalogue& before,
                                        const Catalogue& after);
 
+/// @brief Why a change cannot be made at all: it would map the keys of a
+/// service to other groups, and while it spreads a key would have one owner by
+/// the old mapping and another one by the new.
+std::vector<std::string> ForbiddenReasons(const Catalogue& before,
+                                          const Catalogue& after);
+
 }  // namespace eelgrassbridge::catalogue
 
 #endif  // EELGRASSBRIDGE_CATALOGUE_DIFF_HPP
--- a/src/eelgrassbridge/catalogue/diff.cpp
+++ b/src/eelgrassbridge/catalogue/diff.cpp
@@ -213,4 +213,30 @@
   return reasons;
 }
 
+std::vector<std::string> ForbiddenReasons(const Catalogue& before,
+                                          const Catalogue& after) {
+  std::vector<std::string> reasons;
+  for (const Service& service : after.services) {
+    const Service* const known = FindService(before, service.name);
+    if (known == nullptr) {
+      continue;
+    }
+    if (known->divided_by_key != service.divided_by_key) {
+      reasons.push_back(fmt::format(
+          "service {}: divided_by_key cannot change; use a new service name",
+          service.name));
+    } else if (service.divided_by_key &&
+               GroupCount(*known) != GroupCount(service)) {
+      reasons.push_back(fmt::format(
+          "service {}: the number of groups (instances times "
+          "groups_per_instance) cannot change from {} to {}, because keys "
+          "would have two owners meanwhile; choose groups_per_instance so that "
+          "it stays {}, or use a new service name",
+          service.name, GroupCount(*known), GroupCount(service),
+          GroupCount(*known)));
+    }
+  }
+  return reasons;
+}
+
 }  // namespace eelgrassbridge::catalogue
--- a/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
+++ b/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
@@ -152,4 +152,20 @@
   CHECK(Has(UnsafeReasons(both, narrow)[0], "service listing"));
 }
 
+TEST_CASE("a change that would give a key two owners is forbidden") {
+  const Catalogue before = Example("astillas");
+  Catalogue grown = before;
+  grown.services[0].instances = 2 * before.services[0].instances;
+  REQUIRE(ForbiddenReasons(before, grown).size() == 1);
+  CHECK(Has(ForbiddenReasons(before, grown)[0], "from 20 to 40"));
+  grown.services[0].groups_per_instance = 2;
+  CHECK(ForbiddenReasons(before, grown).empty());
+  Catalogue undivided = before;
+  undivided.services[0].divided_by_key = false;
+  CHECK(ForbiddenReasons(before, undivided).size() == 1);
+  Catalogue booking = before;
+  booking.services[1].instances = 40;
+  CHECK(ForbiddenReasons(before, booking).empty());
+}
+
 }  // namespace eelgrassbridge::catalogue
--- a/src/eelgrassbridge/cli/catalogue_commands.cpp
+++ b/src/eelgrassbridge/cli/catalogue_commands.cpp
@@ -60,8 +60,11 @@
     lines.push_back(catalogue::ToString(change));
   }
   const auto unsafe = catalogue::UnsafeReasons(before, after);
+  const auto forbidden = catalogue::ForbiddenReasons(before, after);
   if (context.json) {
-    PrintJson(context, {{"changes", lines}, {"unsafe", unsafe}});
+    PrintJson(
+        context,
+        {{"changes", lines}, {"unsafe", unsafe}, {"forbidden", forbidden}});
     return ExitCode::kSuccess;
   }
   for (const std::string& line : lines) {
@@ -70,6 +73,9 @@
   for (const std::string& reason : unsafe) {
     context.out << "unsafe: " << reason << "\n";
   }
+  for (const std::string& reason : forbidden) {
+    context.out << "forbidden: " << reason << "\n";
+  }
   if (lines.empty()) {
     context.out << "no differences\n";
   }
--- a/src/eelgrassbridge/daemon/admin_handler.cpp
+++ b/src/eelgrassbridge/daemon/admin_handler.cpp
@@ -97,6 +97,11 @@
         ErrorKind::kBadRequest,
         fmt::format("reason: accepted are at most {} bytes", kMaxReasonBytes));
   }
+  const auto forbidden = catalogue::ForbiddenReasons(current, change.next);
+  if (!forbidden.empty()) {
+    return base::Fail(ErrorKind::kBadRequest,
+                      fmt::format("{}", fmt::join(forbidden, "; ")));
+  }
   const auto reasons = catalogue::UnsafeReasons(current, change.next);
   if (!reasons.empty() && !change.allow_unsafe) {
     return base::Fail(ErrorKind::kUnsafeChange,
--- a/src/eelgrassbridge/daemon/admin_handler_test.cpp
+++ b/src/eelgrassbridge/daemon/admin_handler_test.cpp
@@ -160,6 +160,14 @@
   CHECK(fixture.Change("drainer", unsafe, 1, true).status == 200);
 }
 
+TEST_CASE("no word of the operator allows a change of the group count") {
+  Fixture fixture;
+  catalogue::Catalogue next = *fixture.current;
+  next.services[0].instances += 1;
+  CHECK(fixture.Change("editor", next, 1, true).status == 400);
+  CHECK(fixture.submitted.empty());
+}
+
 TEST_CASE("history takes a bounded limit") {
   Fixture fixture;
   const auto limited = fixture.Send("GET", "/admin/history?limit=3", "reader");
--- a/src/eelgrassbridge/daemon/control_parts_test.cpp
+++ b/src/eelgrassbridge/daemon/control_parts_test.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-const base::GroupId parent_group{"listing", "sur", 3, std::nullopt};
-const base::GroupId hot_group{"listing", "sur", 3, 77};
+const base::GroupId kParentGroup{"listing", "sur", 3, std::nullopt};
+const base::GroupId kHotGroup{"listing", "sur", 3, 77};
 
 ownership::OpenGate OpenAt(const base::GroupId& group, std::int64_t end) {
   return {{group, 4}, base::FromMicroseconds(end), {}};
@@ -32,10 +32,10 @@
 
 TEST_CASE("a group is drained only when its last request has left") {
   ControlGates gates;
-  OpenGroupGate(gates, OpenAt(parent_group, 100));
-  const auto gate = gates.open.at(parent_group);
+  OpenGroupGate(gates, OpenAt(kParentGroup, 100));
+  const auto gate = gates.open.at(kParentGroup);
   REQUIRE(TryEnter(*gate, base::FromMicroseconds(50)));
-  BeginGateDrain(gates, {parent_group, 4});
+  BeginGateDrain(gates, {kParentGroup, 4});
   CHECK_FALSE(TryEnter(*gate, base::FromMicroseconds(50)));
   CHECK(TakeFinishedDrains(gates).empty());
   Leave(*gate);
@@ -45,13 +45,13 @@
 
 TEST_CASE("a carved-out key waits for requests inside the parent's old gate") {
   ControlGates gates;
-  OpenGroupGate(gates, OpenAt(parent_group, 100));
-  const auto old_gate = gates.open.at(parent_group);
+  OpenGroupGate(gates, OpenAt(kParentGroup, 100));
+  const auto old_gate = gates.open.at(kParentGroup);
   REQUIRE(TryEnter(*old_gate, base::FromMicroseconds(50)));
-  OpenGroupGate(gates, OpenAt(parent_group, 100));
+  OpenGroupGate(gates, OpenAt(kParentGroup, 100));
   CHECK_FALSE(TryEnter(*old_gate, base::FromMicroseconds(50)));
-  OpenGroupGate(gates, OpenAt(hot_group, 100));
-  BeginGateDrain(gates, {hot_group, 4});
+  OpenGroupGate(gates, OpenAt(kHotGroup, 100));
+  BeginGateDrain(gates, {kHotGroup, 4});
   CHECK(TakeFinishedDrains(gates).empty());
   Leave(*old_gate);
   CHECK(TakeFinishedDrains(gates).size() == 1);
@@ -59,14 +59,14 @@
 
 TEST_CASE("a lease is not extended for another epoch, nor shortened") {
   ControlGates gates;
-  OpenGroupGate(gates, OpenAt(parent_group, 100));
-  ExtendGate(gates, {{parent_group, 3}, base::FromMicroseconds(200)});
-  ExtendGate(gates, {{parent_group, 4}, base::FromMicroseconds(50)});
-  CHECK(gates.open.at(parent_group)->lease_end == 100);
-  ExtendGate(gates, {{parent_group, 4}, base::FromMicroseconds(200)});
-  CHECK(gates.open.at(parent_group)->lease_end == 200);
-  const auto gate = gates.open.at(parent_group);
-  CloseGroupGate(gates, {parent_group, 4});
+  OpenGroupGate(gates, OpenAt(kParentGroup, 100));
+  ExtendGate(gates, {{kParentGroup, 3}, base::FromMicroseconds(200)});
+  ExtendGate(gates, {{kParentGroup, 4}, base::FromMicroseconds(50)});
+  CHECK(gates.open.at(kParentGroup)->lease_end == 100);
+  ExtendGate(gates, {{kParentGroup, 4}, base::FromMicroseconds(200)});
+  CHECK(gates.open.at(kParentGroup)->lease_end == 200);
+  const auto gate = gates.open.at(kParentGroup);
+  CloseGroupGate(gates, {kParentGroup, 4});
   CHECK_FALSE(IsLeaseValid(*gate, base::FromMicroseconds(1)));
 }
 
@@ -75,15 +75,15 @@
   ViewBuilder builder;
   RoutingViewSlot slot;
   const base::GroupId far{"listing", "sur", 600, std::nullopt};
-  ApplyRow(builder, RowOf(parent_group, 1));
+  ApplyRow(builder, RowOf(kParentGroup, 1));
   ApplyRow(builder, RowOf(far, 1));
   REQUIRE(PublishView(builder, slot, base::FromMicroseconds(1)));
   const auto before = slot.view.load();
-  ApplyRow(builder, RowOf(parent_group, 2));
+  ApplyRow(builder, RowOf(kParentGroup, 2));
   REQUIRE(PublishView(builder, slot, base::FromMicroseconds(2)));
   const auto after = slot.view.load();
-  CHECK(FindOwner(*before, parent_group).owner == base::DaemonId{1});
-  CHECK(FindOwner(*after, parent_group).owner == base::DaemonId{2});
+  CHECK(FindOwner(*before, kParentGroup).owner == base::DaemonId{1});
+  CHECK(FindOwner(*after, kParentGroup).owner == base::DaemonId{2});
   CHECK(before->groups.at("listing/sur").chunks.at(2) ==
         after->groups.at("listing/sur").chunks.at(2));
   CHECK_FALSE(PublishView(builder, slot, base::FromMicroseconds(3)));
@@ -91,7 +91,7 @@
 
 TEST_CASE("a carved-out key never falls back to the parent too early") {
   ViewBuilder builder;
-  ownership::GroupRow parent = RowOf(parent_group, 1);
+  ownership::GroupRow parent = RowOf(kParentGroup, 1);
   parent.carved_out = {77};
   ApplyRow(builder, parent);
   const auto contains = [&] {
@@ -99,14 +99,14 @@
     return hot_keys != nullptr && hot_keys->contains(77);
   };
   CHECK(contains());
-  ApplyRow(builder, RowOf(hot_group, 2));
-  CHECK(FindOwner(builder.next, hot_group).owner == base::DaemonId{2});
-  ownership::GroupRow deleted = RowOf(hot_group, 0);
+  ApplyRow(builder, RowOf(kHotGroup, 2));
+  CHECK(FindOwner(builder.next, kHotGroup).owner == base::DaemonId{2});
+  ownership::GroupRow deleted = RowOf(kHotGroup, 0);
   deleted.version = 0;
   ApplyRow(builder, deleted);
   CHECK(contains());
-  CHECK_FALSE(FindOwner(builder.next, hot_group).owner);
-  ApplyRow(builder, RowOf(parent_group, 1));
+  CHECK_FALSE(FindOwner(builder.next, kHotGroup).owner);
+  ApplyRow(builder, RowOf(kParentGroup, 1));
   CHECK_FALSE(contains());
 }
 
--- a/src/eelgrassbridge/limits/account_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/account_limiter_test.cpp
@@ -18,7 +18,7 @@
 using base::TimePoint;
 
 constexpr std::uint32_t kDaemons = 5;
-const std::string limit_name = AccountLimitName("yard");
+const std::string kLimitName = AccountLimitName("yard");
 
 struct Message {
   std::size_t from = 0;
@@ -68,7 +68,7 @@
 double ShareSum(const Fleet& fleet) {
   double sum = 0;
   for (const AccountLimiter& daemon : fleet.daemons) {
-    sum += RateShareOf(daemon, limit_name);
+    sum += RateShareOf(daemon, kLimitName);
   }
   return sum;
 }
@@ -94,7 +94,7 @@
   Fleet fleet = MakeFleet();
   TimePoint now{seconds{1}};
   constexpr std::uint32_t kRate = 50;
-  const LimitRef ref{limit_name, kRate, 7};
+  const LimitRef ref{kLimitName, kRate, 7};
   std::uint64_t admitted = 0;
   const TimePoint began = now;
   for (const auto& [where, how_many] : steps) {
@@ -111,7 +111,7 @@
     }
     std::uint32_t in_flight = 0;
     for (AccountLimiter& daemon : fleet.daemons) {
-      const auto found = daemon.limits.find(limit_name);
+      const auto found = daemon.limits.find(kLimitName);
       if (found != daemon.limits.end()) {
         in_flight += found->second.in_flight;
         found->second.in_flight = 0;
@@ -181,7 +181,7 @@
 
 TEST_CASE("a lone daemon admits the whole limit and then refuses") {
   AccountLimiter limiter;
-  const LimitRef ref{limit_name, 10, 0};
+  const LimitRef ref{kLimitName, 10, 0};
   CHECK(Offer(limiter, ref, 100, TimePoint{seconds{1}}) == 10);
   CHECK(RetryAfter(limiter, {&ref, 1}) == milliseconds{100});
 }
@@ -189,7 +189,7 @@
 TEST_CASE("a request refused by one limit takes nothing from the others") {
   AccountLimiter limiter;
   const std::string service = ServiceLimitName("booking");
-  const std::vector<LimitRef> both{{service, 0, 5}, {limit_name, 0, 1}};
+  const std::vector<LimitRef> both{{service, 0, 5}, {kLimitName, 0, 1}};
   const TimePoint now{seconds{1}};
   CHECK_FALSE(TakeAll(limiter, both, now).has_value());
   CHECK(TakeAll(limiter, both, now) == base::ErrorKind::kAccountLimit);
@@ -200,7 +200,7 @@
 
 TEST_CASE("daemons that agree on the demand divide the whole limit") {
   Fleet fleet = MakeFleet();
-  const LimitRef ref{limit_name, 0, 9};
+  const LimitRef ref{kLimitName, 0, 9};
   TimePoint now{seconds{1}};
   for (int second = 0; second < 30; ++second) {
     for (AccountLimiter& daemon : fleet.daemons) {
@@ -211,7 +211,7 @@
   }
   double admitted = 0;
   for (const AccountLimiter& daemon : fleet.daemons) {
-    admitted += daemon.limits.find(limit_name)->second.in_flight_part;
+    admitted += daemon.limits.find(kLimitName)->second.in_flight_part;
   }
   CHECK(admitted == 9);
 }
@@ -219,20 +219,20 @@
 TEST_CASE("a faulty figure of a peer neither breaks nor takes the limit") {
   AccountLimiter limiter;
   SetFleet(limiter, DaemonId{1}, 0, 2, {});
-  const LimitRef ref{limit_name, 10, 0};
+  const LimitRef ref{kLimitName, 10, 0};
   REQUIRE(Offer(limiter, ref, 1, TimePoint{seconds{1}}) == 1);
   for (const double figure : {std::nan(""), -5.0, 1e300}) {
-    const Demand demand{limit_name, figure};
+    const Demand demand{kLimitName, figure};
     MergeDemand(limiter, DaemonId{2}, {&demand, 1}, TimePoint{seconds{1}});
-    CHECK(RateShareOf(limiter, limit_name) >= 0.1 - 1e-9);
-    CHECK(RateShareOf(limiter, limit_name) <= 1);
+    CHECK(RateShareOf(limiter, kLimitName) >= 0.1 - 1e-9);
+    CHECK(RateShareOf(limiter, kLimitName) <= 1);
   }
 }
 
 TEST_CASE("a sudden demand gets no share before the others have heard of it") {
   for (int phase = 0; phase < 6; ++phase) {
     Fleet fleet = MakeFleet();
-    const LimitRef ref{limit_name, 100, 0};
+    const LimitRef ref{kLimitName, 100, 0};
     TimePoint now{seconds{1}};
     for (int second = 0; second < 40; ++second) {
       Offer(fleet.daemons[0], ref, 10, now);
@@ -246,7 +246,7 @@
 
 TEST_CASE("a daemon with all the demand gets its share after the delay") {
   Fleet fleet = MakeFleet();
-  const LimitRef ref{limit_name, 100, 0};
+  const LimitRef ref{kLimitName, 100, 0};
   TimePoint now{seconds{1}};
   int admitted = 0;
   for (int second = 0; second < 30; ++second) {
--- a/src/eelgrassbridge/limits/request_id_record_test.cpp
+++ b/src/eelgrassbridge/limits/request_id_record_test.cpp
@@ -13,7 +13,7 @@
 
 using base::ErrorKind;
 
-const base::Hash128Value print{1, 2};
+const base::Hash128Value kPrint{1, 2};
 
 ErrorKind RefusalOf(const BeginResult& result) {
   REQUIRE(std::holds_alternative<RefuseId>(result));
@@ -34,8 +34,8 @@
 };
 
 void Send(World& world, const RequestId& id) {
-  const BeginResult peek = Peek(world.record, id, print);
-  const BeginResult result = Begin(world.record, id, print);
+  const BeginResult peek = Peek(world.record, id, kPrint);
+  const BeginResult result = Begin(world.record, id, kPrint);
   if (Runs(result)) {
     RC_ASSERT(Runs(peek));
     RC_ASSERT(++world.runs[ToString(id)] == 1);
@@ -68,7 +68,7 @@
 void Move(World& world, unsigned how) {
   const std::uint64_t epoch = world.record.current.epoch + 1;
   const std::vector<IdGeneration> generations = ExportRecord(world.record);
-  RC_ASSERT(Runs(Begin(world.record, Issue(world.record), print)) == false);
+  RC_ASSERT(Runs(Begin(world.record, Issue(world.record), kPrint)) == false);
   world.running.clear();
   world.record =
       MakeRecord(base::DaemonId{how + 1}, epoch, world.record.options);
@@ -109,47 +109,47 @@
   const RequestId done = Issue(record);
   const RequestId unused = Issue(record);
   const RequestId cut = Issue(record);
-  REQUIRE(Runs(Begin(record, done, print)));
-  REQUIRE(Runs(Begin(record, cut, print)));
-  CHECK(RefusalOf(Begin(record, done, print)) ==
+  REQUIRE(Runs(Begin(record, done, kPrint)));
+  REQUIRE(Runs(Begin(record, cut, kPrint)));
+  CHECK(RefusalOf(Begin(record, done, kPrint)) ==
         ErrorKind::kDuplicateInProgress);
   EndAnswered(record, done, {201, "text/plain", "claimed"});
   RequestIdRecord next = MakeRecord(base::DaemonId{2}, 8);
   REQUIRE(ImportRecord(next, ExportRecord(record)));
-  CHECK(std::get<KeptAnswer>(Begin(next, done, print)).body == "claimed");
-  CHECK(RefusalOf(Begin(next, cut, print)) == ErrorKind::kTargetTimeout);
-  CHECK(Runs(Begin(next, unused, print)));
+  CHECK(std::get<KeptAnswer>(Begin(next, done, kPrint)).body == "claimed");
+  CHECK(RefusalOf(Begin(next, cut, kPrint)) == ErrorKind::kTargetTimeout);
+  CHECK(Runs(Begin(next, unused, kPrint)));
 }
 
 TEST_CASE("ids that cannot be proved new are refused as unknown") {
   RequestIdRecord record = MakeRecord(base::DaemonId{1}, 7);
   const RequestId id = Issue(record);
   RequestIdRecord taken_over = MakeRecord(base::DaemonId{2}, 8);
-  CHECK(RefusalOf(Begin(taken_over, id, print)) ==
+  CHECK(RefusalOf(Begin(taken_over, id, kPrint)) ==
         ErrorKind::kIdFromOlderEpoch);
   // A hot key carved out can have the same owner and epoch as its parent.
   RequestIdRecord carved = MakeRecord(base::DaemonId{1}, 7);
   Issue(carved);
-  CHECK(RefusalOf(Begin(carved, id, print)) == ErrorKind::kIdFromOlderEpoch);
+  CHECK(RefusalOf(Begin(carved, id, kPrint)) == ErrorKind::kIdFromOlderEpoch);
 }
 
 TEST_CASE("an id with another request or guessed random digits is refused") {
   RequestIdRecord record = MakeRecord(base::DaemonId{1}, 7);
   const RequestId id = Issue(record);
-  REQUIRE(Runs(Begin(record, id, print)));
+  REQUIRE(Runs(Begin(record, id, kPrint)));
   EndAnswered(record, id, {});
   CHECK(RefusalOf(Begin(record, id, {3, 4})) == ErrorKind::kBadRequest);
   RequestId guessed = id;
   guessed.random = base::RandomHex128();
-  CHECK(RefusalOf(Begin(record, guessed, print)) == ErrorKind::kBadRequest);
+  CHECK(RefusalOf(Begin(record, guessed, kPrint)) == ErrorKind::kBadRequest);
 }
 
 TEST_CASE("a record full of requests in progress refuses as not run") {
   RequestIdRecord record = MakeRecord(base::DaemonId{1}, 7, {2, 10000, 1});
   const RequestId first = Issue(record);
-  REQUIRE(Runs(Begin(record, first, print)));
-  REQUIRE(Runs(Begin(record, Issue(record), print)));
-  CHECK(RefusalOf(Begin(record, Issue(record), print)) ==
+  REQUIRE(Runs(Begin(record, first, kPrint)));
+  REQUIRE(Runs(Begin(record, Issue(record), kPrint)));
+  CHECK(RefusalOf(Begin(record, Issue(record), kPrint)) ==
         ErrorKind::kIdRecordFull);
 }
 
--- a/src/eelgrassbridge/routing/request_plan_test.cpp
+++ b/src/eelgrassbridge/routing/request_plan_test.cpp
@@ -41,7 +41,7 @@
   return catalogue;
 }
 
-const catalogue::Catalogue test_catalogue = MakeCatalogue();
+const catalogue::Catalogue kTestCatalogue = MakeCatalogue();
 
 RequestFacts Ask(std::string_view service, std::string_view kind) {
   RequestFacts request;
@@ -58,7 +58,7 @@
   facts.self = kSelf;
   facts.ready = true;
   facts.own_region = "sur";
-  facts.catalogue = &test_catalogue;
+  facts.catalogue = &kTestCatalogue;
   facts.owner = kPeer;
   facts.owner_reachable = true;
   facts.served_here = true;
@@ -67,8 +67,8 @@
   return facts;
 }
 
-const RequestPlan to_peer = ForwardTo{kPeer};
-const RequestPlan here = ServeHere{};
+const RequestPlan kToPeer = ForwardTo{kPeer};
+const RequestPlan kHere = ServeHere{};
 RequestPlan Refused(ErrorKind kind) {
   return RefusePlan{kind};
 }
@@ -91,11 +91,11 @@
 TEST_CASE("requests for a divided key go to its owner, once") {
   RequestFacts request = Ask("listing", "get");
   RoutingFacts facts = Facts();
-  CHECK(PlanRequest(request, facts, kNow) == to_peer);
+  CHECK(PlanRequest(request, facts, kNow) == kToPeer);
   request.hops = 1;
   CHECK(PlanRequest(request, facts, kNow) == Refused(ErrorKind::kNotOwner));
   facts.owned_here = true;
-  CHECK(PlanRequest(request, facts, kNow) == here);
+  CHECK(PlanRequest(request, facts, kNow) == kHere);
   request.hops = kMaxHops + 1;
   CHECK(PlanRequest(request, facts, kNow) == Refused(ErrorKind::kTooManyHops));
   facts = Facts();
@@ -131,23 +131,23 @@
 TEST_CASE("a non-idempotent request needs an id of the daemon that runs it") {
   RequestFacts request = Ask("booking", "claim");
   RoutingFacts facts = Facts();
-  CHECK(PlanRequest(request, facts, kNow) == to_peer);
+  CHECK(PlanRequest(request, facts, kNow) == kToPeer);
   facts.chosen = kSelf;
   CHECK(PlanRequest(request, facts, kNow) == Refused(ErrorKind::kIdRequired));
   request.has_id = true;
   request.id_issuer = kPeer;
-  CHECK(PlanRequest(request, facts, kNow) == to_peer);
+  CHECK(PlanRequest(request, facts, kNow) == kToPeer);
   facts.issuer_reachable = false;
   CHECK(PlanRequest(request, facts, kNow) == Refused(ErrorKind::kPeerLost));
   request.id_issuer = kSelf;
-  CHECK(PlanRequest(request, facts, kNow) == here);
+  CHECK(PlanRequest(request, facts, kNow) == kHere);
 }
 
 TEST_CASE("a forwarded undivided request is not chosen for again") {
   RequestFacts request = Ask("booking", "get");
   request.hops = 1;
   RoutingFacts facts = Facts();
-  CHECK(PlanRequest(request, facts, kNow) == here);
+  CHECK(PlanRequest(request, facts, kNow) == kHere);
   facts.draining = true;
   CHECK(PlanRequest(request, facts, kNow) == Refused(ErrorKind::kDraining));
   facts.served_here = false;
@@ -162,7 +162,7 @@
   facts.poison = PoisonVerdict::kRunAlone;
   facts.suspect_daemon = kPeer;
   facts.chosen = kSelf;
-  CHECK(PlanRequest(Ask("booking", "get"), facts, kNow) == to_peer);
+  CHECK(PlanRequest(Ask("booking", "get"), facts, kNow) == kToPeer);
   facts.suspect_daemon = kSelf;
   CHECK(PlanRequest(Ask("booking", "get"), facts, kNow) ==
         RequestPlan{ServeHere{true, false}});
@@ -182,7 +182,7 @@
 
 TEST_CASE("deadlines only shrink on the way to the target") {
   CHECK(rc::check([](std::uint16_t asked_ms, std::uint16_t spent_ms) {
-    catalogue::Service service = test_catalogue.services[0];
+    catalogue::Service service = kTestCatalogue.services[0];
     const catalogue::RequestKind& kind = service.kinds[0];
     const TimePoint deadline = DeadlineOf(milliseconds{asked_ms}, kind, kNow);
     RC_ASSERT(deadline <= kNow + kind.deadline);
@@ -198,7 +198,7 @@
     RC_ASSERT(not_after <= later + service.run_limit);
     RC_ASSERT(not_after <= lease_end + service.run_limit);
   }));
-  CHECK(DeadlineOf(milliseconds{-5}, test_catalogue.services[0].kinds[0],
+  CHECK(DeadlineOf(milliseconds{-5}, kTestCatalogue.services[0].kinds[0],
                    kNow) == kNow);
 }
 
--- a/src/eelgrassbridge/wire/codec_test.cpp
+++ b/src/eelgrassbridge/wire/codec_test.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-const base::GroupId group{"listing", "litoral+sur", 7, std::nullopt};
-const base::GroupId hot_group{"listing", "litoral+sur", 7, 99};
+const base::GroupId kGroup{"listing", "litoral+sur", 7, std::nullopt};
+const base::GroupId kHotGroup{"listing", "litoral+sur", 7, 99};
 
 MemberRecord SomeMember() {
   return {base::DaemonId{5},  "a1",  "127.0.0.1:1", "127.0.0.1:2",
@@ -23,7 +23,7 @@
 std::vector<Message> OneOfEach() {
   const base::TimePoint time = base::FromMicroseconds(123456789);
   const std::vector<GroupEpoch> groups = {
-      {group, 3}, {hot_group, 4}, {group, 5}, {{"b", "sur", 1, {}}, 6}};
+      {kGroup, 3}, {kHotGroup, 4}, {kGroup, 5}, {{"b", "sur", 1, {}}, 6}};
   const Item item{2, "group/x", 9, std::string("\0\xff", 2)};
   return {PromiseRequest{time, groups},
           PromiseReply{time, {}},
@@ -32,9 +32,9 @@
           Ping{time},
           Pong{time},
           Suspicion{base::DaemonId{5}, 2},
-          ReleaseDone{{group, 3}, "ids"},
-          StopPromising{{hot_group, 3}, 8},
-          StoppedPromising{{group, 3}, 8},
+          ReleaseDone{{kGroup, 3}, "ids"},
+          StopPromising{{kHotGroup, 3}, 8},
+          StoppedPromising{{kGroup, 3}, 8},
           CataloguePush{4, "{}"},
           JoinRequest{SomeMember(), 3, true},
           JoinReply{{SomeMember()}, {item}, 4, "{}", true},
@@ -105,14 +105,14 @@
   CHECK(refused(Suspicion{}));
   CHECK(refused(CataloguePush{}));
   CHECK(refused(PromiseRequest{
-      {}, std::vector<GroupEpoch>(kMaxListItems + 1, {group, 1})}));
+      {}, std::vector<GroupEpoch>(kMaxListItems + 1, {kGroup, 1})}));
   CHECK_FALSE(Encode(Wrap(CataloguePush{1, std::string(kMaxFrameBytes, 'c')})));
 }
 
 TEST_CASE("a group list whose columns differ in length is refused") {
   pb::Envelope envelope;
   REQUIRE(envelope.ParseFromString(
-      Encode(Wrap(PromiseRequest{{}, {{group, 1}}})).value()));
+      Encode(Wrap(PromiseRequest{{}, {{kGroup, 1}}})).value()));
   envelope.mutable_promise_request()->mutable_groups(0)->add_index(3);
   CHECK(IsRefused(envelope.SerializeAsString()));
 }
