Let a new demand use what nobody else needs of a limit

Cause: a daemon whose demand the others had not heard of for 5 s to 10 s was held to its floor, a fifth of its even share, although most of the limit was unused. So callers far below their limit were refused when they began.

Change: below the limit a daemon's part is its demand and an even part of what is left; above it the parts follow the demands as before. The part only grows with the own demand and only shrinks with that of others, so the parts still add up to at most the limit whatever is heard when; the property test now varies the limit around the sum of the demands.

Conclusion: a caller below a limit is refused only if one daemon gets more than its demand and its even part of the rest.

--- a/include/eelgrassbridge/limits/account_share.hpp
+++ b/include/eelgrassbridge/limits/account_share.hpp
@@ -6,7 +6,8 @@
 // is longer than the spreading of a change. At the time when the window began
 // the real demands were some d; every daemon's own least is at most its d, and
 // its most of each other daemon is at least that one's d, which it has heard
-// by now. So every share is at most the share under d, and those add up to 1.
+// by now. A share only grows with the own demand and only shrinks with that of
+// others, so every share is at most the share under d, and those add up to 1.
 #ifndef EELGRASSBRIDGE_LIMITS_ACCOUNT_SHARE_HPP
 #define EELGRASSBRIDGE_LIMITS_ACCOUNT_SHARE_HPP
 
@@ -18,12 +19,22 @@
 
 namespace eelgrassbridge::limits {
 
-/// @brief Share of a limit for a daemon with that part of the demand. Over all
-/// daemons the shares add up to 1.
-double ShareOf(double own_demand,
-               double total_demand,
-               std::uint32_t daemons,
-               double floor_part);
+/// @brief Whose share of which limit.
+struct ShareInput {
+  double own_demand = 0;
+  double total_demand = 0;
+  std::uint32_t daemons = 1;
+  /// Requests per second; zero: unlimited.
+  double limit = 0;
+  /// Part that is divided evenly whatever the demand.
+  double floor_part = 0;
+};
+
+/// @brief Part of a limit for a daemon with that part of the demand. Over all
+/// daemons the parts add up to 1. Below the limit each daemon gets its demand
+/// and an even part of what is left, so that a new demand is not held back
+/// while nobody needs the rest; above the limit the parts follow the demands.
+double ShareOf(const ShareInput& input);
 
 namespace detail {
 
@@ -86,8 +97,10 @@
 /// Computes the sums and `settled` anew.
 void SumPeers(LimitShare& share, base::DaemonId self);
 
-/// Part of a rate for this daemon.
-double RatePart(const LimitShare& share, const Fleet& fleet);
+/// Part for this daemon of a limit of `limit` requests per second.
+double RatePart(const LimitShare& share,
+                const Fleet& fleet,
+                std::uint32_t limit);
 
 /// Number in flight for this daemon of a limit of `limit`. `shift` varies
 /// between limits, so that the same daemons are not always left without one.
--- a/src/eelgrassbridge/limits/account_limiter.cpp
+++ b/src/eelgrassbridge/limits/account_limiter.cpp
@@ -36,7 +36,8 @@
                LimitState& state,
                TimePoint now) {
   detail::Advance(state.share, limiter.fleet, now);
-  state.rate_part = detail::RatePart(state.share, limiter.fleet);
+  state.rate_part =
+      detail::RatePart(state.share, limiter.fleet, state.rate_limit);
   state.in_flight_part =
       detail::InFlightPart(state.share, limiter.fleet, state.in_flight_limit,
                            base::Hash64(name) % limiter.fleet.daemons, now);
--- a/src/eelgrassbridge/limits/account_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/account_limiter_test.cpp
@@ -163,7 +163,8 @@
 }
 
 TEST_CASE("shares add up to one and follow demand above the floor") {
-  CHECK(rc::check([](const std::vector<std::uint16_t>& demands) {
+  CHECK(rc::check([](const std::vector<std::uint16_t>& demands,
+                     std::uint16_t limit) {
     double total = 0;
     for (const std::uint16_t demand : demands) {
       total += demand;
@@ -171,7 +172,8 @@
     const auto count = static_cast<std::uint32_t>(demands.size());
     double sum = 0;
     for (const std::uint16_t demand : demands) {
-      const double share = ShareOf(demand, total, count, 0.2);
+      const double share = ShareOf({static_cast<double>(demand), total, count,
+                                    static_cast<double>(limit), 0.2});
       RC_ASSERT(share >= 0.2 / count - 1e-9);
       sum += share;
     }
@@ -244,6 +246,25 @@
   }
 }
 
+// A demand that began on one daemon was held to the floor, 4/s of 100/s, while
+// 90/s of the limit were used by nobody.
+TEST_CASE("a new demand is not refused while most of the limit is unused") {
+  Fleet fleet = MakeFleet();
+  const LimitRef ref{kLimitName, 100, 0};
+  TimePoint now{seconds{1}};
+  int refused = 0;
+  for (int second = 0; second < 40; ++second) {
+    for (int i = 0; i < 10; ++i) {
+      refused += 1 - Offer(fleet.daemons[0], ref, 1, now);
+      refused += second < 20 ? 0 : 1 - Offer(fleet.daemons[1], ref, 1, now);
+      now += milliseconds{100};
+    }
+    Gossip(fleet, now, 3400);
+    CHECK(ShareSum(fleet) <= 1 + 1e-9);
+  }
+  CHECK(refused == 0);
+}
+
 TEST_CASE("a daemon with all the demand gets its share after the delay") {
   Fleet fleet = MakeFleet();
   const LimitRef ref{kLimitName, 100, 0};
--- a/src/eelgrassbridge/limits/account_share.cpp
+++ b/src/eelgrassbridge/limits/account_share.cpp
@@ -6,21 +6,25 @@
 
 namespace eelgrassbridge::limits {
 
-double ShareOf(double own_demand,
-               double total_demand,
-               std::uint32_t daemons,
-               double floor_part) {
-  const double even = 1.0 / std::max(1U, daemons);
-  if (total_demand <= 0) {
+double ShareOf(const ShareInput& input) {
+  const double even = 1.0 / std::max(1U, input.daemons);
+  if (input.total_demand <= 0 || input.limit <= 0) {
     return even;
   }
-  return floor_part * even + (1 - floor_part) * own_demand / total_demand;
+  const double by_demand =
+      input.total_demand > input.limit
+          ? input.own_demand / input.total_demand
+          : (input.own_demand + (input.limit - input.total_demand) * even) /
+                input.limit;
+  return input.floor_part * even + (1 - input.floor_part) * by_demand;
 }
 
 namespace detail {
 
 namespace {
 
+constexpr double kMillion = 1e6;
+
 double Least(const OwnDemand& own) {
   return static_cast<double>(std::min(own.least_now, own.least_before));
 }
@@ -40,7 +44,6 @@
 }  // namespace
 
 Millionths ToMillionths(double demand) {
-  constexpr double kMillion = 1e6;
   // A peer's figure is not trusted to fit or to be a number.
   constexpr double kMostDemand = 1e9;
   return demand > 0 ? std::llround(std::min(demand, kMostDemand) * kMillion)
@@ -101,10 +104,13 @@
   }
 }
 
-double RatePart(const LimitShare& share, const Fleet& fleet) {
+double RatePart(const LimitShare& share,
+                const Fleet& fleet,
+                std::uint32_t limit) {
   const double own = Least(share.own);
-  return ShareOf(own, own + static_cast<double>(share.peers_total),
-                 fleet.daemons, fleet.floor_part);
+  return ShareOf({own, own + static_cast<double>(share.peers_total),
+                  fleet.daemons, static_cast<double>(limit) * kMillion,
+                  fleet.floor_part});
 }
 
 double InFlightPart(const LimitShare& share,
--- a/src/eelgrassbridge/limits/account_share_test.cpp
+++ b/src/eelgrassbridge/limits/account_share_test.cpp
@@ -68,11 +68,15 @@
 }
 
 void CheckParts(const World& world) {
-  double rate = 0;
-  for (std::uint32_t i = 0; i < kDaemons; ++i) {
-    rate += RatePart(world.shares[i], FleetOf(i));
+  // The demands are whole requests per second, so the limits are both below
+  // and above their sum.
+  for (std::uint32_t limit = 1; limit < 24; ++limit) {
+    double rate = 0;
+    for (std::uint32_t i = 0; i < kDaemons; ++i) {
+      rate += RatePart(world.shares[i], FleetOf(i), limit);
+    }
+    RC_ASSERT(rate <= 1 + 1e-9);
   }
-  RC_ASSERT(rate <= 1 + 1e-9);
   for (std::uint32_t limit = 1; limit < 12; ++limit) {
     double in_flight = 0;
     for (std::uint32_t i = 0; i < kDaemons; ++i) {
@@ -90,7 +94,7 @@
   CHECK(rc::check([](const std::vector<Step>& steps) {
     World world;
     for (const auto& [who, demand, seed] : steps) {
-      Publish(world, who % kDaemons, demand % 6, seed * 31U);
+      Publish(world, who % kDaemons, ToMillionths(demand % 6), seed * 31U);
       // Now and then all is quiet for long enough to settle.
       const unsigned quiet = seed % 5 == 0 ? 1 + seed % 14 : 1;
       for (unsigned i = 0; i < quiet; ++i) {
