Count a request against its limits unless a daemon proves to have done so

Cause: only the entry daemon takes the limits of an account, and it was told by Eelgrassbridge-Hops, which any caller can send, so a caller escaped its limits with one header.

Change: a forwarding daemon adds a proof, the present minute with its HMAC under the secret key of the site. A request without a valid proof is counted against the limits and in the burn report whatever its hops.

Measured: the new case was answered where it must be refused before the change was in place; the 15 cases of path, proof and bodies pass.

Conclusion: without keys, which only loopback sites may lack, the hops are still believed; during a change of keys requests may be counted twice.

--- a/include/eelgrassbridge/daemon/caller_request.hpp
+++ b/include/eelgrassbridge/daemon/caller_request.hpp
@@ -25,6 +25,8 @@
 inline constexpr std::string_view kFirstSendHeader =
     "Eelgrassbridge-First-Send";
 inline constexpr std::string_view kHopsHeader = "Eelgrassbridge-Hops";
+inline constexpr std::string_view kForwardProofHeader =
+    "Eelgrassbridge-Forward-Proof";
 inline constexpr std::string_view kOutcomeHeader = "Eelgrassbridge-Outcome";
 inline constexpr std::string_view kErrorHeader = "Eelgrassbridge-Error";
 inline constexpr std::string_view kAdviceHeader = "Eelgrassbridge-Advice";
@@ -54,6 +56,8 @@
   /// The caller states that it sends this request id for the first time.
   bool is_first_send = false;
   std::uint32_t hops = 0;
+  /// Another daemon of the site has counted it against the limits already.
+  bool is_forwarded = false;
   /// What the caller asked for; none: the deadline of the request kind.
   std::optional<base::Duration> allowed_time;
   base::TimePoint received_at;
--- a/src/eelgrassbridge/daemon/forwarder.cpp
+++ b/src/eelgrassbridge/daemon/forwarder.cpp
@@ -3,6 +3,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include "eelgrassbridge/daemon/forward_proof.hpp"
 #include "eelgrassbridge/routing/deadline.hpp"
 
 namespace eelgrassbridge::daemon {
@@ -12,13 +13,19 @@
 /// Rough size of the request line and headers, which the link carries too.
 constexpr std::uint64_t kHeaderBytes = 400;
 
-ExchangeRequest MakeExchange(const PlannedRequest& planned,
+bool IsSetAtEachHop(std::string_view name) {
+  return name == kHopsHeader || name == kDeadlineHeader ||
+         name == kForwardProofHeader;
+}
+
+ExchangeRequest MakeExchange(const RequestContext& context,
+                             const PlannedRequest& planned,
                              base::Duration allowed) {
   const CallerRequest& request = planned.request;
   ExchangeRequest exchange{
       request.method, request.target, {}, request.body, planned.interrupt};
   for (const Header& header : request.headers) {
-    if (header.name != kHopsHeader && header.name != kDeadlineHeader) {
+    if (!IsSetAtEachHop(header.name)) {
       exchange.headers.push_back(header);
     }
   }
@@ -28,6 +35,12 @@
       {std::string(kHopsHeader), std::to_string(request.hops + 1)});
   exchange.headers.push_back(
       {std::string(kDeadlineHeader), std::to_string(milliseconds.count())});
+  if (context.settings.keys) {
+    exchange.headers.push_back(
+        {std::string(kForwardProofHeader),
+         MakeForwardProof(context.settings.keys->secret_key,
+                          base::UnixMilliseconds())});
+  }
   return exchange;
 }
 
@@ -59,9 +72,9 @@
                        "no time is left for another daemon");
   }
   context.request_counters.forwarded.fetch_add(1);
-  auto answer =
-      Exchange(context.peers, peer.http, MakeExchange(planned, *allowed),
-               planned.deadline, kPeerErrors);
+  auto answer = Exchange(context.peers, peer.http,
+                         MakeExchange(context, planned, *allowed),
+                         planned.deadline, kPeerErrors);
   CallerAnswer converted =
       answer ? ReadPeerAnswer(std::move(answer).value())
              : ErrorAnswer(answer.error().kind, answer.error().detail);
--- a/src/eelgrassbridge/daemon/local_target.cpp
+++ b/src/eelgrassbridge/daemon/local_target.cpp
@@ -130,7 +130,8 @@
 
 bool IsSetByDaemon(std::string_view name) {
   return name == kNotAfterHeader || name == kEpochHeader ||
-         name == kGroupHeader || name == kHopsHeader;
+         name == kGroupHeader || name == kHopsHeader ||
+         name == kForwardProofHeader;
 }
 
 ExchangeRequest MakeExchange(const CallerRequest& request,
--- a/src/eelgrassbridge/daemon/request_handler.cpp
+++ b/src/eelgrassbridge/daemon/request_handler.cpp
@@ -9,6 +9,7 @@
 
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
 #include "eelgrassbridge/daemon/attempt.hpp"
+#include "eelgrassbridge/daemon/forward_proof.hpp"
 #include "eelgrassbridge/daemon/hedger.hpp"
 #include "eelgrassbridge/routing/deadline.hpp"
 #include "eelgrassbridge/routing/residency_check.hpp"
@@ -178,7 +179,7 @@
 CallerAnswer RunWithinLimits(RequestContext& context,
                              const PlannedRequest& planned) {
   RequestLimits request_limits;
-  if (planned.request.hops == 0) {
+  if (!planned.request.is_forwarded) {
     FillLimits(request_limits, planned.entry);
   }
   if (request_limits.refs.empty()) {
@@ -202,7 +203,7 @@
                 const CallerRequest& request,
                 const routing::EntryFacts& entry,
                 const CallerAnswer& answer) {
-  if (request.hops > 0) {
+  if (request.is_forwarded) {
     return;
   }
   report::RecordOutcome(
@@ -213,6 +214,16 @@
       entry.kind->objective.p99, base::UnixMilliseconds() / 1000);
 }
 
+/// Without keys all daemons are on one machine's loopback addresses and the
+/// count of hops is believed.
+bool IsForwarded(const RequestContext& context, const CallerRequest& request) {
+  return request.hops > 0 &&
+         (!context.settings.keys ||
+          IsForwardProof(context.settings.keys->secret_key,
+                         FindHeader(request.headers, kForwardProofHeader),
+                         base::UnixMilliseconds()));
+}
+
 CallerAnswer Plan(RequestContext& context, const CallerRequest& request) {
   const auto view = context.routing.view.load();
   if (view == nullptr) {
@@ -270,6 +281,7 @@
   if (auto parsed = ParseCallerRequest(request); !parsed) {
     answer = ErrorAnswer(parsed.error().kind, parsed.error().detail);
   } else {
+    request.is_forwarded = IsForwarded(context, request);
     answer = Plan(context, request);
   }
   answer = TellRefusal(request, std::move(answer));
