Mend two findings of the linter in the budget's test

Cause: the test multiplied in int and grew a vector in a loop. Change: the multiplication is done in 64 bits and the vector is reserved. Conclusion: no change of behaviour.

--- a/src/eelgrassbridge/daemon/body_budget_test.cpp
+++ b/src/eelgrassbridge/daemon/body_budget_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t kMiB = 1024 * 1024;
+constexpr std::uint64_t kMiB = std::uint64_t{1024} * 1024;
 
 base::TimePoint Passed() {
   return base::BootClock::now() - base::seconds{1};
@@ -63,11 +63,14 @@
 TEST_CASE("those who wait are all served, in any order of release") {
   BodyBudget budget(2 * kMiB);
   std::atomic<int> served = 0;
+  constexpr int kThreads = 8;
   std::vector<std::thread> threads;
-  for (int i = 0; i < 8; ++i) {
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&, i] {
       for (int round = 0; round < 50; ++round) {
-        const auto share = TakeBodyShare(budget, (i % 2 + 1) * kMiB, FarAway());
+        const auto share = TakeBodyShare(
+            budget, static_cast<std::uint64_t>(i % 2 + 1) * kMiB, FarAway());
         served += share ? 1 : 0;
       }
     });
