Tell the daemons of a service of a target's death at once

Cause: suspects were published once a second and then gossiped, so a caller that sent a poison request again after 200 ms stopped 3.2 targets on average (model, 2 s to spread). Two daemon_test programs at the same time failed each other by fixed ports, and the failed one hung: a fake server that was stopped before it ran never ended.

Change: control publishes a death at its next tick of 50 ms and sends it to up to 128 daemons of the service; the answer target_lost is held back for 100 ms, so that a resend comes after the news. Tests take ports by their process id and wait until a fake server runs.

Copies in flight on several targets at the first death remain beyond it.

--- a/include/eelgrassbridge/daemon/request_context.hpp
+++ b/include/eelgrassbridge/daemon/request_context.hpp
@@ -35,6 +35,8 @@
   routing::PoisonQuarantine quarantine;
   /// Lets requests skip hashing and the lock while nothing is suspected.
   std::atomic<bool> has_suspects = false;
+  /// Set at a death: control tells the others in its next tick.
+  std::atomic<bool> has_news = false;
 };
 
 /// @brief Shares of account and entry limits; control exchanges demands.
--- a/include/eelgrassbridge/daemon/suspect_watch.hpp
+++ b/include/eelgrassbridge/daemon/suspect_watch.hpp
@@ -22,8 +22,8 @@
                  bool answered);
 
 /// @brief After a lost answer: asks the target whether it is still the same
-/// instance, and records a death if it is not.
-void CheckTargetDeath(RequestContext& context,
+/// instance, and records a death if it is not. Returns whether it did.
+bool CheckTargetDeath(RequestContext& context,
                       const RoutingView& view,
                       const CallerRequest& request,
                       std::string_view instance_before);
--- a/src/eelgrassbridge/daemon/control_exchange.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange.cpp
@@ -9,6 +9,7 @@
 #include "eelgrassbridge/base/hash.hpp"
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
 #include "eelgrassbridge/daemon/control_actions.hpp"
+#include "eelgrassbridge/daemon/peer_thread.hpp"
 #include "eelgrassbridge/membership/membership_queries.hpp"
 
 namespace eelgrassbridge::daemon {
@@ -25,16 +26,33 @@
 /// rarely in a larger one, so that all of it takes a bounded part of gossip.
 constexpr base::Duration kDemandIntervalPerDaemon = base::milliseconds{10};
 constexpr std::size_t kSuspectsPerTick = 32;
+/// Daemons that are told of a death at once; the others hear of it by gossip.
+constexpr std::size_t kDirectReceivers = 128;
 constexpr std::size_t kMaxPayloadBytes = 8192;
 
-void PublishItem(ControlState& state,
-                 base::TimePoint now,
-                 ItemKind kind,
-                 std::string key,
-                 const json& payload) {
-  membership::PublishItem(state.membership, now,
-                          {static_cast<std::uint32_t>(kind), std::move(key),
-                           state.next_item_version++, payload.dump()});
+membership::GossipItem PublishItem(ControlState& state,
+                                   base::TimePoint now,
+                                   ItemKind kind,
+                                   std::string key,
+                                   const json& payload) {
+  membership::GossipItem item{static_cast<std::uint32_t>(kind), std::move(key),
+                              state.next_item_version++, payload.dump()};
+  membership::PublishItem(state.membership, now, item);
+  return item;
+}
+
+/// Any daemon of the service may be asked to run the request next, and a caller
+/// that sends it again at once is faster than gossip.
+void TellService(ControlState& state, const membership::GossipItem& item) {
+  std::size_t told = 0;
+  for (const auto& [id, peer] : state.view.peers) {
+    if (id != state.self && told < kDirectReceivers &&
+        peer.service == state.settings.target.service) {
+      ++told;
+      QueueMessage(state, id,
+                   ToWire(membership::SendGossip{id, 0, {}, {item}}));
+    }
+  }
 }
 
 void PublishDemand(ControlState& state, base::TimePoint now) {
@@ -83,11 +101,13 @@
     // Each daemon publishes under its own id, since two of them may know
     // different deaths and only the highest version of a key is kept.
     HastenGossip(state, now);
-    PublishItem(state, now, ItemKind::kSuspect,
-                fmt::format("{}/{:016x}{:016x}", base::ToString(state.self),
-                            record.fingerprint.high, record.fingerprint.low),
-                {record.fingerprint.high, record.fingerprint.low, deaths,
-                 base::UnixMilliseconds() - age_ms});
+    TellService(
+        state, PublishItem(
+                   state, now, ItemKind::kSuspect,
+                   fmt::format("{}/{:016x}{:016x}", base::ToString(state.self),
+                               record.fingerprint.high, record.fingerprint.low),
+                   {record.fingerprint.high, record.fingerprint.low, deaths,
+                    base::UnixMilliseconds() - age_ms}));
   }
 }
 
@@ -155,6 +175,9 @@
 }  // namespace
 
 void TickExchange(ControlState& state, base::TimePoint now) {
+  if (state.context.poison.has_news.exchange(false)) {
+    PublishSuspects(state, now);
+  }
   if (now < state.next_exchange) {
     return;
   }
--- a/src/eelgrassbridge/daemon/control_messages.cpp
+++ b/src/eelgrassbridge/daemon/control_messages.cpp
@@ -102,7 +102,8 @@
     }
   }
   void operator()(const wire::SuspectRequest& /*message*/) {
-    // Suspects travel as gossip items; the message is kept for a faster way.
+    // Suspects travel as gossip items. The message stays decodable for daemons
+    // of an older release.
   }
 };
 
--- a/src/eelgrassbridge/daemon/control_site_test.cpp
+++ b/src/eelgrassbridge/daemon/control_site_test.cpp
@@ -306,4 +306,27 @@
   CHECK(late.state.gates.open.empty());
 }
 
+// With gossip alone, once a second, a caller that sent a poison request again
+// after 200 ms stopped 3.2 targets on average; two are allowed.
+TEST_CASE("all daemons of a service know of a target's death at once") {
+  Site site(5);
+  const auto knows_all = [](const auto& node) {
+    return node->state.view.peers.size() == 5;
+  };
+  REQUIRE(
+      site.RunUntil([&] { return std::ranges::all_of(site.nodes, knows_all); },
+                    base::seconds{60}));
+  const routing::Fingerprint fingerprint{1, 2};
+  PoisonState& poison = site.nodes[3]->context.poison;
+  routing::NoteDeath(poison.quarantine, fingerprint, 7, site.now);
+  poison.has_suspects = true;
+  poison.has_news = true;
+  const auto knows = [&](const auto& node) {
+    return routing::VerdictOf(node->context.poison.quarantine, fingerprint,
+                              site.now) == routing::PoisonVerdict::kRunAlone;
+  };
+  CHECK(site.RunUntil([&] { return std::ranges::all_of(site.nodes, knows); },
+                      2 * Site::kTick));
+}
+
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/hedger_test.cpp
+++ b/src/eelgrassbridge/daemon/hedger_test.cpp
@@ -10,11 +10,14 @@
 
 #include "eelgrassbridge/daemon/http_server.hpp"
 #include "eelgrassbridge/daemon/standalone_view.hpp"
+#include "http_test_support.hpp"
 
 namespace eelgrassbridge::daemon {
 
 namespace {
 
+const std::uint16_t kNearPort = TestPort(5);
+
 struct NamedTarget {
   explicit NamedTarget(std::string own_name) : name(std::move(own_name)) {
     this->server.Get("/s/booking/view/.*", [this](const auto&, auto& res) {
@@ -23,8 +26,7 @@
       }
       res.set_content(this->name, "text/plain");
     });
-    this->port = this->server.bind_to_any_port("127.0.0.1");
-    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    this->port = StartTestServer(this->server, this->thread);
   }
   ~NamedTarget() {
     this->server.stop();
@@ -98,10 +100,10 @@
 TEST_CASE("a copy at another target answers for a slow one") {
   NamedTarget near_target("near");
   NamedTarget far_target("far");
-  BookingDaemon near(near_target.port, 18721, "sur-cerro");
-  const BookingDaemon far(far_target.port, 18722, "sur-canelones");
+  BookingDaemon near(near_target.port, kNearPort, "sur-cerro");
+  const BookingDaemon far(far_target.port, TestPort(6), "sur-canelones");
   AddPeer(near, far);
-  httplib::Client caller("127.0.0.1", 18721);
+  httplib::Client caller("127.0.0.1", kNearPort);
   caller.set_keep_alive(true);
   caller.set_tcp_nodelay(true);
 
--- /dev/null
+++ b/src/eelgrassbridge/daemon/http_test_support.hpp
@@ -0,0 +1,37 @@
+// Ports and servers for tests over real sockets.
+#ifndef EELGRASSBRIDGE_DAEMON_HTTP_TEST_SUPPORT_HPP
+#define EELGRASSBRIDGE_DAEMON_HTTP_TEST_SUPPORT_HPP
+
+#include <httplib.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <thread>
+
+namespace eelgrassbridge::daemon {
+
+/// @brief A port for a daemon of the test, below the ephemeral range. Test
+/// programs that run at the same time use different ones, since two of them
+/// with fixed ports failed each other's tests.
+inline std::uint16_t TestPort(std::uint16_t offset) {
+  constexpr int kFirst = 10'000;
+  constexpr int kPrograms = 1'200;
+  constexpr int kPortsEach = 10;
+  return static_cast<std::uint16_t>(kFirst + getpid() % kPrograms * kPortsEach +
+                                    offset);
+}
+
+/// @brief Runs a fake server on any port, which it returns. A stop before the
+/// server runs is ignored by the library, and the thread would never end.
+inline int StartTestServer(httplib::Server& server, std::thread& thread) {
+  const int port = server.bind_to_any_port("127.0.0.1");
+  thread = std::thread([&server] { server.listen_after_bind(); });
+  while (!server.is_running()) {
+    std::this_thread::yield();
+  }
+  return port;
+}
+
+}  // namespace eelgrassbridge::daemon
+
+#endif  // EELGRASSBRIDGE_DAEMON_HTTP_TEST_SUPPORT_HPP
--- a/src/eelgrassbridge/daemon/local_run.cpp
+++ b/src/eelgrassbridge/daemon/local_run.cpp
@@ -3,12 +3,19 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <thread>
+
 #include "eelgrassbridge/daemon/suspect_watch.hpp"
 
 namespace eelgrassbridge::daemon {
 
 namespace {
 
+/// A caller that sends a request again as soon as it hears of the target's
+/// death would reach another daemon before the news: control tells the others
+/// at its next tick of 50 ms.
+constexpr base::Duration kSuspectSpread = base::milliseconds{100};
+
 /// @brief Under which group and epoch the ids of a request are recorded.
 struct IdScope {
   base::GroupId group;
@@ -38,7 +45,9 @@
                            planned.interrupt};
   CallerAnswer answer = RunOnTarget(context.target, planned.request, options);
   if (answer.error == base::ErrorKind::kTargetLost) {
-    CheckTargetDeath(context, view, planned.request, instance_before);
+    if (CheckTargetDeath(context, view, planned.request, instance_before)) {
+      std::this_thread::sleep_for(kSuspectSpread);
+    }
     answer.headers.push_back(
         {std::string(kTargetRunHeader),
          fmt::format("{:x}",
--- a/src/eelgrassbridge/daemon/request_path_test.cpp
+++ b/src/eelgrassbridge/daemon/request_path_test.cpp
@@ -177,7 +177,8 @@
                                   "application/octet-stream");
   CHECK(OutcomeOf(result) == "answered ");
   CHECK(result->body == "photo");
-  CHECK(result->get_header_value("Eelgrassbridge-Owner") == "127.0.0.1:18711");
+  CHECK(result->get_header_value("Eelgrassbridge-Owner") ==
+        "127.0.0.1:" + std::to_string(kPort));
 }
 
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/request_path_test_support.hpp
+++ b/src/eelgrassbridge/daemon/request_path_test_support.hpp
@@ -11,6 +11,7 @@
 
 #include "eelgrassbridge/daemon/http_server.hpp"
 #include "eelgrassbridge/daemon/standalone_view.hpp"
+#include "http_test_support.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -37,8 +38,7 @@
                         ++this->runs;
                         Answer(req, res);
                       });
-    this->port = this->server.bind_to_any_port("127.0.0.1");
-    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    this->port = StartTestServer(this->server, this->thread);
   }
   ~FakeTarget() {
     this->server.stop();
@@ -132,7 +132,7 @@
   HttpServer server;
 };
 
-inline constexpr std::uint16_t kPort = 18711;
+inline const std::uint16_t kPort = TestPort(0);
 inline const httplib::Headers kKey{{"Eelgrassbridge-Key", "pallet-1"}};
 
 inline std::string OutcomeOf(const httplib::Result& result) {
--- a/src/eelgrassbridge/daemon/suspect_watch.cpp
+++ b/src/eelgrassbridge/daemon/suspect_watch.cpp
@@ -14,6 +14,7 @@
   routing::NoteDeath(context.poison.quarantine, FingerprintOf(request),
                      target_run, base::BootClock::now());
   context.poison.has_suspects = true;
+  context.poison.has_news = true;
 }
 
 }  // namespace
@@ -48,14 +49,14 @@
                     answered);
 }
 
-void CheckTargetDeath(RequestContext& context,
+bool CheckTargetDeath(RequestContext& context,
                       const RoutingView& view,
                       const CallerRequest& request,
                       std::string_view instance_before) {
   const auto instance = AskTargetInstance(context.target);
   const bool is_same = instance && instance.value() == instance_before;
   if (is_same) {
-    return;
+    return false;
   }
   if (instance) {
     NoteTargetInstance(context.target, instance.value());
@@ -63,6 +64,7 @@
   context.request_counters.target_deaths.fetch_add(1);
   RecordDeath(context, request,
               routing::TargetRunIdentity(view.self, instance_before));
+  return true;
 }
 
 void NoteRemoteDeath(RequestContext& context,
