Let nobody serve a key while a change of its home regions spreads

Cause: a change of an account's home regions maps its keys to groups of another residency. For up to 3 s a daemon with the old catalogue served a key by the old mapping while one with the new catalogue served it by the new one, so the key had two servers.

Change: the view keeps the catalogues that were replaced in the last two minutes. A daemon refuses a key (no_owner, not run) while one of them gave its account other home regions less than 3 s and the run limit ago; a daemon that starts judges by the time in the catalogue. The entry retries within the deadline as for any group without an owner.

Conclusion: the two mappings do not overlap among daemons that hear of a change within 3 s. A daemon cut off during the change remains beyond that.

--- a/include/eelgrassbridge/daemon/routing_view.hpp
+++ b/include/eelgrassbridge/daemon/routing_view.hpp
@@ -18,6 +18,7 @@
 #include "eelgrassbridge/base/identifier.hpp"
 #include "eelgrassbridge/catalogue/catalogue.hpp"
 #include "eelgrassbridge/daemon/group_gate.hpp"
+#include "eelgrassbridge/daemon/residency_settling.hpp"
 #include "eelgrassbridge/settings/settings.hpp"
 
 namespace eelgrassbridge::daemon {
@@ -54,6 +55,7 @@
   bool ready = false;
   bool draining = false;
   std::shared_ptr<const catalogue::Catalogue> catalogue;
+  std::vector<PastCatalogue> past;
   /// Key: "service/residency".
   std::map<std::string, GroupMap, std::less<>> groups;
   std::shared_ptr<const std::unordered_map<base::DaemonId, PeerView>> peers;
--- a/src/eelgrassbridge/daemon/attempt.cpp
+++ b/src/eelgrassbridge/daemon/attempt.cpp
@@ -99,6 +99,13 @@
 CallerAnswer AttemptDivided(RequestContext& context,
                             const RoutingView& view,
                             const PlannedRequest& planned) {
+  if (IsResidencySettling(view.past, *planned.entry.service,
+                          planned.request.account, *planned.entry.home_regions,
+                          base::BootClock::now())) {
+    return ErrorAnswer(base::ErrorKind::kNoOwner,
+                       "the home regions of the account changed a moment ago "
+                       "and its keys are moving");
+  }
   const base::GroupId group = GroupForKey(
       view, *planned.entry.service, planned.residency, planned.request.key);
   const auto gate = view.owned.find(group);
--- /dev/null
+++ b/src/eelgrassbridge/daemon/residency_settling_test.cpp
@@ -0,0 +1,96 @@
+// Guards against two servers of one key while a change of home regions spreads.
+#include "eelgrassbridge/daemon/residency_settling.hpp"
+
+#include <doctest/doctest.h>
+
+#include "request_path_test_support.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+const base::TimePoint kNow = base::FromMicroseconds(1'000'000'000);
+constexpr std::int64_t kNowMs = 1'700'000'000'000;
+
+struct Change {
+  Change() {
+    this->before = ListingCatalogue();
+    this->before.accounts = {{"yard", {"sur"}, {}}, {"other", {"sur"}, {}}};
+    this->after = this->before;
+    this->after.version = 2;
+    this->after.changed_at_ms = kNowMs;
+    this->after.accounts[0].home_regions = {"litoral", "sur"};
+  }
+
+  bool IsSettling(std::string_view account, base::Duration later) const {
+    const auto& known = *std::ranges::find(this->after.accounts, account,
+                                           &catalogue::ClientAccount::name);
+    return IsResidencySettling(this->past, this->after.services[0], account,
+                               known.home_regions, kNow + later);
+  }
+
+  catalogue::Catalogue before;
+  catalogue::Catalogue after;
+  std::vector<PastCatalogue> past;
+};
+
+}  // namespace
+
+TEST_CASE("only keys of a changed account wait, and not for ever") {
+  Change change;
+  NoteReplaced(change.past,
+               std::make_shared<const catalogue::Catalogue>(change.before),
+               change.after, kNow, kNowMs);
+  CHECK(change.IsSettling("yard", base::Duration{0}));
+  CHECK(change.IsSettling("yard", base::milliseconds{3999}));
+  CHECK_FALSE(change.IsSettling("yard", base::seconds{4}));
+  CHECK_FALSE(change.IsSettling("other", base::Duration{0}));
+}
+
+TEST_CASE("a second change does not end the wait for the first one") {
+  Change change;
+  NoteReplaced(change.past,
+               std::make_shared<const catalogue::Catalogue>(change.before),
+               change.after, kNow, kNowMs);
+  catalogue::Catalogue third = change.after;
+  third.version = 3;
+  NoteReplaced(change.past,
+               std::make_shared<const catalogue::Catalogue>(change.after),
+               third, kNow + base::seconds{1}, kNowMs + 1000);
+  CHECK(change.IsSettling("yard", base::seconds{2}));
+}
+
+TEST_CASE("a daemon that starts just after a change waits as well") {
+  Change change;
+  NoteReplaced(change.past, nullptr, change.after, kNow, kNowMs + 1000);
+  CHECK(change.IsSettling("yard", base::milliseconds{2900}));
+  CHECK_FALSE(change.IsSettling("yard", base::seconds{3}));
+  Change first;
+  first.after.version = 1;
+  NoteReplaced(first.past, nullptr, first.after, kNow, kNowMs);
+  CHECK_FALSE(first.IsSettling("yard", base::Duration{0}));
+}
+
+TEST_CASE("requests for keys that are moving are refused, not run") {
+  FakeTarget target;
+  Daemon daemon(target.port, kPort);
+  Change change;
+  auto view = std::make_shared<RoutingView>(
+      *MakeStandaloneView(daemon.settings, change.after));
+  NoteReplaced(view->past,
+               std::make_shared<const catalogue::Catalogue>(change.before),
+               change.after, base::BootClock::now(), kNowMs);
+  daemon.context.routing.view = view;
+  httplib::Client caller("127.0.0.1", kPort);
+  httplib::Headers headers = kKey;
+  headers.emplace("Eelgrassbridge-Deadline-Ms", "100");
+  httplib::Headers moving = headers;
+  moving.emplace("Eelgrassbridge-Account", "yard");
+  CHECK(OutcomeOf(caller.Get("/s/listing/view/1", moving)) ==
+        "not-run no_owner");
+  CHECK(target.runs == 0);
+  headers.emplace("Eelgrassbridge-Account", "other");
+  CHECK(OutcomeOf(caller.Get("/s/listing/view/1", headers)) == "answered ");
+}
+
+}  // namespace eelgrassbridge::daemon
