Answer requests on idle connections during a planned stop

The stop of the HTTP library ends accepted connections without an answer as soon as its listening socket is closed. A request that a caller or another daemon sent on a kept-alive connection at that moment was cut off, and a forwarded claim was told as unknown.

--- a/include/eelgrassbridge/daemon/http_server.hpp
+++ b/include/eelgrassbridge/daemon/http_server.hpp
@@ -27,6 +27,8 @@
   TlsCredentials tls;
   std::unique_ptr<httplib::Server> server;
   std::thread acceptor;
+  /// Listening socket.
+  int listener = -1;
 };
 
 /// @brief Binds the address of the settings and starts to serve.
@@ -35,7 +37,13 @@
                                    RequestContext& context,
                                    const AdminHooks& admin);
 
+/// @brief Refuses new connections and serves the accepted ones until each was
+/// told by an answer to close or has been idle for the keep-alive time. Needs
+/// RequestContext::draining.
+void FinishConnections(HttpServer& server);
+
 /// @brief Stops accepting, lets running requests finish and joins all threads.
+/// Idle connections are closed at once.
 void StopHttpServer(HttpServer& server);
 
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/http_server.cpp
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -257,11 +257,10 @@
   AddCallerHandlers(library, context);
   // Without SO_REUSEPORT, which the library sets by default: two daemons on one
   // address would each get a part of the connections.
-  int listener = -1;
-  library.set_socket_options([&listener](int socket) {
+  library.set_socket_options([&server](int socket) {
     const int on = 1;
     setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    listener = socket;
+    server.listener = socket;
   });
   const settings::Address& address = context.settings.http;
   if (!library.bind_to_port(address.ip, address.port)) {
@@ -269,7 +268,7 @@
         base::ErrorKind::kSettingsInvalid,
         fmt::format("http: cannot listen on {}:{}", address.ip, address.port));
   }
-  listen(listener, kListenBacklog);
+  listen(server.listener, kListenBacklog);
   server.acceptor = std::thread([&library] { library.listen_after_bind(); });
   // A stop before the library runs would be ignored, and the thread would never
   // end.
@@ -279,6 +278,16 @@
   return base::outcome::success();
 }
 
+void FinishConnections(HttpServer& server) {
+  // The library's stop() also ends accepted connections without an answer, even
+  // if a request is on its way on them. Without its listening socket the
+  // library accepts no more and waits for the workers of the accepted ones.
+  ::shutdown(server.listener, SHUT_RDWR);
+  if (server.acceptor.joinable()) {
+    server.acceptor.join();
+  }
+}
+
 void StopHttpServer(HttpServer& server) {
   if (server.server != nullptr) {
     server.server->stop();
