Count each death of a target that restarts between two polls

The identity of a death is the instance id that the daemon knew before the run. If the target was started again before the next poll, the following run went out under the old id, so further deaths counted as the first one and the request was never quarantined. After a lost answer without a known instance the daemon now asks the target before the next run, and refuses the request as not run if the target does not answer.

--- a/include/eelgrassbridge/daemon/local_target.hpp
+++ b/include/eelgrassbridge/daemon/local_target.hpp
@@ -42,6 +42,9 @@
   std::unordered_map<limits::Ticket, SlotWaiter*> waiters;
   /// Guarded by mutex. Instance id as last seen; empty before the first poll.
   std::string instance_id;
+  /// Guarded by mutex. An answer was lost and the target has not told its
+  /// instance since, so instance_id may be that of a run that has ended.
+  bool is_instance_in_doubt = false;
   /// Requests on the target now, for answers to other daemons.
   std::atomic<std::uint32_t> in_flight = 0;
 };
@@ -70,6 +73,13 @@
 /// @brief Asks the target for its instance id.
 base::Result<std::string> AskTargetInstance(LocalTarget& target);
 
+/// @brief The instance id of the next run: as last seen, or asked for if that
+/// is in doubt. Fails if the target does not answer.
+base::Result<std::string> InstanceOfNextRun(LocalTarget& target);
+
+/// @brief An answer was lost and the target did not tell its instance.
+void DoubtTargetInstance(LocalTarget& target);
+
 /// @brief Stops admission; waiting requests are refused as not run.
 void StopAdmission(LocalTarget& target);
 
--- a/src/eelgrassbridge/daemon/local_run.cpp
+++ b/src/eelgrassbridge/daemon/local_run.cpp
@@ -22,17 +22,19 @@
   return {UndividedGroup(planned.entry.service->name), 0};
 }
 
-std::string InstanceOf(LocalTarget& target) {
-  const std::scoped_lock lock(target.mutex);
-  return target.instance_id;
-}
-
 /// Runs, and looks whether the target died of it.
 CallerAnswer RunAndWatch(RequestContext& context,
                          const RoutingView& view,
                          const PlannedRequest& planned,
                          GroupGate* gate) {
-  const std::string instance_before = InstanceOf(context.target);
+  // A target that restarts faster than it is polled dies again under the id of
+  // the run before, and two deaths would count as one.
+  const auto instance = InstanceOfNextRun(context.target);
+  if (!instance) {
+    return ErrorAnswer(base::ErrorKind::kTargetUnreachable,
+                       "the target has not answered since a run was lost");
+  }
+  const std::string& instance_before = instance.value();
   const RunOptions options{gate, planned.entry.service->run_limit,
                            planned.deadline, planned.entry.kind->priority,
                            planned.interrupt};
--- a/src/eelgrassbridge/daemon/local_target.cpp
+++ b/src/eelgrassbridge/daemon/local_target.cpp
@@ -226,6 +226,7 @@
   const bool is_fresh =
       !target.instance_id.empty() && target.instance_id != instance_id;
   target.instance_id = instance_id;
+  target.is_instance_in_doubt = false;
   limits::NoteInstance(target.limiter, instance_id);
   DispatchWaiters(target);
   return is_fresh;
@@ -246,6 +247,23 @@
   return parsed["instance"].get<std::string>();
 }
 
+base::Result<std::string> InstanceOfNextRun(LocalTarget& target) {
+  {
+    const std::scoped_lock lock(target.mutex);
+    if (!target.is_instance_in_doubt) {
+      return target.instance_id;
+    }
+  }
+  BOOST_OUTCOME_TRY(instance, AskTargetInstance(target));
+  NoteTargetInstance(target, instance);
+  return instance;
+}
+
+void DoubtTargetInstance(LocalTarget& target) {
+  const std::scoped_lock lock(target.mutex);
+  target.is_instance_in_doubt = true;
+}
+
 void StopAdmission(LocalTarget& target) {
   const std::scoped_lock lock(target.mutex);
   limits::SetAccepting(target.limiter, false);
--- a/src/eelgrassbridge/daemon/suspect_watch.cpp
+++ b/src/eelgrassbridge/daemon/suspect_watch.cpp
@@ -59,6 +59,8 @@
   }
   if (instance) {
     NoteTargetInstance(context.target, instance.value());
+  } else {
+    DoubtTargetInstance(context.target);
   }
   context.request_counters.target_deaths.fetch_add(1);
   RecordDeath(context, request,
