Read many rows of the table in one call

The reader thread asked for the rows that the cores want one call after the other, so with a table that answers after 300 ms a take-over of several groups waited for the sum of all calls. `POST /table/read` takes up to 1,000 keys and answers each in its place, an absent row with version 0; an answer that leaves a key out or holds other keys is a failed read, because a missing row would otherwise count as absent. The table stand-in counts such a read as one read of its cap for each started 100 keys, since each key is a look-up of its own; a page of neighbouring rows stays one read.

--- a/include/eelgrassbridge/daemon/store_thread.hpp
+++ b/include/eelgrassbridge/daemon/store_thread.hpp
@@ -24,7 +24,7 @@
 /// @brief Rows of groups and members, and the newest catalogue.
 struct ReadWholeTable {};
 
-/// @brief These rows, one call each.
+/// @brief These rows, many in one call.
 struct ReadKeys {
   std::vector<std::string> keys;
 };
--- a/include/eelgrassbridge/store/memory_table.hpp
+++ b/include/eelgrassbridge/store/memory_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -53,6 +54,10 @@
 
 RowsPage FindRows(MemoryTable& table, const RowRange& range);
 
+/// @brief The rows of these keys in the order of the keys; an absent row has
+/// version 0.
+RowsRead FindKeys(MemoryTable& table, std::span<const std::string> keys);
+
 /// @brief Rows written after that revision; a deleted row has version 0.
 RowsRead FindChanges(MemoryTable& table, std::uint64_t since_revision);
 
--- a/include/eelgrassbridge/store/store.hpp
+++ b/include/eelgrassbridge/store/store.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -57,6 +58,15 @@
 /// @brief The row of that key; version 0 if it is absent.
 base::Result<Row> ReadRow(Store& store, std::string_view key);
 
+/// @brief Most keys of one call of the table; it refuses more.
+constexpr std::size_t kMaxKeysPerRead = 1000;
+
+/// @brief The rows of these keys in the order of the keys, with version 0 where
+/// a row is absent. One call for each kMaxKeysPerRead keys; the revision is
+/// that of the first call.
+base::Result<RowsRead> ReadKeys(Store& store,
+                                std::span<const std::string> keys);
+
 /// @brief Rows written after that revision; a deleted row has version 0.
 base::Result<RowsRead> ReadChanges(Store& store, std::uint64_t since_revision);
 
--- a/include/eelgrassbridge/store/table_json.hpp
+++ b/include/eelgrassbridge/store/table_json.hpp
@@ -3,6 +3,7 @@
 #define EELGRASSBRIDGE_STORE_TABLE_JSON_HPP
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,10 @@
 std::string RowsToJson(const RowsPage& page);
 std::optional<RowsPage> ParseRows(std::string_view body);
 
+/// @brief {"keys":[...]}
+std::string KeysToJson(std::span<const std::string> keys);
+std::optional<std::vector<std::string>> ParseKeys(std::string_view body);
+
 /// @brief {"op_id","writes":[{"key","expected_version","value"}]}; a null
 /// value deletes the row.
 std::string TransactionToJson(const Transaction& transaction);
--- a/src/eelgrassbridge/daemon/store_thread.cpp
+++ b/src/eelgrassbridge/daemon/store_thread.cpp
@@ -38,19 +38,6 @@
   return whole;
 }
 
-std::optional<store::RowsRead> ReadEach(store::Store& store,
-                                        const ReadKeys& read) {
-  store::RowsRead rows;
-  for (const std::string& key : read.keys) {
-    auto row = store::ReadRow(store, key);
-    if (!row) {
-      return std::nullopt;
-    }
-    rows.rows.push_back(std::move(row).value());
-  }
-  return rows;
-}
-
 template <typename Request, typename Handle>
 void Serve(const std::atomic<bool>& stopping,
            base::WakeEvent& wake,
@@ -83,7 +70,10 @@
   if (std::holds_alternative<ReadWholeTable>(read)) {
     result.rows = ReadWhole(store);
   } else if (const auto* const keys = std::get_if<ReadKeys>(&read)) {
-    result.rows = ReadEach(store, *keys);
+    auto rows = store::ReadKeys(store, keys->keys);
+    if (rows) {
+      result.rows = std::move(rows).value();
+    }
   } else {
     auto changes =
         store::ReadChanges(store, std::get<ReadTableChanges>(read).since);
--- a/src/eelgrassbridge/store/memory_table.cpp
+++ b/src/eelgrassbridge/store/memory_table.cpp
@@ -64,6 +64,16 @@
   return page;
 }
 
+RowsRead FindKeys(MemoryTable& table, std::span<const std::string> keys) {
+  const std::scoped_lock lock(table.mutex);
+  RowsRead read;
+  read.revision = table.revision;
+  for (const std::string& key : keys) {
+    read.rows.push_back(PresentRow(table, key));
+  }
+  return read;
+}
+
 RowsRead FindChanges(MemoryTable& table, std::uint64_t since_revision) {
   const std::scoped_lock lock(table.mutex);
   RowsRead read;
--- a/src/eelgrassbridge/store/store.cpp
+++ b/src/eelgrassbridge/store/store.cpp
@@ -3,6 +3,8 @@
 
 #include <httplib.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "eelgrassbridge/store/table_json.hpp"
@@ -83,6 +85,32 @@
                     store.kind);
 }
 
+// An answer that leaves a key out, or holds other keys, is not an answer: the
+// caller would take the row for absent.
+bool IsAnswerTo(std::span<const std::string> keys, const RowsRead& read) {
+  return std::ranges::equal(keys, read.rows, {}, {}, &Row::key);
+}
+
+base::Result<RowsRead> ReadKeysOf(HttpStore& store,
+                                  std::span<const std::string> keys) {
+  const auto reply =
+      store.client->Post("/table/read", KeysToJson(keys), kJsonType);
+  if (!reply || reply->status != kOk) {
+    return base::Fail(ErrorKind::kStoreUnavailable, Describe(reply));
+  }
+  auto page = ParseRows(reply->body);
+  if (!page || !IsAnswerTo(keys, page->read)) {
+    return base::Fail(ErrorKind::kStoreUnavailable,
+                      "unreadable answer to POST /table/read");
+  }
+  return std::move(page->read);
+}
+
+base::Result<RowsRead> ReadKeysOf(MemoryStore& store,
+                                  std::span<const std::string> keys) {
+  return FindKeys(*store.table, keys);
+}
+
 base::Result<RowsRead> ReadChangesOf(HttpStore& store, std::uint64_t since) {
   const httplib::Params parameters{{"since", std::to_string(since)}};
   BOOST_OUTCOME_TRY(page, GetPage(store, "/table/changes", parameters));
@@ -207,6 +235,23 @@
   return Row{.key = std::string(key), .version = 0, .value = {}};
 }
 
+base::Result<RowsRead> ReadKeys(Store& store,
+                                std::span<const std::string> keys) {
+  RowsRead all;
+  for (std::size_t at = 0; at < keys.size(); at += kMaxKeysPerRead) {
+    const auto part =
+        keys.subspan(at, std::min(kMaxKeysPerRead, keys.size() - at));
+    BOOST_OUTCOME_TRY(
+        read, std::visit([&](auto& kind) { return ReadKeysOf(kind, part); },
+                         store.kind));
+    if (at == 0) {
+      all.revision = read.revision;
+    }
+    std::ranges::move(read.rows, std::back_inserter(all.rows));
+  }
+  return all;
+}
+
 base::Result<RowsRead> ReadChanges(Store& store, std::uint64_t since_revision) {
   return std::visit(
       [&](auto& kind) { return ReadChangesOf(kind, since_revision); },
--- a/src/eelgrassbridge/store/store_test.cpp
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -97,6 +97,41 @@
   CHECK(changes.rows[0].version == 0);
 }
 
+// Guards against rows given under the keys of others, and keys left out after
+// the first call.
+TEST_CASE("A read of many keys answers each key in its place") {
+  Store store = MakeMemoryStore(std::make_shared<MemoryTable>());
+  REQUIRE(Transact(store, Write("k/1", 0, "v")).status == Status::kApplied);
+  std::vector<std::string> keys(kMaxKeysPerRead + 1, "k/0");
+  keys.back() = "k/1";
+  const auto read = ReadKeys(store, keys).value();
+  REQUIRE(read.rows.size() == keys.size());
+  CHECK(read.revision == 1);
+  CHECK(read.rows.front().version == 0);
+  CHECK(read.rows.back().value == "v");
+  CHECK(ParseKeys(KeysToJson(keys)) == keys);
+  CHECK_FALSE(ParseKeys(R"({"keys":[1]})").has_value());
+}
+
+// Guards against a row that the answer leaves out being taken for absent.
+TEST_CASE("An answer for other keys than were asked for is a failed read") {
+  MemoryTable table;
+  std::vector<std::string> answered = {"a", "b"};
+  ServerFixture fixture;
+  fixture.server.Post(
+      "/table/read", [&](const httplib::Request&, httplib::Response& response) {
+        response.set_content(RowsToJson({.read = FindKeys(table, answered)}),
+                             "application/json");
+      });
+  Store store = fixture.MakeStore();
+  const std::vector<std::string> keys = {"a", "b"};
+  CHECK(ReadKeys(store, keys).has_value());
+  answered = {"a"};
+  CHECK_FALSE(ReadKeys(store, keys).has_value());
+  answered = {"b", "a"};
+  CHECK_FALSE(ReadKeys(store, keys).has_value());
+}
+
 // Guards against a write that may take effect being reported as not sent, and
 // the reverse.
 TEST_CASE("Replies of the table service map to results") {
--- a/src/eelgrassbridge/store/table_json.cpp
+++ b/src/eelgrassbridge/store/table_json.cpp
@@ -68,6 +68,20 @@
   });
 }
 
+std::string KeysToJson(std::span<const std::string> keys) {
+  json list = json::array();
+  for (const std::string& key : keys) {
+    list.push_back(key);
+  }
+  return Dump({{"keys", std::move(list)}});
+}
+
+std::optional<std::vector<std::string>> ParseKeys(std::string_view body) {
+  return Guarded(body, [](const json& value) {
+    return value.at("keys").get<std::vector<std::string>>();
+  });
+}
+
 std::string TransactionToJson(const Transaction& transaction) {
   json writes = json::array();
   for (const auto& write : transaction.writes) {
--- a/standins/standin_table.cpp
+++ b/standins/standin_table.cpp
@@ -2,6 +2,7 @@
 //
 // Follows docs/design.md section 8, with the platform's caps and with faults
 // that can be set while it runs.
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -12,6 +13,7 @@
 
 #include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/store/memory_table.hpp"
+#include "eelgrassbridge/store/store.hpp"
 #include "eelgrassbridge/store/table_json.hpp"
 #include "serve.hpp"
 
@@ -21,6 +23,9 @@
 using nlohmann::json;
 
 constexpr const char* kJsonType = "application/json";
+/// A read of keys costs one read of the cap for each started 100 keys, because
+/// each key is looked up on its own; a page of neighbouring rows costs one.
+constexpr std::uint64_t kKeysOfOneRead = 100;
 
 /// @brief Counts events in windows of one second.
 struct RateCap {
@@ -125,6 +130,23 @@
   AnswerRead(table, store::FindRows(table.rows, range), response);
 }
 
+void HandleKeys(Table& table,
+                const httplib::Request& request,
+                httplib::Response& response) {
+  const auto keys = store::ParseKeys(request.body);
+  if (!keys || keys->size() > store::kMaxKeysPerRead) {
+    response.status = 400;
+    return;
+  }
+  const std::uint64_t cost = std::max<std::uint64_t>(
+      1, (keys->size() + kKeysOfOneRead - 1) / kKeysOfOneRead);
+  if (!Admit(table, table.read_cap, cost, table.refused_reads, response)) {
+    return;
+  }
+  table.reads += cost - 1;
+  AnswerRead(table, {.read = store::FindKeys(table.rows, *keys)}, response);
+}
+
 void HandleChanges(Table& table,
                    const httplib::Request& request,
                    httplib::Response& response) {
@@ -247,6 +269,9 @@
   server.Get("/table/changes", [](const auto& request, auto& response) {
     HandleChanges(table, request, response);
   });
+  server.Post("/table/read", [](const auto& request, auto& response) {
+    HandleKeys(table, request, response);
+  });
   server.Post("/table/transact", [](const auto& request, auto& response) {
     HandleTransact(table, request, response);
   });
