Release groups that are drained together in one transaction

After a data centre is taken out each owner wrote one transaction for each released group, one after the other through the writer thread, so with a slow table the last group waited for the sum of all writes. Releases that are due at once now go into one transaction of up to 16 rows. A conflict means that the table applied nothing of it: the rows that did not conflict and were not read at another version since are released one by one, the others are given up as before. A common release never follows a write of unknown result, and after its own unknown result each row is rewritten on its own, so rule 7 is unchanged. The daemon and the history model report drained groups together; the broken rule `blind_repeat` repeats the row that met the conflict instead of the first row of the transaction.

--- a/bench/histories/driver.cpp
+++ b/bench/histories/driver.cpp
@@ -56,9 +56,18 @@
                PollDrained(sim, holder, group, gate);
                return;
              }
+             // Reported together, as the daemon does, so that common releases
+             // occur.
+             std::vector<ownership::GroupEpoch> drained{group};
+             for (const auto& [other, other_gate] : holder.gates) {
+               if (other_gate->released && other_gate->in_flight == 0 &&
+                   other != group.group) {
+                 drained.push_back({other, other_gate->epoch});
+               }
+             }
              ownership::Actions actions;
              ownership::OnReleaseDrained(holder.core, LocalTime(sim, holder),
-                                         group, actions);
+                                         drained, actions);
              Carry(sim, holder, actions);
            });
 }
--- a/bench/histories/history_model.hpp
+++ b/bench/histories/history_model.hpp
@@ -44,6 +44,8 @@
   std::uint64_t owner_changes = 0;
   std::uint64_t take_overs = 0;
   std::uint64_t releases = 0;
+  /// Transactions that release more than one group.
+  std::uint64_t common_releases = 0;
   std::uint64_t carve_outs = 0;
   std::uint64_t merges = 0;
   std::uint64_t unknown_writes = 0;
--- a/bench/histories/main.cpp
+++ b/bench/histories/main.cpp
@@ -127,6 +127,7 @@
     sum.owner_changes += result.owner_changes;
     sum.take_overs += result.take_overs;
     sum.releases += result.releases;
+    sum.common_releases += result.common_releases;
     sum.carve_outs += result.carve_outs;
     sum.merges += result.merges;
     sum.unknown_writes += result.unknown_writes;
@@ -146,6 +147,7 @@
   count("owner changes", sum.owner_changes);
   count("take-overs", sum.take_overs);
   count("planned moves", sum.releases);
+  count("common transactions of planned moves", sum.common_releases);
   count("carve-outs", sum.carve_outs);
   count("histories with a merge", sum.merges);
   count("writes with unknown result", sum.unknown_writes);
--- a/bench/histories/table.cpp
+++ b/bench/histories/table.cpp
@@ -74,12 +74,21 @@
            });
 }
 
+/// Carve-outs create a row and merges delete one.
+bool IsCommonRelease(const store::Transaction& transaction) {
+  return transaction.writes.size() > 1 &&
+         std::ranges::all_of(transaction.writes, [](const auto& write) {
+           return write.expected_version != 0 && write.value.has_value();
+         });
+}
+
 }  // namespace
 
 void SubmitToTable(Simulation& sim,
                    Slot& slot,
                    const store::Transaction& transaction) {
   const Micros timeout_at = sim.now + kTimeout;
+  sim.result.common_releases += IsCommonRelease(transaction) ? 1 : 0;
   if (!IsReachable(sim, slot)) {
     const bool is_refused = Chance(sim, 50);
     store::TransactionResult result;
--- a/include/eelgrassbridge/ownership/detail/core.hpp
+++ b/include/eelgrassbridge/ownership/detail/core.hpp
@@ -82,6 +82,13 @@
                    OwnedGroup& owned,
                    Actions& actions);
 void TickReleases(OwnershipState& state, base::TimePoint now, Actions& actions);
+/// @brief After a conflict of a common release: nothing of it took effect, so
+/// the rows that were as expected are released one by one.
+void RepeatReleasesWithoutConflict(OwnershipState& state,
+                                   base::TimePoint now,
+                                   const Operation& operation,
+                                   std::span<const store::Row> conflicts,
+                                   Actions& actions);
 /// @brief Takes up serving again after a release or merge came to nothing.
 void CancelRelease(const OwnershipState& state,
                    base::TimePoint now,
--- a/include/eelgrassbridge/ownership/ownership_commands.hpp
+++ b/include/eelgrassbridge/ownership/ownership_commands.hpp
@@ -93,10 +93,11 @@
                    const GroupEpoch& group,
                    Actions& actions);
 
-/// @brief No request of the group is in flight any more after BeginDrain.
+/// @brief No request of these groups is in flight any more after BeginDrain.
+/// Their rows are released in common transactions.
 void OnReleaseDrained(OwnershipState& state,
                       base::TimePoint now,
-                      const GroupEpoch& group,
+                      std::span<const GroupEpoch> groups,
                       Actions& actions);
 
 /// @brief A member record is new or changed, this daemon's own included.
--- a/src/eelgrassbridge/daemon/control_events.cpp
+++ b/src/eelgrassbridge/daemon/control_events.cpp
@@ -181,9 +181,10 @@
 }
 
 void FinishRound(ControlState& state, base::TimePoint now) {
-  for (const ownership::GroupEpoch& group : TakeFinishedDrains(state.gates)) {
+  const auto drained = TakeFinishedDrains(state.gates);
+  if (!drained.empty()) {
     ownership::Actions actions;
-    ownership::OnReleaseDrained(state.ownership, now, group, actions);
+    ownership::OnReleaseDrained(state.ownership, now, drained, actions);
     CarryOut(state, now, actions, RowSource::kElsewhere);
   }
   UpdateSelf(state, now);
--- a/src/eelgrassbridge/ownership/owner_rules_test.cpp
+++ b/src/eelgrassbridge/ownership/owner_rules_test.cpp
@@ -157,7 +157,8 @@
   actions = Ticked(state, T(3100));
   REQUIRE(Find<BeginDrain>(actions).has_value());
   CHECK_FALSE(Find<SubmitTransaction>(actions).has_value());
-  OnReleaseDrained(state, T(3200), {kGroup, 1}, actions);
+  const GroupEpoch drained{kGroup, 1};
+  OnReleaseDrained(state, T(3200), {&drained, 1}, actions);
   const GroupRow release = Written(actions);
   CHECK(release.epoch == 2);
   CHECK(release.owner != kOwner);
@@ -186,7 +187,8 @@
   Read(state, T(3000), Row(7), actions);
   SetDraining(state, T(3100), true);
   Ticked(state, T(3100));
-  OnReleaseDrained(state, T(3200), {kGroup, 1}, actions);
+  const GroupEpoch drained{kGroup, 1};
+  OnReleaseDrained(state, T(3200), {&drained, 1}, actions);
   const std::string release = SubmittedId(actions);
   SetDraining(state, T(3300), false);
   GroupRow back = Row(12);
@@ -198,6 +200,72 @@
   CHECK(ServingUntil(state, kGroup, T(4300)).has_value());
 }
 
+// Guards against a conflict on one row of a common release that loses the
+// others, or that writes a row again whose present state is not known.
+TEST_CASE("owner: groups drained together are released in one transaction") {
+  OwnershipState state = Core(kOwner);
+  auto catalogue = std::make_shared<catalogue::Catalogue>(*TestCatalogue());
+  catalogue->version = 2;
+  catalogue->services.front().groups_per_instance = 3;
+  OnCatalogue(state, T(0), catalogue);
+  Actions actions;
+  std::vector<GroupEpoch> drained;
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    GroupRow row = Row(7 + index);
+    row.group.index = index;
+    Read(state, T(3000), row, actions);
+    drained.push_back({row.group, 1});
+  }
+  SetDraining(state, T(3100), true);
+  Ticked(state, T(3100));
+  actions.clear();
+  OnReleaseDrained(state, T(3200), drained, actions);
+  const auto common = Find<SubmitTransaction>(actions)->transaction;
+  REQUIRE(common.writes.size() == 3);
+  SUBCASE("all moved") {
+    actions.clear();
+    OnTransactionResult(state, T(3210), common.operation_id,
+                        {Status::kApplied, {11, 11, 11}, {}}, actions);
+    CHECK(std::ranges::count_if(actions, [](const Action& action) {
+            return std::holds_alternative<NotifyReceiver>(action);
+          }) == 3);
+  }
+  SUBCASE("the rows without conflict follow one by one") {
+    GroupRow taken = Row(10);
+    taken.group = DecodeRow({common.writes[1].key, 1, *common.writes[1].value})
+                      .value()
+                      .group;
+    taken.intent = kDeputy;
+    actions.clear();
+    OnTransactionResult(
+        state, T(3210), common.operation_id,
+        {Status::kConflict,
+         {},
+         {{common.writes[1].key, taken.version, EncodeRow(taken)}}},
+        actions);
+    std::vector<std::string> keys;
+    for (const Action& action : actions) {
+      if (const auto* const submit = std::get_if<SubmitTransaction>(&action)) {
+        REQUIRE(submit->transaction.writes.size() == 1);
+        keys.push_back(submit->transaction.writes.front().key);
+      }
+    }
+    CHECK(keys == std::vector{common.writes[0].key, common.writes[2].key});
+  }
+  SUBCASE("a lost reply leaves each row to a rewrite of its own") {
+    OnTransactionResult(state, T(4200), common.operation_id,
+                        {Status::kUnknown, {}, {}}, actions);
+    actions = Ticked(state, T(4300));
+    CHECK(std::ranges::count_if(actions, [](const Action& action) {
+            const auto* const submit = std::get_if<SubmitTransaction>(&action);
+            return submit != nullptr && submit->transaction.writes.size() == 1;
+          }) == 3);
+    for (const GroupEpoch& group : drained) {
+      CHECK_FALSE(ServingUntil(state, group.group, T(4300)).has_value());
+    }
+  }
+}
+
 // Found by the history model (seed 111128): a read answered before a hot key's
 // row was created arrived after the confirmation, and the key was put back on
 // the parent while its own row lived on.
--- a/src/eelgrassbridge/ownership/release_rules.cpp
+++ b/src/eelgrassbridge/ownership/release_rules.cpp
@@ -1,4 +1,8 @@
 // Planned moves (rule 9): stop admitting, drain, write, notify.
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 #include "eelgrassbridge/ownership/detail/core.hpp"
 #include "eelgrassbridge/ownership/ownership_commands.hpp"
 #include "eelgrassbridge/ownership/ownership_queries.hpp"
@@ -8,6 +12,9 @@
 namespace {
 
 constexpr base::Duration kReceiverRetry = base::milliseconds{500};
+/// Most releases of one transaction. The table counts rows against its cap, so
+/// a larger batch would take a larger part of one second's cap at once.
+constexpr std::size_t kReleasesPerWrite = 16;
 
 bool IsEligibleDaemon(const OwnershipState& state,
                       const base::GroupId& group,
@@ -62,6 +69,31 @@
   detail::BeginRelease(owned, receiver, actions);
 }
 
+/// Closes the gate and gives the row to write; none if nobody can take the
+/// group any more.
+std::optional<GroupRow> PrepareRelease(OwnershipState& state,
+                                       base::TimePoint now,
+                                       OwnedGroup& owned,
+                                       Actions& actions) {
+  if (!IsEligibleDaemon(state, owned.row.group, owned.release_to, now) &&
+      !owned.release_sent) {
+    owned.release_to = FindReceiver(state, owned.row.group);
+    if (!owned.release_to) {
+      detail::CancelRelease(state, now, owned, actions);
+      detail::UpdateGate(state, now, owned, actions);
+      return std::nullopt;
+    }
+  }
+  GroupRow row = owned.row;
+  row.owner = owned.release_to;
+  row.epoch += 1;
+  row.deputy = DeputyAfterMove(state, owned.row, owned.release_to, now);
+  row.intent = {};
+  owned.release_sent = true;
+  detail::CloseGateOf(state, now, owned, actions);
+  return row;
+}
+
 }  // namespace
 
 namespace detail {
@@ -91,23 +123,9 @@
                    base::TimePoint now,
                    OwnedGroup& owned,
                    Actions& actions) {
-  if (!IsEligibleDaemon(state, owned.row.group, owned.release_to, now) &&
-      !owned.release_sent) {
-    owned.release_to = FindReceiver(state, owned.row.group);
-    if (!owned.release_to) {
-      CancelRelease(state, now, owned, actions);
-      UpdateGate(state, now, owned, actions);
-      return;
-    }
+  if (auto row = PrepareRelease(state, now, owned, actions)) {
+    Submit(state, now, WriteKind::kRelease, {{std::move(*row)}}, actions);
   }
-  GroupRow row = owned.row;
-  row.owner = owned.release_to;
-  row.epoch += 1;
-  row.deputy = DeputyAfterMove(state, owned.row, owned.release_to, now);
-  row.intent = {};
-  owned.release_sent = true;
-  CloseGateOf(state, now, owned, actions);
-  Submit(state, now, WriteKind::kRelease, {{row}}, actions);
 }
 
 void CancelRelease(const OwnershipState& state,
@@ -127,6 +145,7 @@
   if (state.catalogue == nullptr) {
     return;
   }
+  std::vector<RowWrite> due;
   for (auto& [group, owned] : state.owned) {
     BeginForcedMove(state, now, owned, actions);
     if (!owned.drained || owned.release_sent || owned.row.intent ||
@@ -135,8 +154,39 @@
     }
     if (owned.merging) {
       SubmitMerge(state, now, owned, actions);
-    } else {
-      SubmitRelease(state, now, owned, actions);
+    } else if (auto row = PrepareRelease(state, now, owned, actions)) {
+      due.push_back({std::move(*row)});
+    }
+    if (due.size() == kReleasesPerWrite) {
+      Submit(state, now, WriteKind::kRelease, std::exchange(due, {}), actions);
+    }
+  }
+  if (!due.empty()) {
+    Submit(state, now, WriteKind::kRelease, std::move(due), actions);
+  }
+}
+
+void RepeatReleasesWithoutConflict(OwnershipState& state,
+                                   base::TimePoint now,
+                                   const Operation& operation,
+                                   std::span<const store::Row> conflicts,
+                                   Actions& actions) {
+  if (operation.kind != WriteKind::kRelease || operation.writes.size() < 2) {
+    return;
+  }
+  for (const RowWrite& write : operation.writes) {
+    const bool is_conflict = std::ranges::any_of(
+        conflicts, [key = RowKey(write.row.group)](const store::Row& row) {
+          return row.key == key;
+        });
+    const auto owned = state.owned.find(write.row.group);
+    // A row that was read at another version meanwhile may hold an intent; its
+    // release is given up like one that met the conflict itself.
+    if (!is_conflict && owned != state.owned.end() &&
+        owned->second.release_sent &&
+        owned->second.row.version == write.row.version &&
+        !HasOpenWrite(state, write.row.group)) {
+      SubmitRelease(state, now, owned->second, actions);
     }
   }
 }
@@ -145,15 +195,20 @@
 
 void OnReleaseDrained(OwnershipState& state,
                       base::TimePoint now,
-                      const GroupEpoch& group,
+                      std::span<const GroupEpoch> groups,
                       Actions& actions) {
-  const auto found = state.owned.find(group.group);
-  if (found == state.owned.end() || found->second.row.epoch != group.epoch ||
-      (!found->second.release_to && !found->second.merging)) {
-    return;
+  bool is_any_drained = false;
+  for (const GroupEpoch& group : groups) {
+    const auto found = state.owned.find(group.group);
+    if (found != state.owned.end() && found->second.row.epoch == group.epoch &&
+        (found->second.release_to || found->second.merging)) {
+      found->second.drained = true;
+      is_any_drained = true;
+    }
+  }
+  if (is_any_drained) {
+    detail::TickReleases(state, now, actions);
   }
-  found->second.drained = true;
-  detail::TickReleases(state, now, actions);
 }
 
 void OnReleaseDone(OwnershipState& state,
--- a/src/eelgrassbridge/ownership/writes.cpp
+++ b/src/eelgrassbridge/ownership/writes.cpp
@@ -182,11 +182,15 @@
     detail::AbsorbRow(state, now, row.value(), operation.sent_at, actions);
     if (state.options.broken.blind_repeat &&
         operation.kind == WriteKind::kRelease) {
-      RowWrite again = operation.writes.front();
+      RowWrite again = *std::ranges::find(
+          operation.writes, row.value().group,
+          [](const RowWrite& write) { return write.row.group; });
       again.row.version = conflict.version;
       detail::Submit(state, now, operation.kind, {again}, actions);
     }
   }
+  detail::RepeatReleasesWithoutConflict(state, now, operation, result.conflicts,
+                                        actions);
   AfterRefusal(state, now, operation, actions);
 }
 
