Send a merged key back to its parent group

The ownership core tells a deleted row as a row without an owner whose version is that of the deletion, but the routing view took only version 0 for a deletion. After the merge of a hot key the key stayed in the view as a hot key without an owner, and every daemon would have refused it with no_owner for good. The view now takes a row without an owner for a deletion as well.

--- a/include/eelgrassbridge/daemon/control_view.hpp
+++ b/include/eelgrassbridge/daemon/control_view.hpp
@@ -40,7 +40,8 @@
   base::TimePoint peers_published_at{};
 };
 
-/// @brief Takes a changed row into the view; version 0 removes it.
+/// @brief Takes a changed row into the view; one without an owner or of version
+/// 0 is a deletion.
 void ApplyRow(ViewBuilder& builder, const ownership::GroupRow& row);
 
 /// @brief Takes a changed member into the view.
--- a/src/eelgrassbridge/daemon/control_parts_test.cpp
+++ b/src/eelgrassbridge/daemon/control_parts_test.cpp
@@ -110,6 +110,24 @@
   CHECK_FALSE(contains());
 }
 
+// A deleted row has the version of its deletion. Taken for a row without an
+// owner, it left the key without any server after a merge.
+TEST_CASE("a merged key goes back to the parent, whichever row comes first") {
+  for (const bool is_parent_first : {true, false}) {
+    ViewBuilder builder;
+    ownership::GroupRow parent = RowOf(kParentGroup, 1);
+    parent.carved_out = {77};
+    ApplyRow(builder, parent);
+    ApplyRow(builder, RowOf(kHotGroup, 2));
+    ownership::GroupRow deleted = RowOf(kHotGroup, 0);
+    deleted.version = 10;
+    for (const bool is_parent : {is_parent_first, !is_parent_first}) {
+      ApplyRow(builder, is_parent ? RowOf(kParentGroup, 1) : deleted);
+    }
+    CHECK(builder.next.groups.at("listing/sur").hot_keys->empty());
+  }
+}
+
 TEST_CASE("members out of service get no work, and lost ones are dropped") {
   ViewBuilder builder;
   RoutingViewSlot slot;
--- a/src/eelgrassbridge/daemon/control_view.cpp
+++ b/src/eelgrassbridge/daemon/control_view.cpp
@@ -29,7 +29,7 @@
                  GroupMap& map,
                  const ownership::GroupRow& row) {
   HotKeys hot_keys = CopyHotKeys(map);
-  if (row.version != 0) {
+  if (row.owner && row.version != 0) {
     hot_keys[*row.group.hot_key] = {row.owner, row.epoch};
   } else if (IsCarvedOut(builder, row.group)) {
     hot_keys[*row.group.hot_key] = {};
