--- a/include/eelgrassbridge/ownership/ownership_commands.hpp
+++ b/include/eelgrassbridge/ownership/ownership_commands.hpp
@@ -120,11 +120,11 @@
               base::TimePoint now,
               std::span<const GroupDemand> demands);
 
-/// @brief Demand at other owners, from gossip; orders paced take-overs and
-/// tells the least loaded daemon.
-void OnDemandHeard(OwnershipState& state,
-                   base::DaemonId owner,
-                   std::span<const GroupDemand> demands);
+/// @brief Load of all groups of another daemon, from gossip; tells the least
+/// loaded daemon.
+void OnLoadHeard(OwnershipState& state,
+                 base::DaemonId owner,
+                 double requests_per_second);
 
 /// @brief Stop or resume serving: a planned stop moves every group away.
 void SetDraining(OwnershipState& state, base::TimePoint now, bool draining);
--- a/include/eelgrassbridge/ownership/ownership_state.hpp
+++ b/include/eelgrassbridge/ownership/ownership_state.hpp
@@ -161,6 +161,9 @@
   std::uint64_t promises_ignored = 0;
   std::uint64_t clock_jumps = 0;
   std::uint64_t rows_undecodable = 0;
+  std::uint64_t hot_keys_carved_out = 0;
+  std::uint64_t hot_keys_moved = 0;
+  std::uint64_t hot_keys_merged = 0;
 };
 
 struct OwnershipState {
--- a/src/eelgrassbridge/ownership/hot_keys.cpp
+++ b/src/eelgrassbridge/ownership/hot_keys.cpp
@@ -9,21 +9,32 @@
 
 namespace {
 
-/// Whether a condition that holds now has held for `needed` without a gap
-/// longer than `needed` between reports.
-bool HasHeldFor(std::unordered_map<base::GroupId, HotKeyWatch>& watches,
+using HotKeyWatches = std::unordered_map<base::GroupId, HotKeyWatch>;
+
+/// Reports come every second; one may be missing around a change of gates.
+constexpr base::Duration kLongestReportGap = base::milliseconds{2500};
+/// Share of its owner's load by which a hot key's move must lower that load,
+/// once the key has left its parent's owner. With less, every small change of
+/// the other loads would move the key again.
+constexpr double kRepeatedMoveGain = 0.1;
+
+/// Whether a condition that holds now has held for `needed` in all reports.
+bool HasHeldFor(HotKeyWatches& watches,
                 const base::GroupId& key,
                 base::TimePoint now,
                 base::Duration needed) {
   HotKeyWatch& watch =
       watches.try_emplace(key, HotKeyWatch{now, now}).first->second;
-  if (now - watch.last_seen > needed) {
-    watch.since = now;
-  }
   watch.last_seen = now;
   return now - watch.since >= needed;
 }
 
+void DropUnreported(HotKeyWatches& watches, base::TimePoint now) {
+  std::erase_if(watches, [&](const auto& watch) {
+    return now - watch.second.last_seen > kLongestReportGap;
+  });
+}
+
 void CarveOut(OwnershipState& state,
               base::TimePoint now,
               const base::GroupId& parent_id,
@@ -86,13 +97,19 @@
   if (!receiver || receiver == state.self) {
     return;
   }
-  const auto other = state.owner_load.find(receiver);
-  const double other_load = other == state.owner_load.end() ? 0 : other->second;
   const double own_load = state.owner_load[state.self];
   const auto demand = state.demand.find(group);
   const double key_load = demand == state.demand.end() ? 0 : demand->second;
+  const GroupRow* parent = FindRow(state, detail::ParentOf(group));
+  const bool is_with_parent = parent != nullptr && parent->owner == state.self;
+  const double needed_gain = is_with_parent ? 0 : kRepeatedMoveGain * own_load;
   // A move pays only if the receiver ends below this owner's present load.
-  if (other_load + key_load < own_load && detail::TakeToken(state, now)) {
+  double& other_load = state.owner_load[receiver];
+  if (own_load - (other_load + key_load) > needed_gain &&
+      detail::TakeToken(state, now)) {
+    // Counted at once, so that a second key does not go to the same receiver
+    // before its next report.
+    other_load += key_load;
     detail::BeginRelease(owned, receiver, actions);
   }
 }
@@ -119,39 +136,67 @@
   }
 }
 
-void LookAtGroup(OwnershipState& state,
-                 base::TimePoint now,
-                 const GroupDemand& demand,
-                 double total,
-                 Actions& actions) {
+/// Carves out the keys of an ordinary group that have been hot long enough.
+void LookAtKeys(OwnershipState& state,
+                base::TimePoint now,
+                const GroupDemand& demand,
+                double total,
+                Actions& actions) {
   const OwnershipOptions& options = state.options;
-  if (!demand.group.hot_key) {
-    for (const GroupDemand::KeyLoad& key : demand.busiest_keys) {
-      base::GroupId hot = demand.group;
-      hot.hot_key = key.key_hash;
-      if (total < options.hot_minimum_load ||
-          key.requests_per_second <= options.hot_share * total) {
-        state.hot.erase(hot);
-      } else if (HasHeldFor(state.hot, hot, now, options.hot_time)) {
-        CarveOut(state, now, demand.group, key.key_hash, actions);
-      }
+  const auto is_hot = [&](const GroupDemand::KeyLoad& key) {
+    return total >= options.hot_minimum_load &&
+           key.requests_per_second > options.hot_share * total;
+  };
+  // Keys that are not hot in this report, also those that it leaves out, begin
+  // anew. Keys with a row of their own are reported under that row.
+  const auto owned = state.owned.find(demand.group);
+  std::erase_if(state.hot, [&](const auto& watch) {
+    const base::GroupId& hot = watch.first;
+    const bool is_carved_out =
+        owned != state.owned.end() &&
+        std::ranges::binary_search(owned->second.row.carved_out, *hot.hot_key);
+    return detail::ParentOf(hot) == demand.group && !is_carved_out &&
+           std::ranges::none_of(demand.busiest_keys, [&](const auto& key) {
+             return key.key_hash == *hot.hot_key && is_hot(key);
+           });
+  });
+  for (const GroupDemand::KeyLoad& key : demand.busiest_keys) {
+    base::GroupId hot = demand.group;
+    hot.hot_key = key.key_hash;
+    if (is_hot(key) && HasHeldFor(state.hot, hot, now, options.hot_time)) {
+      CarveOut(state, now, demand.group, key.key_hash, actions);
     }
-    return;
   }
+}
+
+void LookAtHotKey(OwnershipState& state,
+                  base::TimePoint now,
+                  const GroupDemand& demand,
+                  double total,
+                  Actions& actions) {
+  const OwnershipOptions& options = state.options;
+  const double load = demand.requests_per_second;
+  const bool is_cool =
+      load < options.cool_share * total || total < options.hot_minimum_load;
+  const bool is_hot = !is_cool && load > options.hot_share * total;
+  if (!is_cool) {
+    state.cool.erase(demand.group);
+  }
+  if (!is_hot) {
+    state.hot.erase(demand.group);
+  }
+  // The time counts while the group may not move yet, too.
+  const bool is_cool_long =
+      is_cool && HasHeldFor(state.cool, demand.group, now, options.cool_time);
+  const bool is_hot_long =
+      is_hot && HasHeldFor(state.hot, demand.group, now, options.hot_time);
   const auto owned = state.owned.find(demand.group);
   if (owned == state.owned.end() || !IsFreeToMove(state, owned->second, now)) {
     return;
   }
-  if (demand.requests_per_second < options.cool_share * total ||
-      total < options.hot_minimum_load) {
-    if (HasHeldFor(state.cool, demand.group, now, options.cool_time)) {
-      BringBack(state, now, owned->second, actions);
-    }
-    return;
-  }
-  state.cool.erase(demand.group);
-  if (demand.requests_per_second > options.hot_share * total &&
-      HasHeldFor(state.hot, demand.group, now, options.hot_time)) {
+  if (is_cool_long) {
+    BringBack(state, now, owned->second, actions);
+  } else if (is_hot_long) {
     MoveHot(state, now, owned->second, actions);
   }
 }
@@ -188,8 +233,14 @@
   const std::vector<GroupDemand> demands = std::move(state.local_demand);
   state.local_demand.clear();
   const double total = state.owner_load[state.self];
+  DropUnreported(state.hot, now);
+  DropUnreported(state.cool, now);
   for (const GroupDemand& demand : demands) {
-    LookAtGroup(state, now, demand, total, actions);
+    if (demand.group.hot_key) {
+      LookAtHotKey(state, now, demand, total, actions);
+    } else {
+      LookAtKeys(state, now, demand, total, actions);
+    }
   }
 }
 
@@ -207,15 +258,12 @@
   state.local_demand.assign(demands.begin(), demands.end());
 }
 
-void OnDemandHeard(OwnershipState& state,
-                   base::DaemonId owner,
-                   std::span<const GroupDemand> demands) {
-  double total = 0;
-  for (const GroupDemand& demand : demands) {
-    state.demand[demand.group] = demand.requests_per_second;
-    total += demand.requests_per_second;
+void OnLoadHeard(OwnershipState& state,
+                 base::DaemonId owner,
+                 double requests_per_second) {
+  if (owner != state.self) {
+    state.owner_load[owner] = requests_per_second;
   }
-  state.owner_load[owner] = total;
 }
 
 }  // namespace eelgrassbridge::ownership
--- a/src/eelgrassbridge/ownership/owner_rules_test.cpp
+++ b/src/eelgrassbridge/ownership/owner_rules_test.cpp
@@ -227,6 +227,54 @@
   CHECK(ServingUntil(state, hot, T(13020)).has_value());
 }
 
+TEST_CASE("owner: a key is hot only if no report in the time says otherwise") {
+  OwnershipState state = Core(kOwner);
+  state.options.silent_deputy_limit = seconds{60};
+  Actions actions;
+  std::int64_t carved_out_at = 0;
+  for (std::int64_t second = 3; second <= 22 && carved_out_at == 0; ++second) {
+    Read(state, T(second * 1000), Row(7), actions);
+    GroupDemand demand{kGroup, 100, {{42, 90}}};
+    if (second == 8) {
+      demand.busiest_keys.clear();
+    }
+    OnDemand(state, T(second * 1000), {&demand, 1});
+    const bool is_carved_out =
+        Find<SubmitTransaction>(Ticked(state, T(second * 1000))).has_value();
+    carved_out_at = is_carved_out ? second : 0;
+  }
+  CHECK(carved_out_at == 19);
+}
+
+// Guards against a key that goes round: wherever it is, its owner is the most
+// loaded one, and some other daemon has a little less load besides it.
+TEST_CASE("owner: a moved hot key moves again only for a clear gain") {
+  for (const double other_load : {8.0, 20.0}) {
+    OwnershipState state = Core(kOwner);
+    state.options.silent_deputy_limit = seconds{60};
+    GroupRow parent = Row(7);
+    parent.owner = kThird;
+    parent.carved_out = {42};
+    GroupRow hot = Row(8);
+    hot.group.hot_key = 42;
+    hot.epoch = 2;
+    base::GroupId other = kGroup;
+    other.index = 1;
+    OnLoadHeard(state, kThird, 5);
+    Actions actions;
+    for (std::int64_t second = 3; second <= 20; ++second) {
+      Read(state, T(second * 1000), parent, actions);
+      Read(state, T(second * 1000), hot, actions);
+      const GroupDemand demands[] = {{hot.group, 100, {}},
+                                     {other, other_load, {}}};
+      OnDemand(state, T(second * 1000), demands);
+      Ticked(state, T(second * 1000));
+    }
+    CHECK(state.owned.at(hot.group).release_to ==
+          (other_load > 10 ? kDeputy : base::DaemonId{}));
+  }
+}
+
 // Found by the history model (seed 101548): a gate closed for an intent and
 // opened again hid requests in flight from the drain of the next move.
 TEST_CASE("owner: a move waits for requests of a gate closed before") {
--- a/src/eelgrassbridge/ownership/writes.cpp
+++ b/src/eelgrassbridge/ownership/writes.cpp
@@ -91,8 +91,8 @@
   }
 }
 
-void CountApplied(OwnershipState& state, WriteKind kind) {
-  switch (kind) {
+void CountApplied(OwnershipState& state, const Operation& operation) {
+  switch (operation.kind) {
     case WriteKind::kReplaceDeputy:
       ++state.counters.deputies_replaced;
       break;
@@ -101,6 +101,14 @@
       break;
     case WriteKind::kRelease:
       ++state.counters.releases_done;
+      state.counters.hot_keys_moved +=
+          operation.writes.front().row.group.hot_key ? 1 : 0;
+      break;
+    case WriteKind::kCarveOut:
+      ++state.counters.hot_keys_carved_out;
+      break;
+    case WriteKind::kMerge:
+      ++state.counters.hot_keys_merged;
       break;
     default:
       break;
@@ -113,7 +121,7 @@
                const store::TransactionResult& result,
                Actions& actions) {
   EndOpenWrites(state, operation, false);
-  CountApplied(state, operation.kind);
+  CountApplied(state, operation);
   for (std::size_t i = 0; i < operation.writes.size(); ++i) {
     GroupRow& row = operation.writes[i].row;
     if (operation.writes[i].is_delete) {
