Report the busiest keys of each group and the load of each daemon

MeasureLoad passed an empty list of keys to the ownership core, so no key was ever found hot, and the load of the other daemons was not known, so "least loaded" meant nothing. A worker that finds the counts in use leaves its request out and does not wait.

The sum of a daemon's load is a gossip item of at most 9 digits, told on a change of more than a tenth and at most ten times a second in the whole site. The new site test carves a key with half of the requests out, checks that it reaches the idle daemon with its request ids and the next epoch, that no two daemons admit it at any step, that it does not go round, and that it comes back; without the loads from gossip the test fails.

--- a/include/eelgrassbridge/daemon/control_exchange.hpp
+++ b/include/eelgrassbridge/daemon/control_exchange.hpp
@@ -1,5 +1,5 @@
 // What the request path tells other daemons through control, and hears from
-// them: demand of client accounts, suspect requests, load of groups.
+// them: demand of client accounts, suspect requests, load of groups and keys.
 #ifndef EELGRASSBRIDGE_DAEMON_CONTROL_EXCHANGE_HPP
 #define EELGRASSBRIDGE_DAEMON_CONTROL_EXCHANGE_HPP
 
@@ -8,7 +8,7 @@
 namespace eelgrassbridge::daemon {
 
 /// @brief Once a second: publishes own demand and suspects, measures the load
-/// of the owned groups.
+/// of the owned groups and their busiest keys, and publishes its sum.
 void TickExchange(ControlState& state, base::TimePoint now);
 
 /// @brief A member came, changed or went: shares of limits change.
@@ -20,6 +20,7 @@
 void TakeDemand(ControlState& state,
                 base::TimePoint now,
                 const membership::GossipItem& item);
+void TakeLoadItem(ControlState& state, const membership::GossipItem& item);
 void TakeSuspects(ControlState& state,
                   base::TimePoint now,
                   const membership::GossipItem& item);
--- a/include/eelgrassbridge/daemon/control_state.hpp
+++ b/include/eelgrassbridge/daemon/control_state.hpp
@@ -29,6 +29,7 @@
   kCatalogue = 2,  ///< Version only; the text is asked for.
   kDemand = 3,     ///< Demand of client accounts at one daemon.
   kSuspect = 4,    ///< Requests that were in flight when a target died.
+  kLoad = 5,       ///< Requests per second of all groups of one daemon.
 };
 
 /// @brief How far the start has come.
@@ -111,9 +112,10 @@
   base::TimePoint next_demand{};
   /// Own demand as published, by item.
   std::map<std::uint64_t, std::map<std::string, double>> own_demand;
-  /// Entries of each open gate at the last measurement of the load.
-  std::unordered_map<base::GroupId, std::uint64_t> entered_before;
   base::TimePoint load_measured_at{};
+  /// Own load as last published, in requests per second.
+  double published_load = 0;
+  base::TimePoint next_load{};
   bool fleet_changed = true;
 
   /// Joining daemons that cannot read the table.
--- a/include/eelgrassbridge/daemon/group_gate.hpp
+++ b/include/eelgrassbridge/daemon/group_gate.hpp
@@ -9,9 +9,12 @@
 
 #include <atomic>
 #include <cstdint>
+#include <mutex>
+#include <string_view>
 
 #include "eelgrassbridge/base/identifier.hpp"
 #include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/ownership/busy_keys.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -27,8 +30,11 @@
   std::atomic<bool> released = false;
   /// Requests between entry and the end of their run on the target.
   std::atomic<std::int64_t> in_flight = 0;
-  /// Requests that entered since the gate was opened; input of the balance.
+  /// Requests that entered since control last asked; input of the balance.
   std::atomic<std::uint64_t> entered = 0;
+  std::mutex busy_keys_mutex;
+  /// Keys of these requests; empty in the gate of a hot key.
+  ownership::BusyKeys busy_keys;
 };
 
 /// @brief Enters the gate if the group may be served now. On true the caller
@@ -38,6 +44,18 @@
 /// @brief Ends what TryEnter began.
 void Leave(GroupGate& gate);
 
+/// @brief Counts the key of a request that entered. A request that finds
+/// another one counting is left out, so that no worker waits; the keys of the
+/// others still show the shares.
+void CountKey(GroupGate& gate, std::string_view key);
+
+/// @brief What was counted since the last call.
+struct GateLoad {
+  std::uint64_t entered = 0;
+  ownership::BusyKeys busy_keys;
+};
+GateLoad TakeLoad(GroupGate& gate);
+
 /// @brief Whether the lease still covers that time; checked again right before
 /// the hand-over to the target.
 bool IsLeaseValid(const GroupGate& gate, base::TimePoint now);
--- a/src/eelgrassbridge/daemon/control_exchange.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange.cpp
@@ -4,6 +4,8 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "eelgrassbridge/base/hash.hpp"
@@ -24,6 +26,12 @@
 /// Demand is published once a second in a site of up to 100 daemons and more
 /// rarely in a larger one, so that all of it takes a bounded part of gossip.
 constexpr base::Duration kDemandIntervalPerDaemon = base::milliseconds{10};
+/// The load of daemons takes at most 10 items a second of gossip in all.
+constexpr base::Duration kLoadIntervalPerDaemon = base::milliseconds{100};
+/// A smaller change of the load is not told.
+constexpr double kToldLoadChange = 0.1;
+/// Digits of a load in requests per second.
+constexpr std::size_t kMaxLoadBytes = 9;
 constexpr std::size_t kSuspectsPerTick = 32;
 constexpr std::size_t kMaxPayloadBytes = 8192;
 
@@ -31,10 +39,10 @@
                  base::TimePoint now,
                  ItemKind kind,
                  std::string key,
-                 const json& payload) {
+                 std::string payload) {
   membership::PublishItem(state.membership, now,
                           {static_cast<std::uint32_t>(kind), std::move(key),
-                           state.next_item_version++, payload.dump()});
+                           state.next_item_version++, std::move(payload)});
 }
 
 void PublishDemand(ControlState& state, base::TimePoint now) {
@@ -59,7 +67,7 @@
   for (const std::uint64_t bucket : buckets) {
     PublishItem(state, now, ItemKind::kDemand,
                 fmt::format("{}/{}", base::ToString(state.self), bucket),
-                state.own_demand[bucket]);
+                json(state.own_demand[bucket]).dump());
   }
 }
 
@@ -86,33 +94,54 @@
     PublishItem(state, now, ItemKind::kSuspect,
                 fmt::format("{}/{:016x}{:016x}", base::ToString(state.self),
                             record.fingerprint.high, record.fingerprint.low),
-                {record.fingerprint.high, record.fingerprint.low, deaths,
-                 base::UnixMilliseconds() - age_ms});
+                json{record.fingerprint.high, record.fingerprint.low, deaths,
+                     base::UnixMilliseconds() - age_ms}
+                    .dump());
   }
 }
 
+ownership::GroupDemand DemandOf(GroupGate& gate, double seconds) {
+  const GateLoad load = TakeLoad(gate);
+  const double rate = static_cast<double>(load.entered) / seconds;
+  ownership::GroupDemand demand{gate.group, rate, {}};
+  for (const ownership::KeyShare& key :
+       ownership::BusiestKeys(load.busy_keys)) {
+    demand.busiest_keys.push_back({key.key_hash, key.share * rate});
+  }
+  return demand;
+}
+
+/// Told on a change of more than a tenth, so that a steady site sends nothing.
+void PublishLoad(ControlState& state, base::TimePoint now, double load) {
+  const double change = std::abs(load - state.published_load);
+  if (now < state.next_load ||
+      change <= kToldLoadChange * state.published_load) {
+    return;
+  }
+  const auto alive =
+      static_cast<std::int64_t>(membership::AliveCount(state.membership));
+  state.next_load =
+      now + std::max(kExchangeInterval, alive * kLoadIntervalPerDaemon);
+  state.published_load = load;
+  PublishItem(state, now, ItemKind::kLoad, base::ToString(state.self),
+              fmt::format("{:.0f}", load));
+}
+
 void MeasureLoad(ControlState& state, base::TimePoint now) {
-  std::vector<ownership::GroupDemand> demands;
-  const double elapsed =
+  const double seconds =
       std::chrono::duration<double>(now - state.load_measured_at).count();
-  std::unordered_map<base::GroupId, std::uint64_t> entered;
+  state.load_measured_at = now;
+  if (seconds <= 0) {
+    return;
+  }
+  std::vector<ownership::GroupDemand> demands;
+  double load = 0;
   for (const auto& [group, gate] : state.gates.open) {
-    const std::uint64_t count = gate->entered.load(std::memory_order_relaxed);
-    entered.emplace(group, count);
-    const auto before = state.entered_before.find(group);
-    // A fresh gate counts from zero.
-    const std::uint64_t start =
-        before == state.entered_before.end() || before->second > count
-            ? 0
-            : before->second;
-    if (elapsed > 0) {
-      demands.push_back(
-          {group, static_cast<double>(count - start) / elapsed, {}});
-    }
+    demands.push_back(DemandOf(*gate, seconds));
+    load += demands.back().requests_per_second;
   }
-  state.entered_before = std::move(entered);
-  state.load_measured_at = now;
   ownership::OnDemand(state.ownership, now, demands);
+  PublishLoad(state, now, load);
 }
 
 void UpdateFleet(ControlState& state, base::TimePoint now) {
@@ -196,6 +225,18 @@
   limits::MergeDemand(state.context.accounts.limiter, *id, demands, now);
 }
 
+void TakeLoadItem(ControlState& state, const membership::GossipItem& item) {
+  const auto id = base::ParseDaemonId(item.key);
+  const std::string_view text = item.payload;
+  std::uint64_t load = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), load);
+  if (id && text.size() <= kMaxLoadBytes && read.ec == std::errc{} &&
+      read.ptr == text.data() + text.size()) {
+    ownership::OnLoadHeard(state.ownership, *id, static_cast<double>(load));
+  }
+}
+
 void TakeSuspects(ControlState& state,
                   base::TimePoint now,
                   const membership::GossipItem& item) {
--- /dev/null
+++ b/src/eelgrassbridge/daemon/control_exchange_test.cpp
@@ -0,0 +1,93 @@
+// Guards the report of loads and busiest keys: without it no key is found hot,
+// and a site under steady load would fill its gossip with loads.
+#include "eelgrassbridge/daemon/control_exchange.hpp"
+
+#include <doctest/doctest.h>
+
+#include "eelgrassbridge/base/hash.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+const base::GroupId kGroup{"listing", "sur", 3, std::nullopt};
+const std::string kKey = "pallet-7";
+
+struct Fixture {
+  Fixture() {
+    OpenGroupGate(this->state.gates,
+                  {{kGroup, 1}, this->now + base::seconds{3600}, {}});
+    TickExchange(this->state, this->now);
+  }
+
+  /// One second with that many requests, half of them for one key.
+  void RunSecond(int requests) {
+    GroupGate& gate = *this->state.gates.open.at(kGroup);
+    for (int i = 0; i < requests; ++i) {
+      REQUIRE(TryEnter(gate, this->now));
+      CountKey(gate, i % 2 == 0 ? kKey : std::to_string(i));
+      Leave(gate);
+    }
+    this->now += base::seconds{1};
+    TickExchange(this->state, this->now);
+  }
+
+  std::string PublishedLoad() const {
+    const auto found = this->state.membership.items.find(
+        {static_cast<std::uint32_t>(ItemKind::kLoad),
+         base::ToString(this->state.self)});
+    return found == this->state.membership.items.end() ? ""
+                                                       : found->second.payload;
+  }
+
+  base::TimePoint now = base::FromMicroseconds(1'000'000'000);
+  settings::Settings settings;
+  catalogue::Catalogue initial;
+  RequestContext context{this->settings};
+  ControlState state{this->settings, this->initial, this->context,
+                     base::DaemonId{1}, this->now};
+};
+
+}  // namespace
+
+TEST_CASE("each second the busiest keys of each gate are read and reset") {
+  Fixture fixture;
+  for (int second = 0; second < 3; ++second) {
+    fixture.RunSecond(100);
+    const auto& demands = fixture.state.ownership.local_demand;
+    REQUIRE(demands.size() == 1);
+    CHECK(demands[0].requests_per_second == doctest::Approx(100));
+    REQUIRE_FALSE(demands[0].busiest_keys.empty());
+    CHECK(demands[0].busiest_keys[0].key_hash == base::Hash64(kKey));
+    CHECK(demands[0].busiest_keys[0].requests_per_second ==
+          doctest::Approx(50).epsilon(0.07));
+  }
+}
+
+TEST_CASE("a load is told on a change of more than a tenth only") {
+  Fixture fixture;
+  fixture.RunSecond(100);
+  CHECK(fixture.PublishedLoad() == "100");
+  fixture.RunSecond(109);
+  CHECK(fixture.PublishedLoad() == "100");
+  fixture.RunSecond(120);
+  CHECK(fixture.PublishedLoad() == "120");
+  fixture.RunSecond(0);
+  CHECK(fixture.PublishedLoad() == "0");
+}
+
+TEST_CASE("a load that cannot be read changes nothing") {
+  Fixture fixture;
+  const base::DaemonId other{2};
+  const auto take = [&](const std::string& payload) {
+    TakeLoadItem(fixture.state, {static_cast<std::uint32_t>(ItemKind::kLoad),
+                                 base::ToString(other), 1, payload});
+    return fixture.state.ownership.owner_load[other];
+  };
+  CHECK(take("70") == 70);
+  for (const char* bad : {"", "-1", "1e9", "12x", "9999999999"}) {
+    CHECK(take(bad) == 70);
+  }
+}
+
+}  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/control_membership.cpp
+++ b/src/eelgrassbridge/daemon/control_membership.cpp
@@ -150,12 +150,13 @@
               base::TimePoint now,
               base::DaemonId from,
               const membership::GossipItem& item) {
-  if (static_cast<ItemKind>(item.kind) != ItemKind::kDemand) {
+  const auto kind = static_cast<ItemKind>(item.kind);
+  if (kind != ItemKind::kDemand && kind != ItemKind::kLoad) {
     // Passed on at once too, so that the time to reach everyone is hops times
     // 100 ms and not hops times the gossip interval.
     HastenGossip(state, now);
   }
-  switch (static_cast<ItemKind>(item.kind)) {
+  switch (kind) {
     case ItemKind::kRow:
       TakeRow(state, now, item);
       return;
@@ -168,6 +169,9 @@
     case ItemKind::kSuspect:
       TakeSuspects(state, now, item);
       return;
+    case ItemKind::kLoad:
+      TakeLoadItem(state, item);
+      return;
   }
   // An item of a newer release is passed on by the membership core.
 }
--- a/src/eelgrassbridge/daemon/control_site_test.cpp
+++ b/src/eelgrassbridge/daemon/control_site_test.cpp
@@ -10,6 +10,7 @@
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
 #include "eelgrassbridge/daemon/control_events.hpp"
 #include "eelgrassbridge/daemon/control_status.hpp"
+#include "eelgrassbridge/daemon/request_id_records.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -199,6 +200,49 @@
   return true;
 }
 
+std::shared_ptr<GroupGate> GateFor(const Node& node, const std::string& key) {
+  const auto view = node.context.routing.view.load();
+  const base::GroupId group =
+      GroupForKey(*view, view->catalogue->services.at(0), "sur", key);
+  const auto gate = view->owned.find(group);
+  return gate == view->owned.end() ? nullptr : gate->second;
+}
+
+/// Sends one request for the key as workers would, asking every daemon, and
+/// returns the one that served it. No two may.
+Node* Send(const Site& site, const std::string& key) {
+  Node* server = nullptr;
+  for (const auto& node : site.nodes) {
+    const auto gate = GateFor(*node, key);
+    if (gate != nullptr && TryEnter(*gate, site.now)) {
+      REQUIRE(server == nullptr);
+      server = node.get();
+      CountKey(*gate, key);
+      Leave(*gate);
+    }
+  }
+  return server;
+}
+
+const std::string kHotKey = "pallet-7";
+/// Steps with 100 requests/s for the other keys, and as many for a hot key.
+bool RunLoadUntil(Site& site,
+                  bool is_hot,
+                  const std::vector<std::string>& other_keys,
+                  const std::function<bool(Node*)>& holds) {
+  std::size_t next = 0;
+  return site.RunUntil(
+      [&] {
+        Node* server = nullptr;
+        for (int i = 0; i < 5; ++i) {
+          Send(site, other_keys[next++ % other_keys.size()]);
+          server = is_hot ? Send(site, kHotKey) : nullptr;
+        }
+        return holds(server);
+      },
+      base::seconds{60});
+}
+
 }  // namespace
 
 TEST_CASE("a site starts from an empty table and agrees on owners") {
@@ -306,4 +350,51 @@
   CHECK(late.state.gates.open.empty());
 }
 
+// Guards against an overloaded owner that nobody relieves, and against a key
+// served by the parent's owner and by its own at once.
+TEST_CASE("a hot key moves to the least loaded daemon and comes back") {
+  Site site(3);
+  REQUIRE(
+      site.RunUntil([&] { return site.IsWholeServed(); }, base::seconds{60}));
+  Node* const parent_owner = Send(site, kHotKey);
+  REQUIRE(parent_owner != nullptr);
+  Node* const idle =
+      site.nodes[site.nodes[0].get() == parent_owner ? 1 : 0].get();
+  std::vector<std::string> others(200);
+  std::ranges::generate(
+      others, [i = 0]() mutable { return "key-" + std::to_string(i++); });
+  std::erase_if(others, [&](auto& key) { return Send(site, key) == idle; });
+  for (const auto& node : site.nodes) {
+    node->state.ownership.options.cool_time = base::seconds{20};
+  }
+  const auto old_gate = GateFor(*parent_owner, kHotKey);
+  // Carved out, and still with the parent's owner: an id is issued here.
+  REQUIRE(RunLoadUntil(site, true, others, [&](Node* server) {
+    return server != nullptr && GateFor(*server, kHotKey)->group.hot_key;
+  }));
+  CHECK(Send(site, kHotKey) == parent_owner);
+  CHECK_FALSE(TryEnter(*old_gate, site.now));
+  const auto hot_gate = GateFor(*parent_owner, kHotKey);
+  const auto id = limits::ParseRequestId(
+      IssueId(parent_owner->context.request_ids, hot_gate->group,
+              parent_owner->state.self, hot_gate->epoch));
+  REQUIRE(RunLoadUntil(site, true, others,
+                       [&](Node* server) { return server == idle; }));
+  CHECK(GateFor(*parent_owner, kHotKey) == nullptr);
+  const auto new_gate = GateFor(*idle, kHotKey);
+  CHECK(new_gate->epoch == hot_gate->epoch + 1);
+  site.RunUntil([] { return false; }, base::seconds{1});
+  CHECK_FALSE(std::holds_alternative<limits::RefuseId>(
+      BeginId(idle->context.request_ids, new_gate->group, idle->state.self,
+              new_gate->epoch, *id, {1, 2})));
+  // The receiver is now the most loaded daemon; the key must not go round.
+  CHECK_FALSE(RunLoadUntil(site, true, others,
+                           [&](Node* server) { return server != idle; }));
+  REQUIRE(RunLoadUntil(site, false, others, [&](Node*) {
+    const auto gate = GateFor(*parent_owner, kHotKey);
+    return gate != nullptr && !gate->group.hot_key && site.IsWholeServed();
+  }));
+  CHECK(Send(site, kHotKey) == parent_owner);
+}
+
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/control_status.cpp
+++ b/src/eelgrassbridge/daemon/control_status.cpp
@@ -94,6 +94,15 @@
             return !entry.second->released.load() &&
                    IsLeaseValid(*entry.second, now);
           })));
+  Set(state, "hot_keys_owned",
+      static_cast<std::uint64_t>(std::ranges::count_if(
+          state.gates.open,
+          [](const auto& entry) { return entry.first.hot_key.has_value(); })));
+  Set(state, "hot_keys_carved_out_total", owned.hot_keys_carved_out);
+  Set(state, "hot_keys_moved_total", owned.hot_keys_moved);
+  Set(state, "hot_keys_merged_total", owned.hot_keys_merged);
+  Set(state, "published_load_per_second",
+      static_cast<std::uint64_t>(state.published_load));
   Set(state, "take_overs_begun_total", owned.take_overs_begun);
   Set(state, "take_overs_done_total", owned.take_overs_done);
   Set(state, "take_overs_given_up_total", owned.take_overs_given_up);
--- a/src/eelgrassbridge/daemon/local_run.cpp
+++ b/src/eelgrassbridge/daemon/local_run.cpp
@@ -140,6 +140,9 @@
     return ErrorAnswer(base::ErrorKind::kNoOwner,
                        "this daemon may not serve the group now");
   }
+  if (gate != nullptr) {
+    CountKey(*gate, planned.request.key);
+  }
   const bool has_id = !planned.entry.kind->idempotent;
   CallerAnswer answer =
       has_id ? RunWithId(context, view, planned, plan, gate)
