Round the load of a daemon before it is compared with the told one

PublishLoad compared the exact load with the load as published, so below one request per second each small fraction was a change of more than a tenth, and the same "0" was published again. The load is now rounded first, as it is told. The new check in the test of the load report failed before the change and passes after it, with all 44 cases of daemon_test.

--- a/src/eelgrassbridge/daemon/control_exchange.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange.cpp
@@ -112,7 +112,9 @@
 }
 
 /// Told on a change of more than a tenth, so that a steady site sends nothing.
-void PublishLoad(ControlState& state, base::TimePoint now, double load) {
+void PublishLoad(ControlState& state, base::TimePoint now, double exact_load) {
+  // Rounded as it is told; a fraction would be a large change of a small load.
+  const double load = std::round(exact_load);
   const double change = std::abs(load - state.published_load);
   if (now < state.next_load ||
       change <= kToldLoadChange * state.published_load) {
--- a/src/eelgrassbridge/daemon/control_exchange_test.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange_test.cpp
@@ -74,6 +74,11 @@
   CHECK(fixture.PublishedLoad() == "120");
   fixture.RunSecond(0);
   CHECK(fixture.PublishedLoad() == "0");
+  // Less than half a request a second is no load.
+  const auto version = fixture.state.next_item_version;
+  fixture.now += base::seconds{2};
+  fixture.RunSecond(1);
+  CHECK(fixture.state.next_item_version == version);
 }
 
 TEST_CASE("a load that cannot be read changes nothing") {
