Find members lost whose watchers are lost too, and announce them

A member was watched by the members with the highest scores, lost ones included, so a member could be watched by lost members only and then stayed in the table as serving for ever; after the loss of a data centre its members kept one observer outside, and two are needed. Each daemon now also pings one random member of its region each second, goes on until it answers or is lost, and each observer asks three random members to ping its suspect.

The loss of the last member of a data centre was announced by nobody, since only the relay of that data centre announced. The relay of the region, or the lowest id alive, now does so.

Detection still needs two observers, and a run of 60 s without losses sends no suspicion.

--- a/include/eelgrassbridge/membership/detail.hpp
+++ b/include/eelgrassbridge/membership/detail.hpp
@@ -2,6 +2,8 @@
 #ifndef EELGRASSBRIDGE_MEMBERSHIP_DETAIL_HPP
 #define EELGRASSBRIDGE_MEMBERSHIP_DETAIL_HPP
 
+#include <vector>
+
 #include "eelgrassbridge/membership/membership_actions.hpp"
 #include "eelgrassbridge/membership/membership_state.hpp"
 
@@ -31,6 +33,17 @@
 /// @brief Works out partners and watched members after a change.
 void RefreshPeers(MembershipState& state, base::TimePoint now);
 
+/// @brief Pings one more member until it answers or is lost.
+void BeginProbe(MembershipState& state, base::TimePoint now, base::DaemonId id);
+
+/// @brief Ends probes of members that are no longer alive and begins the next
+/// one when it is due.
+void TickProbes(MembershipState& state, base::TimePoint now);
+
+/// @brief Members chosen at random that are asked to ping a suspect.
+std::vector<base::DaemonId> ChooseHelpers(MembershipState& state,
+                                          base::DaemonId suspect);
+
 void TickGossip(MembershipState& state, base::TimePoint now, Actions& actions);
 void TickLiveness(MembershipState& state,
                   base::TimePoint now,
--- a/include/eelgrassbridge/membership/membership_options.hpp
+++ b/include/eelgrassbridge/membership/membership_options.hpp
@@ -23,6 +23,13 @@
   std::size_t join_bytes = 65536;
   std::uint32_t watchers_inside = 2;
   std::uint32_t watchers_outside = 1;
+  /// Each daemon also pings one member of its region this often, chosen at
+  /// random. A lost member whose watchers are lost too is found only that way.
+  base::Duration probe_interval = base::milliseconds{1000};
+  /// Members other than the watchers that an observer asks to ping its suspect,
+  /// so that there is a second observer if all watchers are lost.
+  std::uint32_t helpers_in_region = 2;
+  std::uint32_t helpers_anywhere = 1;
   /// Repeat of an unanswered join request.
   base::Duration join_interval = base::milliseconds{1000};
   /// How long the relay collects announcements before it writes them.
--- a/include/eelgrassbridge/membership/membership_state.hpp
+++ b/include/eelgrassbridge/membership/membership_state.hpp
@@ -89,6 +89,12 @@
   std::unordered_map<base::DaemonId, PeerProgress> progress;
 
   std::unordered_map<base::DaemonId, Watched> watched;
+  /// Members pinged until they answer or are lost, though this daemon is none
+  /// of their watchers: chosen at random, or suspected by another observer.
+  std::unordered_map<base::DaemonId, Watched> probed;
+  base::TimePoint next_probe{};
+  /// Random choices made, so that each differs from the one before.
+  std::uint64_t choices = 0;
   /// Suspect -> observer -> time of the last report.
   std::unordered_map<base::DaemonId,
                      std::unordered_map<base::DaemonId, base::TimePoint>>
@@ -110,9 +116,10 @@
   base::TimePoint next_gossip{};
   base::TimePoint next_announce{};
   base::TimePoint next_forget{};
-  /// Changed records of this data centre, with the time of the change. The
-  /// relay keeps them until they are in the table, the others for a while in
-  /// case they become relay.
+  /// Changed records of this data centre and losses of data centres without an
+  /// alive member, with the time of the change. Whoever announces them keeps
+  /// them until they are in the table, the others for a while in case it
+  /// becomes their turn.
   std::map<base::DaemonId, base::TimePoint> to_announce;
   /// Versions given out with AnnounceMembers.
   std::map<base::DaemonId, std::uint64_t> announcing;
--- a/src/eelgrassbridge/membership/liveness.cpp
+++ b/src/eelgrassbridge/membership/liveness.cpp
@@ -133,12 +133,15 @@
          now - *watched.unanswered_since > options.suspicion_timeout;
 }
 
-bool IsSilent(const MembershipState& state,
-              base::TimePoint now,
-              base::DaemonId id) {
-  const auto watched = state.watched.find(id);
-  return watched != state.watched.end() &&
-         IsSilent(state.options, watched->second, now);
+/// What is known of a member that this daemon pings; null if it pings it not.
+Watched* FindPinged(MembershipState& state, base::DaemonId id) {
+  for (auto* pinged : {&state.watched, &state.probed}) {
+    const auto found = pinged->find(id);
+    if (found != pinged->end()) {
+      return &found->second;
+    }
+  }
+  return nullptr;
 }
 
 /// Finds the member lost if enough observers have reported it lately.
@@ -170,6 +173,12 @@
              Actions& actions) {
   state.suspicions[suspect.id][state.self.id] = now;
   std::vector<base::DaemonId> receivers = Watchers(state, suspect.id);
+  // The watchers may be lost as well, and a deputy may be the only observer.
+  for (const base::DaemonId helper : detail::ChooseHelpers(state, suspect.id)) {
+    if (std::ranges::find(receivers, helper) == receivers.end()) {
+      receivers.push_back(helper);
+    }
+  }
   // The suspect hears of it as well: if it is alive, it refutes.
   receivers.push_back(suspect.id);
   for (const base::DaemonId receiver : receivers) {
@@ -243,20 +252,22 @@
   const base::Duration gap = now - state.last_tick;
   state.last_tick = now;
   std::vector<base::DaemonId> silent;
-  for (auto& [id, watched] : state.watched) {
-    if (gap > state.options.ping_interval && watched.unanswered_since) {
-      *watched.unanswered_since += gap;
-    }
-    if (now >= watched.next_ping) {
-      watched.next_ping = now + state.options.ping_interval;
-      watched.last_ping = now;
-      watched.unanswered_since = watched.unanswered_since.value_or(now);
-      actions.emplace_back(SendPing{id, now});
-    }
-    if (IsSilent(state.options, watched, now) &&
-        now - watched.last_report >= state.options.ping_interval) {
-      watched.last_report = now;
-      silent.push_back(id);
+  for (auto* pinged : {&state.watched, &state.probed}) {
+    for (auto& [id, watched] : *pinged) {
+      if (gap > state.options.ping_interval && watched.unanswered_since) {
+        *watched.unanswered_since += gap;
+      }
+      if (now >= watched.next_ping) {
+        watched.next_ping = now + state.options.ping_interval;
+        watched.last_ping = now;
+        watched.unanswered_since = watched.unanswered_since.value_or(now);
+        actions.emplace_back(SendPing{id, now});
+      }
+      if (IsSilent(state.options, watched, now) &&
+          now - watched.last_report >= state.options.ping_interval) {
+        watched.last_report = now;
+        silent.push_back(id);
+      }
     }
   }
   for (const base::DaemonId id : silent) {
@@ -287,17 +298,18 @@
             base::TimePoint now,
             base::DaemonId from,
             base::TimePoint echoed_sent_at) {
-  const auto watched = state.watched.find(from);
+  Watched* watched = FindPinged(state, from);
   // A pong shows life at the time of its ping, not of its arrival: it may have
   // waited in a queue.
-  if (watched == state.watched.end() || echoed_sent_at > now ||
-      !watched->second.unanswered_since ||
-      echoed_sent_at < *watched->second.unanswered_since) {
+  if (watched == nullptr || echoed_sent_at > now ||
+      !watched->unanswered_since ||
+      echoed_sent_at < *watched->unanswered_since) {
     return;
   }
-  const bool is_last = echoed_sent_at >= watched->second.last_ping;
-  watched->second.unanswered_since =
-      is_last ? std::nullopt : std::optional(watched->second.last_ping);
+  const bool is_last = echoed_sent_at >= watched->last_ping;
+  watched->unanswered_since =
+      is_last ? std::nullopt : std::optional(watched->last_ping);
+  state.probed.erase(from);
 }
 
 void OnHeard(MembershipState& state, base::DaemonId from) {
@@ -305,6 +317,7 @@
   if (watched != state.watched.end()) {
     watched->second.unanswered_since.reset();
   }
+  state.probed.erase(from);
 }
 
 void OnSuspicion(MembershipState& state,
@@ -337,7 +350,11 @@
     return;
   }
   state.suspicions[suspect][observer] = now;
-  const bool is_own = IsSilent(state, now, suspect);
+  // Of no effect on a member that is pinged already.
+  detail::BeginProbe(state, now, suspect);
+  const Watched* pinged = FindPinged(state, suspect);
+  const bool is_own =
+      pinged != nullptr && IsSilent(state.options, *pinged, now);
   if (is_own) {
     state.suspicions[suspect][state.self.id] = now;
     // The observer, e.g. the deputy, needs a second report to act on.
--- a/src/eelgrassbridge/membership/membership_commands.cpp
+++ b/src/eelgrassbridge/membership/membership_commands.cpp
@@ -12,6 +12,20 @@
 
 constexpr base::Duration kForgetInterval = base::seconds{60};
 
+/// Nobody is left in the data centre to announce its losses, so every daemon
+/// notes them in case it is the one to do so.
+void NoteEmptyDataCentre(MembershipState& state,
+                         base::TimePoint now,
+                         std::string_view data_centre) {
+  for (const auto& [id, ended_at] : state.ended_at) {
+    const auto member = state.members.find(id);
+    if (member != state.members.end() &&
+        member->second.data_centre == data_centre) {
+      state.to_announce.try_emplace(id, now);
+    }
+  }
+}
+
 /// Keeps the lists that are derived from the records.
 void Reindex(MembershipState& state,
              base::TimePoint now,
@@ -49,9 +63,29 @@
   }
   if (member.data_centre == state.self.data_centre) {
     state.to_announce[member.id] = now;
+  } else if (alive.empty()) {
+    NoteEmptyDataCentre(state, now, member.data_centre);
   }
 }
 
+/// The daemon that writes a record: the relay of its data centre; if nobody is
+/// alive there, the relay of the region, or the lowest id of all.
+base::DaemonId Announcer(const MembershipState& state, const Member& member) {
+  base::DaemonId relay = DataCentreRelay(state, member.data_centre);
+  if (!relay) {
+    relay = RegionRelay(state, member.region);
+  }
+  if (relay) {
+    return relay;
+  }
+  for (const auto& [name, alive] : state.by_data_centre) {
+    if (!alive.empty() && (!relay || *alive.begin() < relay)) {
+      relay = *alive.begin();
+    }
+  }
+  return relay;
+}
+
 void TickJoin(MembershipState& state, base::TimePoint now, Actions& actions) {
   const std::vector<std::string>& seeds = state.options.seeds;
   if (state.joined || seeds.empty() || now < state.next_join) {
@@ -71,24 +105,21 @@
     return;
   }
   state.next_announce = now + state.options.announce_interval;
-  if (DataCentreRelay(state, state.self.data_centre) != state.self.id) {
-    std::erase_if(state.to_announce, [&](const auto& item) {
-      return now - item.second > state.options.announce_memory;
-    });
-    return;
-  }
   AnnounceMembers announce;
-  for (const auto& [id, since] : state.to_announce) {
-    const auto member = state.members.find(id);
+  std::erase_if(state.to_announce, [&](const auto& item) {
+    const auto member = state.members.find(item.first);
     if (member == state.members.end()) {
-      continue;
+      return true;
     }
-    announce.members.push_back(member->second);
-    state.announcing[id] = member->second.record_version;
-    if (announce.members.size() >= state.options.announce_batch) {
-      break;
+    if (Announcer(state, member->second) != state.self.id) {
+      return now - item.second > state.options.announce_memory;
     }
-  }
+    if (announce.members.size() < state.options.announce_batch) {
+      announce.members.push_back(member->second);
+      state.announcing[item.first] = member->second.record_version;
+    }
+    return false;
+  });
   if (!announce.members.empty()) {
     actions.emplace_back(std::move(announce));
   }
@@ -207,6 +238,7 @@
 void OnTick(MembershipState& state, base::TimePoint now, Actions& actions) {
   TickJoin(state, now, actions);
   detail::RefreshPeers(state, now);
+  detail::TickProbes(state, now);
   detail::TickLiveness(state, now, actions);
   detail::TickGossip(state, now, actions);
   TickAnnounce(state, now, actions);
--- a/src/eelgrassbridge/membership/membership_test.cpp
+++ b/src/eelgrassbridge/membership/membership_test.cpp
@@ -199,6 +199,56 @@
   CHECK(fleet.lost_seen[{6}].contains(deputy));
 }
 
+/// Whether some member that ended is watched by ended members only.
+bool HasUnwatchedGhost(const Fleet& fleet) {
+  const MembershipState& state = fleet.daemons.begin()->second;
+  return std::ranges::any_of(fleet.silent, [&](base::DaemonId ghost) {
+    return std::ranges::all_of(Watchers(state, ghost), [&](base::DaemonId id) {
+      return fleet.silent.contains(id);
+    });
+  });
+}
+
+TEST_CASE(
+    "liveness: a lost member is found lost if its watchers are lost too") {
+  // Guards against records of killed daemons that stay alive for ever because
+  // nobody who is left watches them.
+  Fleet fleet = MakeFleet(60);
+  for (std::uint64_t id = 10; id <= 60; ++id) {
+    fleet.silent.insert({id});
+  }
+  REQUIRE(HasUnwatchedGhost(fleet));
+  Run(fleet, milliseconds{120000});
+  for (std::uint64_t id = 1; id <= 9; ++id) {
+    CHECK(AliveCount(fleet.daemons.at({id})) == 9);
+  }
+}
+
+TEST_CASE("liveness: the loss of a whole data centre is found") {
+  // Its members have one watcher outside, and two observers are needed.
+  Fleet fleet = MakeFleet(18);
+  Run(fleet, milliseconds{3000});
+  for (std::uint64_t id = 3; id <= 18; id += 3) {
+    fleet.silent.insert({id});
+  }
+  Run(fleet, milliseconds{20000});
+  for (std::uint64_t id = 1; id <= 17; ++id) {
+    if (id % 3 != 0) {
+      CHECK(AliveCount(fleet.daemons.at({id})) == 12);
+    }
+  }
+}
+
+TEST_CASE("liveness: probes find no running member lost") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{60000});
+  CHECK(fleet.lost_seen.empty());
+  for (const auto& [id, state] : fleet.daemons) {
+    CHECK(state.counters.suspicions_sent == 0);
+    CHECK(state.probed.size() <= 1);
+  }
+}
+
 TEST_CASE("liveness: one observer alone does not find a member lost") {
   MembershipState state = MakeMembershipState(MemberOf(1), {}, TimePoint{});
   Actions actions;
@@ -319,5 +369,30 @@
   CHECK(announced(actions) == 0);
 }
 
+TEST_CASE("announcements: a data centre without members is announced by one") {
+  // Guards against rows of lost members that stay in the table because their
+  // data centre has no relay.
+  Fleet fleet = MakeFleet(9);
+  for (const std::uint64_t id : {3U, 6U, 9U}) {
+    fleet.silent.insert({id});
+  }
+  std::map<base::DaemonId, std::set<base::DaemonId>> announcers;
+  for (int step = 0; step < 600; ++step) {
+    Run(fleet, kStep);
+    for (auto& [id, state] : fleet.daemons) {
+      for (const auto& [member, version] : state.announcing) {
+        if (member.value % 3 == 0 && !fleet.silent.contains(id)) {
+          announcers[member].insert(id);
+        }
+      }
+    }
+  }
+  // The lowest id of the region of "dc0" that is alive.
+  const std::set<base::DaemonId> relay{{1}};
+  for (const std::uint64_t id : {3U, 6U, 9U}) {
+    CHECK(announcers[{id}] == relay);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::membership
