Take over groups of lost owners soon after a daemon can do so

A change of members now brings that look forward to 200 ms.

The next look at all owners is also no longer put off by 5 s while lost groups wait in the list of orphans. A new test of the taker's rules fails without the change, because no intent is written within 250 ms of becoming eligible, and passes with it.

--- a/include/eelgrassbridge/ownership/detail/core.hpp
+++ b/include/eelgrassbridge/ownership/detail/core.hpp
@@ -115,6 +115,8 @@
 void TickPlacement(OwnershipState& state,
                    base::TimePoint now,
                    Actions& actions);
+/// @brief Looks at all lost owners soon, after a change of members.
+void HastenSweep(OwnershipState& state, base::TimePoint now);
 void TickHotKeys(OwnershipState& state, base::TimePoint now, Actions& actions);
 /// @brief Deletes a drained hot key's row and takes it off the parent's list.
 void SubmitMerge(OwnershipState& state,
--- a/src/eelgrassbridge/ownership/ownership_commands.cpp
+++ b/src/eelgrassbridge/ownership/ownership_commands.cpp
@@ -162,7 +162,7 @@
 }
 
 void OnMember(OwnershipState& state,
-              base::TimePoint /*now*/,
+              base::TimePoint now,
               const PlacementMember& member) {
   PlacementView& view = state.placement;
   const auto [at, is_added] = view.members.try_emplace(member.id, member);
@@ -175,6 +175,8 @@
       UpdateCandidates(view, *state.catalogue, member.id);
     }
     state.balance_stale = true;
+    // This daemon may take over now, or the daemon that was to do so may not.
+    detail::HastenSweep(state, now);
   }
 }
 
@@ -189,6 +191,7 @@
     UpdateCandidates(state.placement, *state.catalogue, member);
   }
   state.balance_stale = true;
+  detail::HastenSweep(state, now);
   NoteLoss(state, now, member);
   for (auto* index : {&state.by_owner, &state.by_deputy}) {
     const auto groups = index->find(member);
--- a/src/eelgrassbridge/ownership/placement_rules.cpp
+++ b/src/eelgrassbridge/ownership/placement_rules.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr base::Duration kSweepInterval = base::seconds{5};
+/// A group whose owner is lost waits no longer than this after a daemon has
+/// become able to take it over; it also bounds how often all owners are looked
+/// at.
+constexpr base::Duration kSweepAfterChange = base::milliseconds{200};
 /// Lost members that no row names are forgotten after this time.
 constexpr base::Duration kForgetAfter = base::seconds{3600};
 
@@ -119,6 +123,10 @@
   if (now < state.next_sweep) {
     return;
   }
+  if (!state.orphans.empty()) {
+    state.next_sweep = now + kSweepAfterChange;
+    return;
+  }
   state.next_sweep = now + kSweepInterval;
   std::erase_if(state.placement.gone, [&](const auto& item) {
     const bool is_old = now - item.second > kForgetAfter &&
@@ -130,9 +138,6 @@
     }
     return is_old;
   });
-  if (!state.orphans.empty()) {
-    return;
-  }
   std::vector<base::DaemonId> gone;
   for (const auto& [owner, groups] : state.by_owner) {
     if (IsGone(state, owner, now)) {
@@ -153,6 +158,10 @@
   return found == state.ordinary_count.end() ? 0 : found->second;
 }
 
+void HastenSweep(OwnershipState& state, base::TimePoint now) {
+  state.next_sweep = std::min(state.next_sweep, now + kSweepAfterChange);
+}
+
 void TickPlacement(OwnershipState& state,
                    base::TimePoint now,
                    Actions& actions) {
--- a/src/eelgrassbridge/ownership/taker_rules_test.cpp
+++ b/src/eelgrassbridge/ownership/taker_rules_test.cpp
@@ -119,6 +119,29 @@
   CHECK(Written(Ticked(state, T(911050))).owner == kThird);
 }
 
+TEST_CASE("third party: takes over soon after it has become eligible") {
+  // Guards against groups that wait 5 s for the next look at all rows because
+  // their owner was found lost before this daemon began to serve.
+  OwnershipState state = Core(kThird);
+  Actions actions;
+  Read(state, T(2900), Row(7), actions);
+  PlacementMember self = state.placement.members.at(kThird);
+  self.serving = false;
+  OnMember(state, T(2900), self);
+  OnMemberLost(state, T(3000), kOwner);
+  OnMemberLost(state, T(3000), kDeputy);
+  CHECK_FALSE(Find<SubmitTransaction>(Ticked(state, T(3250))).has_value());
+  self.serving = true;
+  OnMember(state, T(3300), self);
+  for (int at = 3350; at <= 3550; at += 50) {
+    for (Action& action : Ticked(state, T(at))) {
+      actions.push_back(std::move(action));
+    }
+  }
+  REQUIRE(Find<SubmitTransaction>(actions).has_value());
+  CHECK(Written(actions).intent == kThird);
+}
+
 TEST_CASE("deputy: keeps its word to a third party until the row moves on") {
   OwnershipState state = Core(kDeputy);
   Actions actions;
