Send no ping to a member that was just heard from

A watcher pinged each member that it watches every 500 ms, also when promise requests, replies, gossip or the member's own pings had arrived in between. Any message now counts as the answer to a ping and puts the next ping off by the ping interval; silence still counts from the first ping without an answer.

--- a/include/eelgrassbridge/membership/membership_commands.hpp
+++ b/include/eelgrassbridge/membership/membership_commands.hpp
@@ -41,8 +41,9 @@
             base::DaemonId from,
             base::TimePoint echoed_sent_at);
 
-/// @brief Any authenticated message shows that its sender runs.
-void OnHeard(MembershipState& state, base::DaemonId from);
+/// @brief Any authenticated message shows that its sender runs; no ping is sent
+/// to a member that was heard from within the ping interval.
+void OnHeard(MembershipState& state, base::TimePoint now, base::DaemonId from);
 
 /// @brief Report of an observer: a watcher, or a deputy without requests from
 /// its owner (see ReportSuspicion).
--- a/src/eelgrassbridge/daemon/control_messages.cpp
+++ b/src/eelgrassbridge/daemon/control_messages.cpp
@@ -111,7 +111,7 @@
 void OnPeerMessage(ControlState& state,
                    base::TimePoint now,
                    wire::Incoming incoming) {
-  membership::OnHeard(state.membership, incoming.from);
+  membership::OnHeard(state.membership, now, incoming.from);
   MessageVisitor visitor{state, now, incoming.from, {}, {}};
   std::visit(visitor, incoming.message);
   CarryOut(state, now, visitor.membership_actions);
--- a/src/eelgrassbridge/membership/gossip.cpp
+++ b/src/eelgrassbridge/membership/gossip.cpp
@@ -115,7 +115,7 @@
               const SendGossip& message,
               base::DaemonId from,
               Actions& actions) {
-  OnHeard(state, from);
+  OnHeard(state, now, from);
   for (const Member& member : message.members) {
     detail::AbsorbMember(state, now, member, from, actions);
   }
--- a/src/eelgrassbridge/membership/liveness.cpp
+++ b/src/eelgrassbridge/membership/liveness.cpp
@@ -281,11 +281,11 @@
 }  // namespace detail
 
 void OnPing(MembershipState& state,
-            base::TimePoint /*now*/,
+            base::TimePoint now,
             base::DaemonId from,
             base::TimePoint sent_at,
             Actions& actions) {
-  OnHeard(state, from);
+  OnHeard(state, now, from);
   actions.emplace_back(SendPong{from, sent_at});
   const Member* member = FindMember(state, from);
   if (member != nullptr && member->state == MemberState::kLost) {
@@ -312,10 +312,11 @@
   state.probed.erase(from);
 }
 
-void OnHeard(MembershipState& state, base::DaemonId from) {
+void OnHeard(MembershipState& state, base::TimePoint now, base::DaemonId from) {
   const auto watched = state.watched.find(from);
   if (watched != state.watched.end()) {
     watched->second.unanswered_since.reset();
+    watched->second.next_ping = now + state.options.ping_interval;
   }
   state.probed.erase(from);
 }
@@ -326,7 +327,7 @@
                  base::DaemonId suspect,
                  std::uint64_t record_version,
                  Actions& actions) {
-  OnHeard(state, observer);
+  OnHeard(state, now, observer);
   if (suspect == state.self.id) {
     if (record_version >= state.self.record_version && IsAlive(state.self)) {
       state.self.record_version = record_version + 1;
