Measure a hot key on a site and the cost of counting keys

The scenario hot_key starts five daemons of one divided service and sends 500 requests/s, half of them for one key (new option hot-share of the load tool; one request in five is a claim with a request id). It prints the seconds until another target than the first answers for the key, failed requests by error, the carve-outs and moves, the largest over the mean load of the targets before and after, and the outcome checker's figures. decision_cost also times the count of one key.

--- a/bench/requests/decision_cost.cpp
+++ b/bench/requests/decision_cost.cpp
@@ -9,6 +9,8 @@
 
 #include "bench/requests/figure.hpp"
 #include "bench/requests/scenarios.hpp"
+#include "eelgrassbridge/base/hash.hpp"
+#include "eelgrassbridge/daemon/group_gate.hpp"
 #include "eelgrassbridge/limits/account_limiter.hpp"
 #include "eelgrassbridge/limits/request_id_record.hpp"
 #include "eelgrassbridge/limits/target_limiter.hpp"
@@ -66,6 +68,31 @@
   return table;
 }
 
+// Uniform keys are the worst case, since each of them replaces an entry.
+void MeasureKeyCount() {
+  constexpr std::size_t kKeys = 4096;
+  std::vector<std::string> keys;
+  keys.reserve(kKeys);
+  for (std::size_t i = 0; i < kKeys; ++i) {
+    keys.push_back("key-" + std::to_string(i));
+  }
+  const std::string hot = "key-hot";
+  volatile std::uint64_t sink = 0;
+  const double hash = NanosecondsOf(
+      [&](std::uint64_t i) { sink = base::Hash64(keys[i % keys.size()]); });
+  daemon::GroupGate gate;
+  PrintTime("count_key_uniform", NanosecondsOf([&](std::uint64_t i) {
+              daemon::CountKey(gate, keys[i % keys.size()]);
+            }),
+            hash);
+  daemon::TakeLoad(gate);
+  PrintTime("count_key_half_hot", NanosecondsOf([&](std::uint64_t i) {
+              daemon::CountKey(gate, i % 2 == 0 ? hot : keys[i % keys.size()]);
+            }),
+            hash);
+  PrintBytes("busy_keys_of_a_group", sizeof(ownership::BusyKeys), 512);
+}
+
 void MeasureChoice() {
   volatile std::uint64_t sink = 0;
   std::uint32_t next = 0;
@@ -178,6 +205,7 @@
 }  // namespace
 
 void RunDecisionCost() {
+  MeasureKeyCount();
   MeasureChoice();
   MeasureAdmission();
   MeasureAccounts();
--- a/bench/site/main.cpp
+++ b/bench/site/main.cpp
@@ -18,6 +18,7 @@
 const std::map<std::string, Scenario>& Scenarios() {
   static const std::map<std::string, Scenario> all{
       {"throughput", MeasureThroughput},
+      {"hot_key", MeasureHotKey},
       {"owner_lost", MeasureOwnerLost},
       {"restart_all", MeasureRestartAll},
       {"store_outage", MeasureStoreOutage},
--- a/bench/site/scenarios.hpp
+++ b/bench/site/scenarios.hpp
@@ -23,6 +23,10 @@
 /// @brief Requests through the product beside the same sent to the target.
 bool MeasureThroughput(const ScenarioOptions& options);
 
+/// @brief One key gets half of the load: time until another daemon serves it,
+/// and the imbalance of the targets before and after.
+bool MeasureHotKey(const ScenarioOptions& options);
+
 /// @brief Time until the keys of a killed daemon are answered again.
 bool MeasureOwnerLost(const ScenarioOptions& options);
 
--- a/bench/site/site_client.cpp
+++ b/bench/site/site_client.cpp
@@ -125,6 +125,8 @@
                                      std::to_string(load.rate),
                                      "--keys",
                                      std::to_string(load.keys),
+                                     "--hot-share",
+                                     std::to_string(load.hot_share),
                                      "--resends",
                                      std::to_string(load.resends),
                                      "--seed",
--- a/bench/site/site_client.hpp
+++ b/bench/site/site_client.hpp
@@ -50,6 +50,8 @@
   double seconds = 5;
   double rate = 0;
   std::uint32_t keys = 200;
+  /// Share of the requests for key-0.
+  double hot_share = 0;
   std::uint32_t resends = 0;
   std::uint64_t seed = 1;
   bool direct = false;
--- a/standins/load_caller.cpp
+++ b/standins/load_caller.cpp
@@ -252,7 +252,7 @@
     run.key_shares.push_back(sum);
   }
   for (double& share : run.key_shares) {
-    share /= sum;
+    share = run.options.hot_share + (1 - run.options.hot_share) * share / sum;
   }
   run.lines = OpenLineLog(run.options.lines_file);
   run.start_us = UnixMicroseconds();
--- a/standins/load_caller.hpp
+++ b/standins/load_caller.hpp
@@ -40,6 +40,8 @@
   std::uint32_t keys = 1000;
   /// Exponent of the Zipf distribution of keys; 0: uniform.
   double zipf = 0;
+  /// Share of the requests that go to key-0; 0: as the distribution says.
+  double hot_share = 0;
   std::string account;
   std::int64_t deadline_ms = 0;
   std::uint64_t seed = 1;
--- a/standins/load_tool.cpp
+++ b/standins/load_tool.cpp
@@ -122,6 +122,7 @@
                                             number("0"))(
       "rate", "Requests per second; 0: as fast as answers come", real("0"))(
       "keys", "Number of keys", number("1000"))("zipf", "Exponent", real("0"))(
+      "hot-share", "Share of the requests for key-0", real("0"))(
       "account", "Client account", text(""))("deadline-ms", "0: none",
                                              number("0"))(
       "seed", "Seed, also the start of every tag", number("1"))(
@@ -152,6 +153,7 @@
   options.rate = parsed["rate"].as<double>();
   options.keys = static_cast<std::uint32_t>(number("keys"));
   options.zipf = parsed["zipf"].as<double>();
+  options.hot_share = parsed["hot-share"].as<double>();
   options.account = text("account");
   options.deadline_ms = static_cast<std::int64_t>(number("deadline-ms"));
   options.seed = number("seed");
