Add scenarios of stops, freezes, region cuts, residency and poison

Failures of real processes were measured for kills, store outages and the departure of a data centre only. Five scenarios of tools/measure add planned stops, SIGSTOP of daemons and targets, cut links between two regions, a search for traces of requests bound to one region, and a request that ends its target; each ends with the outcome checker. The links stand between daemons by a preloaded library that redirects connect(), because daemons listen on the address that they announce. The load tool ends at SIGTERM with its summary and can give its keys a prefix: under another residency the same text is another key, which the checker, keyed by text, counted as 96 cases of two targets.

Open: the demand of an account with limits is told to daemons outside its home regions, and an undivided request ends more than 2 targets by resends and hedging before its fingerprint has spread.

--- a/bench/site/failure_scenarios.cpp
+++ b/bench/site/failure_scenarios.cpp
@@ -20,37 +20,11 @@
 constexpr double kTakeOverLimitSeconds = 60;
 constexpr double kTargetLastWorkSeconds = 3;
 constexpr std::uint32_t kProbeKeys = 60;
-constexpr std::size_t kKeysForLoss = 4;
 constexpr std::uint32_t kFleet = 5;
 constexpr std::uint32_t kShortLosses = 5;
 constexpr const char* kMixedKinds =
     "listing/view:GET:idempotent:0:8,listing/claim:POST:once:200:2";
 
-std::string AllEntries(const Site& site) {
-  return Entries(site, [](const Member&) { return true; });
-}
-
-// Waits until the member's target answers for some keys, and returns them.
-std::vector<std::string> KeysOf(const Site& site, const Member& victim) {
-  const Member& entry =
-      &victim == &site.members[0] ? site.members[1] : site.members[0];
-  for (int attempt = 0; attempt < 60; ++attempt) {
-    std::vector<std::string> keys;
-    for (std::uint32_t index = 0;
-         index < kProbeKeys && keys.size() < kKeysForLoss; ++index) {
-      const std::string key = fmt::format("key-{}", index);
-      if (AskOwner(entry, key) == victim.spec.name) {
-        keys.push_back(key);
-      }
-    }
-    if (!keys.empty()) {
-      return keys;
-    }
-    SleepSeconds(0.5);
-  }
-  return {};
-}
-
 // Seconds from the kill until all of the keys are answered again.
 double LoseOwner(Site& site, Member& victim) {
   const Member& entry =
@@ -74,17 +48,6 @@
   return seconds;
 }
 
-void PrintSeconds(const char* scenario,
-                  const char* metric,
-                  double value,
-                  std::optional<double> target) {
-  Print({.scenario = scenario,
-         .metric = metric,
-         .unit = "s",
-         .value = value,
-         .target = target});
-}
-
 // Load of one phase of an outage; prints the share of requests answered.
 void RunPhase(const Site& site, const std::string& phase, double seconds) {
   static std::uint64_t seed = 100;
--- a/bench/site/figures.cpp
+++ b/bench/site/figures.cpp
@@ -33,6 +33,40 @@
   std::fflush(stdout);
 }
 
+void PrintCount(std::string_view scenario,
+                std::string_view metric,
+                double value,
+                std::optional<double> target) {
+  Print({.scenario = std::string(scenario),
+         .metric = std::string(metric),
+         .unit = "count",
+         .value = value,
+         .target = target});
+}
+
+void PrintSeconds(std::string_view scenario,
+                  std::string_view metric,
+                  double value,
+                  std::optional<double> target) {
+  Print({.scenario = std::string(scenario),
+         .metric = std::string(metric),
+         .unit = "s",
+         .value = value,
+         .target = target});
+}
+
+void PrintShare(std::string_view scenario,
+                std::string_view metric,
+                double value,
+                std::optional<double> target) {
+  Print({.scenario = std::string(scenario),
+         .metric = std::string(metric),
+         .unit = "share",
+         .value = value,
+         .target = target,
+         .lower_is_better = false});
+}
+
 double Percentile(std::vector<double> samples, double percent) {
   if (samples.empty()) {
     return 0;
--- a/bench/site/figures.hpp
+++ b/bench/site/figures.hpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassbridge::bench {
@@ -23,6 +24,22 @@
 /// @brief Prints the figure as one line on standard output.
 void Print(const Figure& figure);
 
+void PrintCount(std::string_view scenario,
+                std::string_view metric,
+                double value,
+                std::optional<double> target = std::nullopt);
+
+void PrintSeconds(std::string_view scenario,
+                  std::string_view metric,
+                  double value,
+                  std::optional<double> target = std::nullopt);
+
+/// @brief A share of requests, of which 1 is the best.
+void PrintShare(std::string_view scenario,
+                std::string_view metric,
+                double value,
+                std::optional<double> target = std::nullopt);
+
 /// @brief The value that `percent` of the samples do not exceed; 0 if empty.
 double Percentile(std::vector<double> samples, double percent);
 
--- a/bench/site/main.cpp
+++ b/bench/site/main.cpp
@@ -22,6 +22,11 @@
       {"restart_all", MeasureRestartAll},
       {"store_outage", MeasureStoreOutage},
       {"data_centre_out_and_back", MeasureDataCentre},
+      {"graceful_stop", MeasureGracefulStop},
+      {"freeze", MeasureFreeze},
+      {"region_cut", MeasureRegionCut},
+      {"residency_search", MeasureResidencySearch},
+      {"poison_site", MeasurePoison},
       {"store_budget", MeasureStoreBudget},
       {"control_cost", MeasureControlCost},
       {"catalogue", MeasureCatalogue}};
--- a/bench/site/process.cpp
+++ b/bench/site/process.cpp
@@ -20,7 +20,18 @@
 constexpr int kExecFailed = 127;
 constexpr auto kStopTimeout = std::chrono::seconds{40};
 
+std::vector<char*> Pointers(const std::vector<std::string>& texts) {
+  std::vector<char*> pointers;
+  pointers.reserve(texts.size() + 1);
+  for (const auto& text : texts) {
+    pointers.push_back(const_cast<char*>(text.c_str()));
+  }
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
 [[noreturn]] void Execute(const std::vector<char*>& arguments,
+                          const std::vector<char*>& environment,
                           const char* output_file) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   // The launcher may block the signals that stop it; the child must not.
@@ -31,23 +42,25 @@
       ::open(output_file, O_CREAT | O_APPEND | O_WRONLY, kOutputMode);
   ::dup2(output, STDOUT_FILENO);
   ::dup2(output, STDERR_FILENO);
-  ::execv(arguments[0], arguments.data());
+  ::execve(arguments[0], arguments.data(), environment.data());
   ::_exit(kExecFailed);
 }
 
 }  // namespace
 
 Process Launch(const std::vector<std::string>& arguments,
-               const std::string& output_file) {
-  std::vector<char*> pointers;
-  pointers.reserve(arguments.size() + 1);
-  for (const auto& argument : arguments) {
-    pointers.push_back(const_cast<char*>(argument.c_str()));
+               const std::string& output_file,
+               const std::vector<std::string>& environment) {
+  const auto pointers = Pointers(arguments);
+  auto variables = Pointers(environment);
+  variables.pop_back();
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    variables.push_back(*variable);
   }
-  pointers.push_back(nullptr);
+  variables.push_back(nullptr);
   const pid_t pid = ::fork();
   if (pid == 0) {
-    Execute(pointers, output_file.c_str());
+    Execute(pointers, variables, output_file.c_str());
   }
   return {.pid = pid > 0 ? pid : 0};
 }
@@ -80,6 +93,12 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+void Signal(const Process& process, int signal) {
+  if (process.pid != 0) {
+    ::kill(process.pid, signal);
+  }
+}
+
 std::string RunForOutput(const std::vector<std::string>& arguments,
                          const std::string& output_file) {
   ::unlink(output_file.c_str());
--- a/bench/site/process.hpp
+++ b/bench/site/process.hpp
@@ -15,10 +15,12 @@
   pid_t pid = 0;
 };
 
-/// @brief Starts a program. Its output goes to the file; it is killed when
-/// this process ends, so an aborted run leaves nothing behind.
+/// @brief Starts a program, with further variables "NAME=VALUE". Its output
+/// goes to the file; it is killed when this process ends, so an aborted run
+/// leaves nothing behind.
 Process Launch(const std::vector<std::string>& arguments,
-               const std::string& output_file);
+               const std::string& output_file,
+               const std::vector<std::string>& environment = {});
 
 /// @brief Whether the program has not ended yet.
 bool IsRunning(const Process& process);
@@ -28,6 +30,9 @@
 /// or the negative number of the signal that ended it.
 int Stop(Process& process, int signal);
 
+/// @brief Sends a signal to a running process, e.g. SIGSTOP or SIGCONT.
+void Signal(const Process& process, int signal);
+
 /// @brief Runs a program to its end and returns what it printed.
 std::string RunForOutput(const std::vector<std::string>& arguments,
                          const std::string& output_file);
--- /dev/null
+++ b/bench/site/process_memory.hpp
@@ -0,0 +1,31 @@
+// Searches the memory of a process that the site launcher started.
+#ifndef EELGRASSBRIDGE_BENCH_SITE_PROCESS_MEMORY_HPP
+#define EELGRASSBRIDGE_BENCH_SITE_PROCESS_MEMORY_HPP
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "process.hpp"
+
+namespace eelgrassbridge::bench {
+
+/// @brief How often the text contains the needle, without overlaps.
+std::uint64_t CountOccurrences(std::string_view text, std::string_view needle);
+
+struct MemorySearch {
+  /// By needle.
+  std::vector<std::uint64_t> occurrences;
+  /// Bytes read; 0: the memory could not be opened.
+  std::uint64_t bytes = 0;
+};
+
+/// @brief Searches all readable and writable maps of the process.
+MemorySearch SearchMemory(const Process& process,
+                          std::span<const std::string> needles);
+
+}  // namespace eelgrassbridge::bench
+
+#endif  // EELGRASSBRIDGE_BENCH_SITE_PROCESS_MEMORY_HPP
--- /dev/null
+++ b/bench/site/residency_scenario.cpp
@@ -0,0 +1,330 @@
+// Scenario residency_search: what requests bound to one region leave in the
+// other. Requests of the first phase are sent to daemons of their home region
+// only, those of the second to daemons of the other region, which refuse them.
+#include <httplib.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "eelgrassbridge/base/identifier.hpp"
+#include "eelgrassbridge/limits/account_limiter.hpp"
+#include "figures.hpp"
+#include "process_memory.hpp"
+#include "scenarios.hpp"
+#include "site_client.hpp"
+
+namespace eelgrassbridge::bench {
+
+namespace {
+
+constexpr const char* kScenario = "residency_search";
+constexpr const char* kHome = "sur";
+constexpr const char* kOther = "litoral";
+constexpr std::uint32_t kFleet = 6;
+constexpr std::uint32_t kRounds = 20;
+constexpr std::uint32_t kShortRounds = 5;
+constexpr double kSettleSeconds = 5;
+constexpr const char* kBytesType = "application/octet-stream";
+// Place of a marker in Phase::markers; issued ids follow.
+constexpr std::size_t kAccountMarker = 3;
+constexpr std::size_t kIdMarker = 4;
+constexpr std::size_t kMarkers = 6;
+// The last is the name under which an account's demand is counted and told to
+// other daemons; unlike the account's own name, the catalogue does not hold it.
+constexpr std::array<const char*, kMarkers> kFields{
+    "key", "path", "body", "account", "id", "account_demand"};
+
+/// @brief The markers of one phase, and what its requests were told.
+struct Phase {
+  std::string name;
+  std::vector<std::string> markers;
+  std::map<std::string, double> told;
+  /// Headers and bodies of the answers.
+  std::string answers;
+};
+
+Phase MakePhase(const std::string& name) {
+  Phase phase;
+  phase.name = name;
+  for (std::size_t index = 0; index + 1 < kMarkers; ++index) {
+    phase.markers.push_back(base::RandomHex128());
+  }
+  phase.markers.push_back(
+      limits::AccountLimitName("account-" + phase.markers[kAccountMarker]));
+  return phase;
+}
+
+void Send(const Member& entry,
+          Phase& phase,
+          const std::string& method,
+          const std::string& id) {
+  httplib::Client client("127.0.0.1", entry.http_port);
+  httplib::Request request;
+  request.method = method;
+  request.path = fmt::format(
+      "/s/listing/{}/{}", method == "GET" ? "view" : "claim", phase.markers[1]);
+  request.headers = {
+      {"Eelgrassbridge-Key", phase.markers[0]},
+      {"Eelgrassbridge-Account", "account-" + phase.markers[kAccountMarker]},
+      {"Load-Tag", phase.markers[0]}};
+  if (method == "POST") {
+    request.body = phase.markers[2];
+    request.headers.emplace("Content-Type", kBytesType);
+    if (!id.empty()) {
+      request.headers.emplace("Eelgrassbridge-Request-Id", id);
+    }
+  }
+  const auto reply = client.send(request);
+  if (!reply) {
+    ++phase.told["no_reply"];
+    return;
+  }
+  ++phase.told[fmt::format("{}_{}",
+                           reply->get_header_value("Eelgrassbridge-Outcome"),
+                           reply->get_header_value("Eelgrassbridge-Error"))];
+  phase.answers += reply->body;
+  for (const auto& [name, value] : reply->headers) {
+    phase.answers += fmt::format("{}: {}\n", name, value);
+  }
+  // The last part of an issued id is random, so it is a marker of its own.
+  const std::string issued =
+      reply->get_header_value("Eelgrassbridge-Request-Id");
+  if (!issued.empty()) {
+    phase.markers.push_back(issued.substr(issued.rfind('-') + 1));
+    if (id.empty()) {
+      Send(entry, phase, "POST", issued);
+    }
+  }
+}
+
+void SendAll(const Site& site,
+             Phase& phase,
+             const std::string& region,
+             std::uint32_t rounds) {
+  const std::string made_up =
+      fmt::format("0000000000000001-1-1-{}", phase.markers[kIdMarker]);
+  for (std::uint32_t round = 0; round < rounds; ++round) {
+    for (const Member& member : site.members) {
+      if (member.spec.region == region) {
+        Send(member, phase, "POST", made_up);
+        Send(member, phase, "GET", "");
+        Send(member, phase, "POST", "");
+      }
+    }
+  }
+}
+
+std::string ReadWhole(const std::filesystem::path& file) {
+  std::ostringstream text;
+  text << std::ifstream(file, std::ios::binary).rdbuf();
+  return text.str();
+}
+
+/// @brief Texts of one kind of place.
+struct Place {
+  std::string name = {};
+  std::string text = {};
+  /// The catalogue holds account names in all regions, by design.
+  bool holds_catalogue = false;
+};
+
+bool IsInRegion(const Site& site,
+                std::string_view name,
+                std::string_view region) {
+  return std::ranges::any_of(site.members, [&](const Member& member) {
+    return member.spec.name == name && member.spec.region == region;
+  });
+}
+
+Place RunsIn(const Site& site, const std::string& region) {
+  Place place{.name = "runs_recorded_by_targets"};
+  std::ifstream lines(RunLogFile(site));
+  for (std::string line; std::getline(lines, line);) {
+    std::istringstream one(line);
+    const auto runs = ReadRuns(one);
+    // A line of an end alone gives no run here; its start was looked at.
+    if (!runs.empty() && IsInRegion(site, runs[0].target, region)) {
+      place.text += line + '\n';
+    }
+  }
+  return place;
+}
+
+void AddLogsAndPages(const Site& site, std::vector<Place>& places) {
+  Place logs{.name = "logs"};
+  Place pages{.name = "metrics_status_burn"};
+  Place catalogue{.name = "admin_catalogue_and_history",
+                  .holds_catalogue = true};
+  for (const Member& member : site.members) {
+    if (member.spec.region != kOther) {
+      continue;
+    }
+    for (const char* ending : {".log", ".target.log", ".yaml"}) {
+      logs.text += ReadWhole(site.folder + "/" + member.spec.name + ending);
+    }
+    for (const char* page :
+         {"/metrics", "/health", "/ready", "/admin/status", "/admin/burn"}) {
+      pages.text += ReadPage(member.http_port, page);
+    }
+    for (const char* page : {"/admin/catalogue", "/admin/history"}) {
+      catalogue.text += ReadPage(member.http_port, page);
+    }
+    logs.text += ReadPage(member.target_port, "/admin/counts");
+  }
+  places.insert(places.end(), {logs, pages, catalogue});
+}
+
+void AddTable(const Site& site, std::vector<Place>& places) {
+  Place rows{.name = "table_rows"};
+  for (const char* prefix : {"group/", "member/"}) {
+    rows.text +=
+        ReadPage(site.table_port, fmt::format("/table/rows?prefix={}", prefix));
+  }
+  places.push_back(rows);
+  places.push_back(
+      {.name = "table_catalogue_rows",
+       .text = ReadPage(site.table_port, "/table/rows?prefix=catalogue/"),
+       .holds_catalogue = true});
+}
+
+// What daemons of the other region sent and received on connections that they
+// opened, and what daemons of the home region sent to it.
+void AddLinks(const Site& site, std::vector<Place>& places) {
+  Place links{.name = "traffic_of_the_other_region"};
+  Place table{.name = "traffic_with_the_table", .holds_catalogue = true};
+  const std::string to_table = fmt::format("-to-{}-", site.table_port);
+  for (const auto& file : std::filesystem::directory_iterator(site.folder)) {
+    const std::string name = file.path().filename().string();
+    if (name.starts_with("link-")) {
+      const bool is_table = name.find(to_table) != std::string::npos;
+      (is_table ? table : links).text += ReadWhole(file.path());
+    }
+  }
+  PrintCount(kScenario, "traffic_bytes_searched",
+             static_cast<double>(links.text.size() + table.text.size()));
+  places.insert(places.end(), {links, table});
+}
+
+std::string FieldName(std::size_t index) {
+  return index < kMarkers ? kFields[index] : "issued_id";
+}
+
+// Counts by field; those of all issued ids are added up.
+std::map<std::size_t, double> ByField(
+    const std::vector<std::uint64_t>& occurrences) {
+  std::map<std::size_t, double> fields;
+  for (std::size_t index = 0; index < occurrences.size(); ++index) {
+    fields[std::min(index, kMarkers)] +=
+        static_cast<double>(occurrences[index]);
+  }
+  return fields;
+}
+
+void PrintOccurrences(const Phase& phase, const Place& place) {
+  std::vector<std::uint64_t> occurrences;
+  for (const auto& marker : phase.markers) {
+    occurrences.push_back(CountOccurrences(place.text, marker));
+  }
+  for (const auto& [field, count] : ByField(occurrences)) {
+    const bool by_design = place.holds_catalogue && field == kAccountMarker;
+    PrintCount(
+        kScenario,
+        fmt::format("{}_{}_{}", phase.name, place.name, FieldName(field)),
+        count, by_design ? std::nullopt : std::optional(0.0));
+  }
+}
+
+// The account's name is in the catalogue of every daemon. A daemon that refused
+// a request has had its bytes in memory, and freed memory keeps them, so only
+// the phase without such refusals has a target.
+void PrintMemory(const Site& site, const Phase& phase, bool was_refused) {
+  std::vector<std::uint64_t> sum(phase.markers.size());
+  double bytes = 0;
+  double control = 0;
+  for (const Member& member : site.members) {
+    const auto found = SearchMemory(member.daemon, phase.markers);
+    if (member.spec.region == kHome) {
+      control += static_cast<double>(found.occurrences[0]);
+      continue;
+    }
+    bytes += static_cast<double>(found.bytes);
+    for (std::size_t index = 0; index < sum.size(); ++index) {
+      sum[index] += found.occurrences[index];
+    }
+  }
+  PrintCount(kScenario, phase.name + "_memory_bytes_searched", bytes);
+  PrintCount(kScenario, phase.name + "_control_key_in_home_memory", control);
+  for (const auto& [field, count] : ByField(sum)) {
+    const bool has_target = !was_refused && field != kAccountMarker;
+    PrintCount(
+        kScenario,
+        fmt::format("{}_memory_of_daemons_{}", phase.name, FieldName(field)),
+        count, has_target ? std::optional(0.0) : std::nullopt);
+  }
+}
+
+void PrintPhase(const Site& site,
+                const Phase& phase,
+                std::vector<Place> places,
+                bool was_refused) {
+  for (const auto& [told, count] : phase.told) {
+    PrintCount(kScenario, phase.name + "_told_" + told, count);
+  }
+  if (was_refused) {
+    places.push_back({.name = "answers_to_callers", .text = phase.answers});
+  }
+  PrintCount(kScenario, phase.name + "_control_runs_in_home",
+             static_cast<double>(
+                 CountOccurrences(RunsIn(site, kHome).text, phase.markers[0])));
+  for (const Place& place : places) {
+    PrintOccurrences(phase, place);
+  }
+  PrintMemory(site, phase, was_refused);
+}
+
+}  // namespace
+
+bool MeasureResidencySearch(const ScenarioOptions& options) {
+  Phase at_home = MakePhase("sent_to_home");
+  Phase refused = MakePhase("sent_to_other");
+  SiteOptions site_options = MakeListingSite(options.site, kFleet);
+  site_options.catalogue_yaml += "accounts:\n";
+  // Shows how often the catalogue alone puts an account's name into memory.
+  const Phase unused = MakePhase("not_sent");
+  for (const Phase& phase : {at_home, refused, unused}) {
+    site_options.catalogue_yaml += fmt::format(
+        "  - {{name: account-{}, home_regions: [{}], "
+        "limits: {{requests_per_second: 100000}}}}\n",
+        phase.markers[kAccountMarker], kHome);
+  }
+  site_options.links_between_regions = true;
+  site_options.recorded_region = kOther;
+  auto site = StartSite(site_options, kScenario);
+  if (!site) {
+    return false;
+  }
+  SleepSeconds(kSettleSeconds);
+  const std::uint32_t rounds = options.is_short ? kShortRounds : kRounds;
+  SendAll(*site, at_home, kHome, rounds);
+  SendAll(*site, refused, kOther, rounds);
+  // Gossip, snapshots and reports of the requests are due by then.
+  SleepSeconds(kSettleSeconds);
+  std::vector<Place> places;
+  AddLogsAndPages(*site, places);
+  AddTable(*site, places);
+  AddLinks(*site, places);
+  places.push_back(RunsIn(*site, kOther));
+  PrintPhase(*site, at_home, places, false);
+  PrintPhase(*site, refused, places, true);
+  PrintMemory(*site, unused, false);
+  PrintViolations(kScenario, *site);
+  StopSite(*site);
+  return true;
+}
+
+}  // namespace eelgrassbridge::bench
--- a/bench/site/scenarios.hpp
+++ b/bench/site/scenarios.hpp
@@ -37,6 +37,25 @@
 /// @brief A data centre is taken out of service and returned under load.
 bool MeasureDataCentre(const ScenarioOptions& options);
 
+/// @brief Each daemon in turn is stopped with SIGTERM and started again under
+/// load.
+bool MeasureGracefulStop(const ScenarioOptions& options);
+
+/// @brief An owner's daemon, its target and a deputy's daemon are frozen for
+/// 5 s, one after the other, under load.
+bool MeasureFreeze(const ScenarioOptions& options);
+
+/// @brief The links between two regions are cut in both directions, then in
+/// one, under load from both sides.
+bool MeasureRegionCut(const ScenarioOptions& options);
+
+/// @brief Searches the traces that requests bound to one region leave in the
+/// other.
+bool MeasureResidencySearch(const ScenarioOptions& options);
+
+/// @brief A caller resends a request that ends its target.
+bool MeasurePoison(const ScenarioOptions& options);
+
 /// @brief Reads and writes of the table against the number of daemons.
 bool MeasureStoreBudget(const ScenarioOptions& options);
 
--- a/bench/site/site.cpp
+++ b/bench/site/site.cpp
@@ -16,6 +16,7 @@
 #include <thread>
 
 #include "eelgrassbridge/settings/read_settings.hpp"
+#include "site_links.hpp"
 
 namespace eelgrassbridge::bench {
 
@@ -71,34 +72,6 @@
   return fmt::format("{}/{}", site.options.programs, name);
 }
 
-void StartTarget(Site& site, Member& member) {
-  std::vector<std::string> arguments{
-      Program(site, "standin_target"),
-      "--port",
-      std::to_string(member.target_port),
-      "--name",
-      member.spec.name,
-      "--service",
-      member.spec.service,
-      "--slots",
-      std::to_string(site.options.slots),
-      "--service-time-us",
-      std::to_string(site.options.service_time_us),
-      "--run-log",
-      RunLogFile(site),
-      "--workers",
-      std::to_string(site.members.size() > kLargeFleet ? kWorkersInLargeFleet
-                                                       : kWorkers)};
-  if (site.options.targets_start_warm) {
-    arguments.emplace_back("--warm");
-  }
-  if (member.spec.checks_fencing) {
-    arguments.emplace_back("--fencing");
-  }
-  member.target =
-      Launch(arguments, site.folder + "/" + member.spec.name + ".target.log");
-}
-
 void AddMembers(Site& site) {
   int port = site.options.base_port;
   site.table_port = port++;
@@ -186,10 +159,39 @@
   return options;
 }
 
+void StartTarget(Site& site, Member& member) {
+  std::vector<std::string> arguments{
+      Program(site, "standin_target"),
+      "--port",
+      std::to_string(member.target_port),
+      "--name",
+      member.spec.name,
+      "--service",
+      member.spec.service,
+      "--slots",
+      std::to_string(site.options.slots),
+      "--service-time-us",
+      std::to_string(site.options.service_time_us),
+      "--run-log",
+      RunLogFile(site),
+      "--workers",
+      std::to_string(site.members.size() > kLargeFleet ? kWorkersInLargeFleet
+                                                       : kWorkers)};
+  if (site.options.targets_start_warm) {
+    arguments.emplace_back("--warm");
+  }
+  if (member.spec.checks_fencing) {
+    arguments.emplace_back("--fencing");
+  }
+  member.target =
+      Launch(arguments, site.folder + "/" + member.spec.name + ".target.log");
+}
+
 void StartDaemon(Site& site, Member& member) {
   member.daemon = Launch({Program(site, "eelgrassbridge"), "daemon",
                           "--settings", member.settings_file},
-                         site.folder + "/" + member.spec.name + ".log");
+                         site.folder + "/" + member.spec.name + ".log",
+                         LinkEnvironment(site, member.spec.region));
 }
 
 bool WaitReady(const Member& member, double seconds) {
@@ -221,6 +223,7 @@
   site.table = Launch({Program(site, "standin_table"), "--port",
                        std::to_string(site.table_port), "--workers", "512"},
                       site.folder + "/table.log");
+  StartLinks(site);
   for (auto& member : site.members) {
     WriteFile(member.settings_file, SettingsYaml(site, member));
     StartTarget(site, member);
@@ -254,6 +257,9 @@
     }
     Stop(member.target, SIGTERM);
   }
+  for (auto& link : site.links) {
+    Stop(link.process, SIGTERM);
+  }
   Stop(site.table, SIGTERM);
 }
 
--- a/bench/site/site.hpp
+++ b/bench/site/site.hpp
@@ -35,6 +35,13 @@
   bool targets_start_warm = true;
   /// The in-memory store, for a site of one daemon.
   bool memory_store = false;
+  /// Connections between daemons of different regions, and to a table of
+  /// another region, pass link stand-ins. The table is in the first member's
+  /// region.
+  bool links_between_regions = false;
+  /// Connections of this region's daemons to daemons, targets and the table
+  /// all pass links, which record them, and so do connections to this region.
+  std::string recorded_region;
 };
 
 struct Member {
@@ -47,6 +54,16 @@
   Process target;
 };
 
+/// @brief A link that connections of one region's daemons to one port pass.
+struct SiteLink {
+  std::string from_region;
+  std::string to_region;
+  int to_port = 0;
+  int port = 0;
+  int admin_port = 0;
+  Process process;
+};
+
 struct Site {
   SiteOptions options;
   /// Temporary folder with settings, logs and run logs; kept after the run.
@@ -54,6 +71,7 @@
   int table_port = 0;
   Process table;
   std::vector<Member> members;
+  std::vector<SiteLink> links;
 };
 
 /// @brief The members and the catalogue of examples/<name>.
@@ -70,9 +88,20 @@
 
 void StopSite(Site& site);
 
+void StartTarget(Site& site, Member& member);
 void StartDaemon(Site& site, Member& member);
 bool WaitReady(const Member& member, double seconds);
 
+/// @brief Sets the cut of all links from one region to the other: "none",
+/// "hold" or "close".
+void CutLinks(const Site& site,
+              std::string_view from_region,
+              std::string_view to_region,
+              std::string_view cut);
+
+/// @brief Start of the names of the files that the site's links record.
+std::string LinkRecords(const Site& site);
+
 /// @brief The text that all run logs of the site hold together.
 std::string RunLogFile(const Site& site);
 
--- a/bench/site/site_client.cpp
+++ b/bench/site/site_client.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -12,6 +13,7 @@
 
 #include "eelgrassbridge/base/identifier.hpp"
 #include "eelgrassbridge/daemon/admin_messages.hpp"
+#include "eelgrassbridge/store/table_json.hpp"
 #include "figures.hpp"
 
 namespace eelgrassbridge::bench {
@@ -21,6 +23,9 @@
 constexpr const char* kJsonType = "application/json";
 constexpr auto kTimeout = std::chrono::seconds{5};
 constexpr auto kProbeTimeout = std::chrono::milliseconds{500};
+constexpr std::uint32_t kProbeKeys = 60;
+constexpr std::size_t kKeysForLoss = 4;
+constexpr int kKeysAttempts = 60;
 
 httplib::Headers OperatorHeaders() {
   // The token of examples/operator.token, known to example settings only.
@@ -125,6 +130,8 @@
                                      std::to_string(load.rate),
                                      "--keys",
                                      std::to_string(load.keys),
+                                     "--key-prefix",
+                                     load.key_prefix,
                                      "--resends",
                                      std::to_string(load.resends),
                                      "--seed",
@@ -132,6 +139,9 @@
   if (load.direct) {
     arguments.emplace_back("--direct");
   }
+  if (!load.account.empty()) {
+    arguments.insert(arguments.end(), {"--account", load.account});
+  }
   if (load.lines) {
     arguments.insert(arguments.end(), {"--lines", AttemptsFile(site)});
   }
@@ -145,6 +155,20 @@
   return summary.is_object() ? summary : nlohmann::json::object();
 }
 
+BackgroundLoad StartLoad(const Site& site, const Load& load) {
+  BackgroundLoad started;
+  started.output_file = fmt::format("{}/load-{}.json", site.folder, load.seed);
+  started.tool = Launch(LoadArguments(site, load), started.output_file);
+  return started;
+}
+
+nlohmann::json FinishLoad(BackgroundLoad& load) {
+  Stop(load.tool, SIGTERM);
+  std::ifstream text(load.output_file);
+  auto summary = nlohmann::json::parse(text, nullptr, false);
+  return summary.is_object() ? summary : nlohmann::json::object();
+}
+
 std::string Entries(const Site& site,
                     const std::function<bool(const Member&)>& filter) {
   std::string entries;
@@ -157,6 +181,10 @@
   return entries;
 }
 
+std::string AllEntries(const Site& site) {
+  return Entries(site, [](const Member&) { return true; });
+}
+
 std::vector<AttemptLine> SiteAttempts(const Site& site) {
   std::ifstream lines(AttemptsFile(site));
   return ReadAttempts(lines);
@@ -212,4 +240,59 @@
                           : std::nullopt;
 }
 
+std::vector<std::string> KeysOf(const Site& site, const Member& victim) {
+  const Member& entry =
+      &victim == &site.members[0] ? site.members[1] : site.members[0];
+  for (int attempt = 0; attempt < kKeysAttempts; ++attempt) {
+    std::vector<std::string> keys;
+    for (std::uint32_t index = 0;
+         index < kProbeKeys && keys.size() < kKeysForLoss; ++index) {
+      const std::string key = fmt::format("key-{}", index);
+      if (AskOwner(entry, key) == victim.spec.name) {
+        keys.push_back(key);
+      }
+    }
+    if (!keys.empty()) {
+      return keys;
+    }
+    SleepSeconds(0.5);
+  }
+  return {};
+}
+
+std::string ReadPage(int port, const std::string& path) {
+  const auto reply = MakeClient(port).Get(path.c_str(), OperatorHeaders());
+  return reply ? reply->body : std::string();
+}
+
+std::map<std::string, std::string> NamesByDaemonId(const Member& asked) {
+  std::map<std::string, std::string> names;
+  const auto reply =
+      MakeClient(asked.http_port).Get("/admin/status", OperatorHeaders());
+  if (!reply) {
+    return names;
+  }
+  if (const auto status = daemon::ReadStatusJson(reply->body)) {
+    for (const auto& member : status.value().daemons) {
+      names[member.id] = member.name;
+    }
+  }
+  return names;
+}
+
+std::vector<ownership::GroupRow> ReadGroupRows(const Site& site) {
+  std::vector<ownership::GroupRow> groups;
+  const auto reply =
+      MakeClient(site.table_port).Get("/table/rows?prefix=group/");
+  const auto page = reply ? store::ParseRows(reply->body) : std::nullopt;
+  if (page) {
+    for (const auto& row : page->read.rows) {
+      if (const auto group = ownership::DecodeRow(row)) {
+        groups.push_back(group.value());
+      }
+    }
+  }
+  return groups;
+}
+
 }  // namespace eelgrassbridge::bench
--- a/bench/site/site_client.hpp
+++ b/bench/site/site_client.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "eelgrassbridge/catalogue/catalogue.hpp"
+#include "eelgrassbridge/ownership/group_row.hpp"
 #include "outcome_checker.hpp"
 #include "site.hpp"
 
@@ -50,8 +52,10 @@
   double seconds = 5;
   double rate = 0;
   std::uint32_t keys = 200;
+  std::string key_prefix = "key-";
   std::uint32_t resends = 0;
   std::uint64_t seed = 1;
+  std::string account = {};
   bool direct = false;
   /// Whether each attempt is written to AttemptsFile.
   bool lines = false;
@@ -67,6 +71,20 @@
 std::string Entries(const Site& site,
                     const std::function<bool(const Member&)>& filter);
 
+std::string AllEntries(const Site& site);
+
+/// @brief A load tool that runs beside the scenario.
+struct BackgroundLoad {
+  Process tool;
+  std::string output_file;
+};
+
+BackgroundLoad StartLoad(const Site& site, const Load& load);
+
+/// @brief Ends the load, waits for the requests in flight and returns the
+/// summary.
+nlohmann::json FinishLoad(BackgroundLoad& load);
+
 /// @brief All attempts and runs so far.
 std::vector<AttemptLine> SiteAttempts(const Site& site);
 std::vector<RunLine> SiteRuns(const Site& site);
@@ -79,6 +97,19 @@
 std::optional<std::string> AskOwner(const Member& member,
                                     const std::string& key);
 
+/// @brief Waits until the member's target answers for some of the probed keys,
+/// and returns them.
+std::vector<std::string> KeysOf(const Site& site, const Member& victim);
+
+/// @brief Body of a page, asked for as an operator; empty if not answered.
+std::string ReadPage(int port, const std::string& path);
+
+/// @brief Members by the id of their daemon, as the given one knows them.
+std::map<std::string, std::string> NamesByDaemonId(const Member& asked);
+
+/// @brief The group rows of the table.
+std::vector<ownership::GroupRow> ReadGroupRows(const Site& site);
+
 }  // namespace eelgrassbridge::bench
 
 #endif  // EELGRASSBRIDGE_BENCH_SITE_SITE_CLIENT_HPP
--- /dev/null
+++ b/bench/site/stop_scenarios.cpp
@@ -0,0 +1,272 @@
+// Scenarios graceful_stop and freeze: daemons and targets that stop for a
+// while under load.
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <csignal>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "figures.hpp"
+#include "scenarios.hpp"
+#include "site_client.hpp"
+
+namespace eelgrassbridge::bench {
+
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kSettleSeconds = 5;
+constexpr double kReadySeconds = 60;
+constexpr double kAnsweredLimitSeconds = 60;
+constexpr double kFreezeSeconds = 5;
+constexpr double kTargetAnsweredSeconds = 5;
+constexpr double kTargetLastWorkSeconds = 3;
+constexpr std::uint32_t kFleet = 5;
+// Daemons that the short form of graceful_stop stops.
+constexpr std::size_t kShortStops = 2;
+// At 50 ms between them, resends go on for 5 s and more.
+constexpr std::uint32_t kResends = 100;
+constexpr const char* kKinds =
+    "listing/view:GET:idempotent:0:6,listing/claim:POST:once:200:4";
+
+double SecondsSince(std::int64_t start_us) {
+  return static_cast<double>(UnixMicroseconds() - start_us) /
+         kMicrosecondsPerSecond;
+}
+
+Load MixedLoad(const Site& site, std::uint64_t seed) {
+  Load load;
+  load.entries = AllEntries(site);
+  load.kinds = kKinds;
+  load.callers = 16;
+  load.rate = 300;
+  // Ended by the scenario.
+  load.seconds = 600;
+  load.resends = kResends;
+  load.seed = seed;
+  load.lines = true;
+  return load;
+}
+
+// What attempts that began in the time were told, by outcome and error. A
+// first attempt without an id is always told to fetch one and is left out.
+void PrintTold(std::string_view scenario,
+               const std::string& prefix,
+               const Site& site,
+               std::int64_t from_us,
+               std::int64_t to_us) {
+  std::map<std::string, double> told;
+  for (const auto& attempt : SiteAttempts(site)) {
+    if (attempt.start_us >= from_us && attempt.start_us < to_us &&
+        attempt.error != "id_required") {
+      ++told[attempt.error.empty()
+                 ? attempt.outcome
+                 : fmt::format("{}_{}", attempt.outcome, attempt.error)];
+    }
+  }
+  for (const auto& [what, count] : told) {
+    PrintCount(scenario, prefix + what, count);
+  }
+}
+
+void PrintRequests(std::string_view scenario,
+                   const nlohmann::json& summary,
+                   std::optional<double> target) {
+  const double requests = summary.value("requests", 0.0);
+  PrintCount(scenario, "requests", requests);
+  PrintCount(scenario, "failed_requests",
+             requests - summary.value("count", 0.0), target);
+  const auto errors = summary.value("errors", nlohmann::json::object());
+  for (const auto& [error, count] : errors.items()) {
+    PrintCount(scenario, "failed_with_" + error, count.get<double>());
+  }
+}
+
+struct StopTimes {
+  std::string name;
+  std::int64_t signal_us = 0;
+  std::int64_t end_us = 0;
+  int status = 0;
+};
+
+StopTimes StopAndStart(Site& site, Member& member) {
+  StopTimes times{.name = member.spec.name, .signal_us = UnixMicroseconds()};
+  times.status = Stop(member.daemon, SIGTERM);
+  times.end_us = UnixMicroseconds();
+  StartDaemon(site, member);
+  WaitReady(member, kReadySeconds);
+  return times;
+}
+
+void PrintStops(const Site& site, const std::vector<StopTimes>& stops) {
+  constexpr const char* kScenario = "graceful_stop";
+  double longest = 0;
+  double last_work = 0;
+  double failed_exits = 0;
+  double unfinished = 0;
+  const auto runs = SiteRuns(site);
+  for (const auto& stop : stops) {
+    failed_exits += stop.status != 0 ? 1 : 0;
+    longest =
+        std::max(longest, static_cast<double>(stop.end_us - stop.signal_us) /
+                              kMicrosecondsPerSecond);
+    for (const auto& run : runs) {
+      if (run.target == stop.name && run.start_us >= stop.signal_us &&
+          run.start_us < stop.end_us) {
+        last_work = std::max(
+            last_work, static_cast<double>(run.start_us - stop.signal_us) /
+                           kMicrosecondsPerSecond);
+      }
+    }
+  }
+  for (const auto& run : runs) {
+    unfinished += run.end_us == 0 ? 1 : 0;
+  }
+  PrintCount(kScenario, "stops", static_cast<double>(stops.size()));
+  PrintCount(kScenario, "exits_with_an_error", failed_exits, 0);
+  PrintSeconds(kScenario, "last_new_work_max", last_work,
+               kTargetLastWorkSeconds);
+  PrintSeconds(kScenario, "stop_max", longest);
+  PrintCount(kScenario, "runs_without_an_end", unfinished, 0);
+}
+
+// A connection that ended without an answer: the request had been sent, and
+// either ran, or its caller cannot know whether it did.
+void PrintCutOff(std::string_view scenario, const Site& site) {
+  double cut_off = 0;
+  for (const auto& attempt : SiteAttempts(site)) {
+    cut_off += attempt.error == "no_reply" || !attempt.fault.empty() ? 1 : 0;
+  }
+  PrintCount(scenario, "cut_off_in_flight", cut_off, 0);
+}
+
+// Freezes the process for kFreezeSeconds and returns the seconds until all of
+// the keys have been answered.
+double Freeze(const Process& process,
+              const Member& entry,
+              const std::vector<std::string>& keys) {
+  const std::int64_t start = UnixMicroseconds();
+  Signal(process, SIGSTOP);
+  bool frozen = true;
+  std::optional<double> answered;
+  std::size_t next = 0;
+  while (frozen || (!answered && SecondsSince(start) < kAnsweredLimitSeconds)) {
+    if (frozen && SecondsSince(start) >= kFreezeSeconds) {
+      Signal(process, SIGCONT);
+      frozen = false;
+    }
+    if (!answered && AskOwner(entry, keys[next])) {
+      ++next;
+      if (next == keys.size()) {
+        answered = SecondsSince(start);
+      }
+    } else {
+      SleepSeconds(0.02);
+    }
+  }
+  return answered.value_or(kAnsweredLimitSeconds);
+}
+
+const Member& OtherThan(const Site& site, const Member& member) {
+  return &member == &site.members[0] ? site.members[1] : site.members[0];
+}
+
+void FreezePhase(const Site& site,
+                 const std::string& phase,
+                 const Process& process,
+                 const Member& victim,
+                 const std::vector<std::string>& keys) {
+  constexpr const char* kScenario = "freeze";
+  if (keys.empty()) {
+    PrintCount(kScenario, phase + "_without_keys", 1, 0);
+    return;
+  }
+  const std::int64_t from = UnixMicroseconds();
+  const double seconds = Freeze(process, OtherThan(site, victim), keys);
+  PrintSeconds(kScenario, phase + "_answered_again", seconds,
+               kTargetAnsweredSeconds);
+  SleepSeconds(kSettleSeconds);
+  PrintTold(kScenario, phase + "_told_", site, from, UnixMicroseconds());
+}
+
+// A member that is the deputy of some group, and is not the one to leave out.
+const Member* FindDeputy(const Site& site, const Member& left_out) {
+  const auto names = NamesByDaemonId(site.members[0]);
+  for (const auto& row : ReadGroupRows(site)) {
+    const auto name = names.find(base::ToString(row.deputy));
+    if (name == names.end() || name->second == left_out.spec.name) {
+      continue;
+    }
+    const auto found = std::ranges::find(
+        site.members, name->second,
+        [](const Member& member) { return member.spec.name; });
+    if (found != site.members.end()) {
+      return &*found;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+bool MeasureGracefulStop(const ScenarioOptions& options) {
+  constexpr const char* kScenario = "graceful_stop";
+  auto site = StartSite(MakeListingSite(options.site, kFleet), kScenario);
+  if (!site) {
+    return false;
+  }
+  SleepSeconds(kSettleSeconds);
+  const std::int64_t start = UnixMicroseconds();
+  auto load = StartLoad(*site, MixedLoad(*site, 300));
+  SleepSeconds(2);
+  std::vector<StopTimes> stops;
+  for (Member& member : site->members) {
+    if (options.is_short && stops.size() >= kShortStops) {
+      break;
+    }
+    stops.push_back(StopAndStart(*site, member));
+    SleepSeconds(kSettleSeconds);
+  }
+  const auto summary = FinishLoad(load);
+  PrintRequests(kScenario, summary, 0);
+  PrintTold(kScenario, "attempts_", *site, start, UnixMicroseconds());
+  PrintCutOff(kScenario, *site);
+  PrintStops(*site, stops);
+  PrintViolations(kScenario, *site);
+  StopSite(*site);
+  return true;
+}
+
+bool MeasureFreeze(const ScenarioOptions& options) {
+  constexpr const char* kScenario = "freeze";
+  constexpr std::uint32_t kRounds = 3;
+  auto site = StartSite(MakeListingSite(options.site, kFleet), kScenario);
+  if (!site) {
+    return false;
+  }
+  SleepSeconds(kSettleSeconds);
+  auto load = StartLoad(*site, MixedLoad(*site, 400));
+  SleepSeconds(2);
+  for (std::uint32_t round = 0; round < (options.is_short ? 1 : kRounds);
+       ++round) {
+    const Member& owner = site->members[(1 + round) % kFleet];
+    FreezePhase(*site, fmt::format("owner_{}", round + 1), owner.daemon, owner,
+                KeysOf(*site, owner));
+    FreezePhase(*site, fmt::format("target_{}", round + 1), owner.target, owner,
+                KeysOf(*site, owner));
+    if (const Member* deputy = FindDeputy(*site, owner)) {
+      FreezePhase(*site, fmt::format("deputy_{}", round + 1), deputy->daemon,
+                  *deputy, KeysOf(*site, *deputy));
+    }
+  }
+  const auto summary = FinishLoad(load);
+  // The outcome of a claim that was in flight at a frozen target is unknown,
+  // and stays so in resends.
+  PrintRequests(kScenario, summary, std::nullopt);
+  PrintViolations(kScenario, *site);
+  StopSite(*site);
+  return true;
+}
+
+}  // namespace eelgrassbridge::bench
--- a/standins/load_caller.cpp
+++ b/standins/load_caller.cpp
@@ -68,7 +68,7 @@
   const auto key = std::ranges::lower_bound(shares, point) - shares.begin();
   LoadRequest request{
       .kind = kind,
-      .key = fmt::format("key-{}", key),
+      .key = options.key_prefix + std::to_string(key),
       .path = fmt::format("/s/{}/{}/item", kind.service, kind.kind),
       .body = {}};
   request.body.assign(kind.body_bytes,
--- a/standins/load_caller.hpp
+++ b/standins/load_caller.hpp
@@ -38,6 +38,7 @@
   /// Requests per second of all callers together; 0: as fast as answers come.
   double rate = 0;
   std::uint32_t keys = 1000;
+  std::string key_prefix = "key-";
   /// Exponent of the Zipf distribution of keys; 0: uniform.
   double zipf = 0;
   std::string account;
@@ -88,7 +89,8 @@
   std::vector<double> key_shares;
   std::atomic<std::uint64_t> started = 0;
   std::int64_t start_us = 0;
-  std::int64_t end_us = 0;
+  /// Set to 0 by the signal that ends the run.
+  std::atomic<std::int64_t> end_us = 0;
 };
 
 /// @brief Fills the key distribution and the times.
--- a/standins/load_tool.cpp
+++ b/standins/load_tool.cpp
@@ -1,5 +1,7 @@
-// Load tool: a bounded number of callers; prints a JSON summary.
+// Load tool: a bounded number of callers; prints a JSON summary at the end of
+// its time, or when SIGTERM ends it and the requests in flight are answered.
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -17,6 +19,8 @@
 
 constexpr std::uint32_t kMaxCallers = 256;
 constexpr double kMaxSeconds = 900;
+// The signal handler stores to it.
+static_assert(std::atomic<std::int64_t>::is_always_lock_free);
 
 std::vector<std::string> Split(const std::string& text, char separator) {
   std::vector<std::string> parts;
@@ -121,9 +125,10 @@
       "seconds", "At most 900", real("10"))("requests", "0: no limit",
                                             number("0"))(
       "rate", "Requests per second; 0: as fast as answers come", real("0"))(
-      "keys", "Number of keys", number("1000"))("zipf", "Exponent", real("0"))(
-      "account", "Client account", text(""))("deadline-ms", "0: none",
-                                             number("0"))(
+      "keys", "Number of keys", number("1000"))(
+      "key-prefix", "Start of each key", text("key-"))(
+      "zipf", "Exponent", real("0"))("account", "Client account", text(""))(
+      "deadline-ms", "0: none", number("0"))(
       "seed", "Seed, also the start of every tag", number("1"))(
       "resends", "Further attempts with the same request id", number("0"))(
       "direct", "The entries are targets")(
@@ -151,6 +156,7 @@
   options.max_requests = number("requests");
   options.rate = parsed["rate"].as<double>();
   options.keys = static_cast<std::uint32_t>(number("keys"));
+  options.key_prefix = text("key-prefix");
   options.zipf = parsed["zipf"].as<double>();
   options.account = text("account");
   options.deadline_ms = static_cast<std::int64_t>(number("deadline-ms"));
@@ -163,13 +169,14 @@
 
 int Run(int count, const char* const* arguments) {
   std::signal(SIGPIPE, SIG_IGN);
-  LoadRun run;
+  static LoadRun run;
   run.options = ReadOptions(CommandLine().parse(count, arguments));
   if (run.options.entries.empty()) {
     std::fputs("--entry is missing\n", stderr);
     return 2;
   }
   PrepareRun(run);
+  std::signal(SIGTERM, [](int) { run.end_us = 0; });
   std::vector<LoadFigures> figures(run.options.callers);
   std::vector<std::thread> threads;
   for (std::uint32_t index = 0; index < run.options.callers; ++index) {
--- a/standins/standin_link.cpp
+++ b/standins/standin_link.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <deque>
+#include <fstream>
 #include <list>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -40,6 +41,10 @@
   Clock::time_point line_free_at;
   std::list<std::weak_ptr<struct Session>> sessions;
   std::atomic<std::uint64_t> bytes = 0;
+  /// Start of the names of the files that take the bytes of each direction of
+  /// each session; empty: nothing is recorded.
+  std::string record;
+  std::uint64_t recorded = 0;
 };
 
 struct Session {
@@ -77,6 +82,7 @@
   std::deque<Chunk> queue;
   bool is_sending = false;
   bool ended = false;
+  std::ofstream record;
 };
 
 using Way = std::shared_ptr<Direction>;
@@ -145,6 +151,9 @@
           way->ended = true;
         } else {
           link.bytes += size;
+          way->record.write(way->buffer.data(),
+                            static_cast<std::streamsize>(size));
+          way->record.flush();
           way->queue.push_back(
               {Arrival(link, size),
                {way->buffer.begin(),
@@ -161,10 +170,18 @@
   asio::error_code ignored;
   session->near.set_option(tcp::no_delay(true), ignored);
   session->far.set_option(tcp::no_delay(true), ignored);
-  Receive(link,
-          std::make_shared<Direction>(session, session->near, session->far));
-  Receive(link,
-          std::make_shared<Direction>(session, session->far, session->near));
+  const auto forth =
+      std::make_shared<Direction>(session, session->near, session->far);
+  const auto back =
+      std::make_shared<Direction>(session, session->far, session->near);
+  if (!link.record.empty()) {
+    const std::string name =
+        link.record + "-" + std::to_string(++link.recorded);
+    forth->record.open(name + ".forth", std::ios::binary);
+    back->record.open(name + ".back", std::ios::binary);
+  }
+  Receive(link, forth);
+  Receive(link, back);
 }
 
 void Accept(Link& link, tcp::acceptor& acceptor, const tcp::endpoint& remote) {
@@ -216,12 +233,15 @@
       cxxopts::value<std::uint16_t>())("admin-port", "Port of POST /admin/link",
                                        cxxopts::value<int>())(
       "delay-ms", "Delay in each direction", number("0"))(
-      "bytes-per-second", "Rate limit", number("0"));
+      "bytes-per-second", "Rate limit", number("0"))(
+      "record", "Start of the names of files with what passes",
+      cxxopts::value<std::string>()->default_value(""));
   const auto parsed = options.parse(count, arguments);
   static Link link;
   link.delay = std::chrono::milliseconds(parsed["delay-ms"].as<std::int64_t>());
   link.bytes_per_second =
       static_cast<std::uint64_t>(parsed["bytes-per-second"].as<std::int64_t>());
+  link.record = parsed["record"].as<std::string>();
   static asio::io_context context(1);
   const auto address = asio::ip::make_address("127.0.0.1");
   static tcp::acceptor acceptor(
