--- a/include/eelgrassbridge/daemon/control_state.hpp
+++ b/include/eelgrassbridge/daemon/control_state.hpp
@@ -16,6 +16,7 @@
 #include "eelgrassbridge/daemon/control_gates.hpp"
 #include "eelgrassbridge/daemon/control_view.hpp"
 #include "eelgrassbridge/daemon/request_context.hpp"
+#include "eelgrassbridge/daemon/snapshot_thread.hpp"
 #include "eelgrassbridge/daemon/store_thread.hpp"
 #include "eelgrassbridge/membership/membership_commands.hpp"
 #include "eelgrassbridge/ownership/ownership_commands.hpp"
@@ -73,6 +74,20 @@
   std::unordered_map<std::string, OpenAnnouncement> announcements;
 };
 
+struct SnapshotControl {
+  bool request_open = false;
+  base::TimePoint next_request{};
+  /// Revision of the snapshot that this daemon wrote last.
+  std::uint64_t written_revision = 0;
+  base::TimePoint refresh_at{};
+  /// A snapshot fills the view until the table has been read.
+  bool is_used = false;
+  /// From where the changes complete its rows; none: the table is read whole.
+  std::optional<std::uint64_t> revision;
+  /// Its group rows, for the core once the table has answered.
+  std::vector<ownership::GroupRow> rows;
+};
+
 /// @brief Everything that control owns, and what waits to be given to the
 /// other threads. The control thread empties these lists into the rings after
 /// each round; tests look into them.
@@ -97,6 +112,7 @@
   membership::MembershipState membership;
   CatalogueControl catalogue;
   TableControl table;
+  SnapshotControl snapshot;
   ControlGates gates;
   ViewBuilder view;
   std::uint64_t next_operation = 1;
@@ -125,6 +141,7 @@
   /// that waiting reads can still be merged.
   std::uint32_t reads_open = 0;
   std::deque<StoreWrite> to_writer;
+  std::deque<SnapshotRequest> to_snapshot;
   std::deque<ownership::GroupEpoch> to_target;
 };
 
--- a/include/eelgrassbridge/daemon/control_thread.hpp
+++ b/include/eelgrassbridge/daemon/control_thread.hpp
@@ -36,6 +36,7 @@
   base::Ring<ControlCommand> commands{kCommandCapacity};
   ControlState state;
   StoreThreads store;
+  SnapshotThread snapshot;
   TargetWatch target;
   /// For reading the history on behalf of operators, one at a time.
   std::mutex history_mutex;
--- a/include/eelgrassbridge/daemon/store_thread.hpp
+++ b/include/eelgrassbridge/daemon/store_thread.hpp
@@ -34,7 +34,14 @@
   std::uint64_t since = 0;
 };
 
-using StoreRead = std::variant<ReadWholeTable, ReadKeys, ReadTableChanges>;
+/// @brief Completes a snapshot of that revision: the changes since, and all
+/// members, which a snapshot does not hold.
+struct ReadSinceSnapshot {
+  std::uint64_t revision = 0;
+};
+
+using StoreRead =
+    std::variant<ReadWholeTable, ReadKeys, ReadTableChanges, ReadSinceSnapshot>;
 
 struct StoreReadResult {
   StoreRead read;
--- a/include/eelgrassbridge/store/table_snapshot.hpp
+++ b/include/eelgrassbridge/store/table_snapshot.hpp
@@ -20,19 +20,29 @@
   /// The table's revision; ReadChanges from here misses nothing.
   std::uint64_t revision = 0;
   std::vector<Row> rows;
+  std::string site = {};
+  /// Wall clock right before the table was read.
+  std::int64_t written_at_ms = 0;
 };
 
 /// @brief Reads the rows below catalogue/ and group/.
 base::Result<TableSnapshot> TakeTableSnapshot(Store& store);
 
 /// @brief A line with format version, length and XXH3 of the body, then the
-/// body as the table service's JSON.
+/// body: a line with time and site, and the table service's JSON.
 std::string EncodeSnapshot(const TableSnapshot& snapshot);
 
 /// @brief kSnapshotInvalid for a text that is cut, damaged, of another format
 /// version, or holds rows of other prefixes.
 base::Result<TableSnapshot> DecodeSnapshot(std::string_view text);
 
+/// @brief kSnapshotInvalid for a snapshot of another site, older than that, or
+/// written more than a minute ahead of this VM's clock.
+base::Result<void> CheckSnapshot(const TableSnapshot& snapshot,
+                                 std::string_view site,
+                                 std::int64_t now_ms,
+                                 base::Duration max_age);
+
 base::Result<void> SaveSnapshot(Store& store,
                                 std::string_view name,
                                 const TableSnapshot& snapshot);
--- a/src/eelgrassbridge/daemon/control_events.cpp
+++ b/src/eelgrassbridge/daemon/control_events.cpp
@@ -8,6 +8,7 @@
 #include "eelgrassbridge/daemon/control_actions.hpp"
 #include "eelgrassbridge/daemon/control_catalogue.hpp"
 #include "eelgrassbridge/daemon/control_exchange.hpp"
+#include "eelgrassbridge/daemon/control_snapshot.hpp"
 #include "eelgrassbridge/daemon/control_status.hpp"
 #include "eelgrassbridge/daemon/control_table.hpp"
 #include "eelgrassbridge/membership/membership_queries.hpp"
@@ -96,7 +97,7 @@
   }
   // A daemon whose target cannot serve still forwards to the others.
   const bool is_ready = state.phase == StartPhase::kRunning &&
-                        state.membership.joined &&
+                        (state.membership.joined || state.snapshot.is_used) &&
                         state.catalogue.current != nullptr;
   ApplyState(state.view, is_ready,
              state.draining || !state.target_usable || IsSelfOut(state));
@@ -147,6 +148,7 @@
 
 void OnControlTick(ControlState& state, base::TimePoint now) {
   TickTable(state, now);
+  TickSnapshot(state, now);
   if (state.phase == StartPhase::kReading) {
     return;
   }
--- /dev/null
+++ b/src/eelgrassbridge/daemon/control_snapshot.cpp
@@ -0,0 +1,151 @@
+// Writing and use of snapshots by the control thread.
+#include "eelgrassbridge/daemon/control_snapshot.hpp"
+
+#include <algorithm>
+
+#include "eelgrassbridge/base/log.hpp"
+#include "eelgrassbridge/catalogue/catalogue_json.hpp"
+#include "eelgrassbridge/daemon/catalogue_store.hpp"
+#include "eelgrassbridge/daemon/control_catalogue.hpp"
+#include "eelgrassbridge/membership/membership_queries.hpp"
+#include "eelgrassbridge/ownership/ownership_queries.hpp"
+
+namespace eelgrassbridge::daemon {
+
+namespace {
+
+constexpr base::Duration kWriteInterval = base::seconds{30};
+/// An unchanged snapshot is written again this often within the age at which it
+/// is refused, so that its age tells how long the table has not been read.
+constexpr int kRefreshesPerMaxAge = 3;
+constexpr base::Duration kLoadRetry = base::seconds{2};
+/// A whole read of a site of 15,000 daemons is 77 calls; a table that has
+/// not answered them by now is slow or down.
+constexpr base::Duration kSlowRead = base::seconds{2};
+
+void Count(ControlState& state, std::string_view name) {
+  base::GetCounter(state.context.counters, name)
+      .fetch_add(1, std::memory_order_relaxed);
+}
+
+bool IsWriter(const ControlState& state) {
+  return std::ranges::all_of(
+      state.membership.region_of, [&](const auto& entry) {
+        const base::DaemonId relay =
+            membership::DataCentreRelay(state.membership, entry.first);
+        return !relay || state.self <= relay;
+      });
+}
+
+void TickWrite(ControlState& state, base::TimePoint now) {
+  SnapshotControl& snapshot = state.snapshot;
+  const bool is_due = state.table.revision > snapshot.written_revision ||
+                      now >= snapshot.refresh_at;
+  if (!state.table.reachable || !is_due || !IsWriter(state)) {
+    return;
+  }
+  snapshot.request_open = true;
+  snapshot.next_request = now + kWriteInterval;
+  state.to_snapshot.emplace_back(SaveSnapshotRequest{state.settings.site});
+}
+
+void TickLoad(ControlState& state, base::TimePoint now) {
+  const bool is_late = now - state.started_at >= kSlowRead ||
+                       state.phase == StartPhase::kRunning;
+  if (!is_late || state.view.next.ready || state.snapshot.is_used) {
+    return;
+  }
+  state.snapshot.request_open = true;
+  state.snapshot.next_request = now + kLoadRetry;
+  // Promises end H after the last reads of the rows, so an older snapshot names
+  // no owner that can still be serving.
+  state.to_snapshot.emplace_back(LoadSnapshotRequest{
+      state.settings.site, state.settings.lease.deputy_read_bound});
+}
+
+/// The snapshot's catalogue, unless a newer one is in force or was heard of.
+std::optional<catalogue::Catalogue> UsableCatalogue(
+    const ControlState& state,
+    const store::TableSnapshot& snapshot) {
+  const auto row =
+      std::ranges::find(snapshot.rows, kCatalogueKey, &store::Row::key);
+  if (row == snapshot.rows.end()) {
+    return std::nullopt;
+  }
+  auto read = catalogue::ReadCatalogueJson(row->value);
+  const auto& current = state.catalogue.current;
+  const std::uint64_t known = std::max(
+      current == nullptr ? 0 : current->version, state.catalogue.heard_version);
+  if (!read || read.value().version < known) {
+    return std::nullopt;
+  }
+  return std::move(read).value();
+}
+
+void UseSnapshot(ControlState& state,
+                 base::TimePoint now,
+                 const store::TableSnapshot& snapshot) {
+  auto catalogue = UsableCatalogue(state, snapshot);
+  if (!catalogue) {
+    Count(state, "snapshot_refused_total");
+    return;
+  }
+  AdoptCatalogue(state, now, std::move(*catalogue));
+  for (const store::Row& row : snapshot.rows) {
+    auto group = ownership::DecodeRow(row);
+    if (!group) {
+      continue;
+    }
+    if (ownership::FindRow(state.ownership, group.value().group) == nullptr) {
+      ApplyRow(state.view, group.value());
+    }
+    state.snapshot.rows.push_back(std::move(group).value());
+  }
+  state.snapshot.is_used = true;
+  state.snapshot.revision = snapshot.revision;
+  state.phase = StartPhase::kRunning;
+  Count(state, "snapshot_loaded_total");
+  base::LogChange("snapshot_loaded",
+                  {{"rows", std::to_string(state.snapshot.rows.size())}},
+                  base::LogLevel::kWarning);
+}
+
+}  // namespace
+
+void TickSnapshot(ControlState& state, base::TimePoint now) {
+  if (state.snapshot.request_open || now < state.snapshot.next_request) {
+    return;
+  }
+  if (state.table.whole_read) {
+    TickWrite(state, now);
+  } else {
+    TickLoad(state, now);
+  }
+}
+
+void OnSnapshotResult(ControlState& state,
+                      base::TimePoint now,
+                      SnapshotResult result) {
+  state.snapshot.request_open = false;
+  if (const auto* const saved = std::get_if<SnapshotSaved>(&result)) {
+    if (saved->revision) {
+      state.snapshot.written_revision = *saved->revision;
+      state.snapshot.refresh_at =
+          now + state.settings.lease.deputy_read_bound / kRefreshesPerMaxAge;
+      Count(state, "snapshot_written_total");
+    } else {
+      Count(state, "snapshot_write_failed_total");
+    }
+    return;
+  }
+  const auto& loaded = std::get<SnapshotLoaded>(result);
+  if (loaded.is_refused) {
+    Count(state, "snapshot_refused_total");
+  } else if (!loaded.snapshot) {
+    Count(state, "snapshot_load_failed_total");
+  } else if (!state.table.whole_read) {
+    UseSnapshot(state, now, *loaded.snapshot);
+  }
+}
+
+}  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/control_table.cpp
+++ b/src/eelgrassbridge/daemon/control_table.cpp
@@ -2,6 +2,8 @@
 #include "eelgrassbridge/daemon/control_table.hpp"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 #include "eelgrassbridge/base/log.hpp"
 #include "eelgrassbridge/daemon/catalogue_store.hpp"
@@ -97,7 +99,9 @@
               base::TimePoint now,
               const StoreReadResult& result,
               const SortedRows& sorted) {
-  const bool is_whole = std::holds_alternative<ReadWholeTable>(result.read);
+  const bool is_since = std::holds_alternative<ReadSinceSnapshot>(result.read);
+  const bool is_whole =
+      is_since || std::holds_alternative<ReadWholeTable>(result.read);
   // An empty list of the whole table is an answer as well: this daemon is the
   // first one.
   if (is_whole || !sorted.members.empty()) {
@@ -113,7 +117,7 @@
        sorted.groups},
       actions);
   // Only a read of the changes has a revision of its own.
-  if (std::holds_alternative<ReadTableChanges>(result.read)) {
+  if (is_since || std::holds_alternative<ReadTableChanges>(result.read)) {
     ownership::OnRowsHeard(state.ownership, now, sorted.deleted, actions);
   }
   CarryOut(state, now, actions, RowSource::kElsewhere);
@@ -128,17 +132,56 @@
   }
 }
 
-void NoteWholeRead(ControlState& state, const StoreReadResult& result) {
+/// Gives the core the rows of the snapshot that the changes complete. Returns
+/// false if the table is older than the snapshot.
+bool CompleteSnapshot(ControlState& state,
+                      base::TimePoint now,
+                      const StoreReadResult& result) {
+  const auto since = std::get<ReadSinceSnapshot>(result.read).revision;
+  if (result.rows->revision < since) {
+    base::LogChange("table_went_back", {}, base::LogLevel::kError);
+    state.snapshot.revision.reset();
+    return false;
+  }
+  // Rows that changed since are given as read only: the core could begin a
+  // take-over by the older state.
+  std::unordered_set<std::string_view> changed;
+  for (const store::Row& row : result.rows->rows) {
+    changed.insert(row.key);
+  }
+  std::erase_if(state.snapshot.rows, [&](const ownership::GroupRow& row) {
+    return changed.contains(ownership::RowKey(row.group));
+  });
+  ownership::Actions actions;
+  ownership::OnRowsHeard(state.ownership, now, state.snapshot.rows, actions);
+  CarryOut(state, now, actions, RowSource::kElsewhere);
+  return true;
+}
+
+/// Returns whether the rows, with those of the snapshot, are the whole table.
+bool NoteWholeRead(ControlState& state,
+                   base::TimePoint now,
+                   const StoreReadResult& result) {
   state.table.read_open = false;
   state.phase = StartPhase::kRunning;
   if (!result.rows) {
-    return;
+    return false;
+  }
+  const bool is_since = std::holds_alternative<ReadSinceSnapshot>(result.read);
+  if (is_since && !CompleteSnapshot(state, now, result)) {
+    return false;
   }
   state.table.whole_read = true;
   state.table.revision = result.rows->revision;
+  state.snapshot.is_used = false;
+  state.snapshot.rows = {};
+  if (is_since) {
+    return true;
+  }
   state.table.has_no_catalogue = std::ranges::none_of(
       result.rows->rows,
       [](const store::Row& row) { return row.key == kCatalogueKey; });
+  return true;
 }
 
 void NoteChanges(ControlState& state, const StoreReadResult& result) {
@@ -235,8 +278,11 @@
                   base::TimePoint now,
                   const StoreReadResult& result) {
   NoteReachable(state, result.rows.has_value());
-  if (std::holds_alternative<ReadWholeTable>(result.read)) {
-    NoteWholeRead(state, result);
+  if (std::holds_alternative<ReadWholeTable>(result.read) ||
+      std::holds_alternative<ReadSinceSnapshot>(result.read)) {
+    if (!NoteWholeRead(state, now, result)) {
+      return;
+    }
   } else if (std::holds_alternative<ReadTableChanges>(result.read)) {
     NoteChanges(state, result);
   } else if (!result.rows) {
@@ -262,7 +308,12 @@
     if (!state.table.read_open && now >= state.table.next_read) {
       state.table.read_open = true;
       state.table.next_read = now + kRetryInterval;
-      state.to_reader.emplace_back(ReadWholeTable{});
+      if (state.snapshot.revision) {
+        state.to_reader.emplace_back(
+            ReadSinceSnapshot{*state.snapshot.revision});
+      } else {
+        state.to_reader.emplace_back(ReadWholeTable{});
+      }
     }
     return;
   }
--- a/src/eelgrassbridge/daemon/control_thread.cpp
+++ b/src/eelgrassbridge/daemon/control_thread.cpp
@@ -8,6 +8,7 @@
 #include "eelgrassbridge/base/log.hpp"
 #include "eelgrassbridge/daemon/catalogue_store.hpp"
 #include "eelgrassbridge/daemon/control_events.hpp"
+#include "eelgrassbridge/daemon/control_snapshot.hpp"
 #include "eelgrassbridge/daemon/control_status.hpp"
 #include "eelgrassbridge/daemon/peer_thread.hpp"
 
@@ -55,6 +56,10 @@
                     [&](StoreWriteResult result) {
                       OnWriteResult(state, now(), std::move(result));
                     });
+  more |= DrainRing([&] { return control.snapshot.results.Pop(); },
+                    [&](SnapshotResult result) {
+                      OnSnapshotResult(state, now(), std::move(result));
+                    });
   more |= DrainRing([&] { return wire::ReceiveFromPeers(*control.peers); },
                     [&](wire::Incoming incoming) {
                       OnPeerMessage(state, now(), std::move(incoming));
@@ -90,6 +95,9 @@
   if (FlushTo(state.to_writer, control.store.writes)) {
     base::Signal(control.store.writer_wake);
   }
+  if (FlushTo(state.to_snapshot, control.snapshot.requests)) {
+    base::Signal(control.snapshot.wake);
+  }
   if (FlushTo(state.to_target, control.target.grants)) {
     base::Signal(control.target.wake);
   }
@@ -160,6 +168,7 @@
             base::NewDaemonId(),
             base::BootClock::now()),
       store(std::move(read_store), std::move(write_store), this->wake),
+      snapshot(this->wake),
       target(context.target, this->wake) {}
 
 Control::~Control() {
@@ -186,6 +195,8 @@
   context.routing.view.store(
       std::make_shared<const RoutingView>(control->state.view.next));
   StartStoreThreads(control->store);
+  control->snapshot.store = OpenStore(settings, memory);
+  StartSnapshotThread(control->snapshot);
   StartTargetWatch(control->target);
   Control& started = *control;
   control->thread = std::thread([&started] { RunControl(started); });
@@ -222,6 +233,7 @@
   }
   StopTargetWatch(control.target);
   StopStoreThreads(control.store);
+  StopSnapshotThread(control.snapshot);
 }
 
 AdminHooks MakeAdminHooks(Control& control) {
--- a/src/eelgrassbridge/daemon/store_thread.cpp
+++ b/src/eelgrassbridge/daemon/store_thread.cpp
@@ -38,6 +38,21 @@
   return whole;
 }
 
+std::optional<store::RowsRead> ReadSince(store::Store& store,
+                                         std::uint64_t revision) {
+  auto changes = store::ReadChanges(store, revision);
+  if (!changes) {
+    return std::nullopt;
+  }
+  auto members = store::ReadRows(store, kMemberPrefix);
+  if (!members) {
+    return std::nullopt;
+  }
+  store::RowsRead all = std::move(changes).value();
+  std::ranges::move(members.value().rows, std::back_inserter(all.rows));
+  return all;
+}
+
 template <typename Request, typename Handle>
 void Serve(const std::atomic<bool>& stopping,
            base::WakeEvent& wake,
@@ -74,6 +89,8 @@
     if (rows) {
       result.rows = std::move(rows).value();
     }
+  } else if (const auto* const since = std::get_if<ReadSinceSnapshot>(&read)) {
+    result.rows = ReadSince(store, since->revision);
   } else {
     auto changes =
         store::ReadChanges(store, std::get<ReadTableChanges>(read).since);
--- a/src/eelgrassbridge/store/table_snapshot.cpp
+++ b/src/eelgrassbridge/store/table_snapshot.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 
 #include "eelgrassbridge/base/hash.hpp"
@@ -16,12 +17,19 @@
 constexpr std::string_view kCataloguePrefix = "catalogue/";
 constexpr std::string_view kGroupPrefix = "group/";
 
+/// Clocks of VMs may differ by some seconds.
+constexpr base::Duration kClockDifference = base::seconds{60};
+
 /// The first line of a snapshot; a change of the form changes the number.
 std::string HeadOf(std::string_view body) {
-  return fmt::format("eelgrassbridge-snapshot 1 {} {:016x}\n", body.size(),
+  return fmt::format("eelgrassbridge-snapshot 2 {} {:016x}\n", body.size(),
                      base::Hash64(body));
 }
 
+base::Result<TableSnapshot> Invalid(const char* reason) {
+  return base::Fail(base::ErrorKind::kSnapshotInvalid, reason);
+}
+
 }  // namespace
 
 base::Result<TableSnapshot> TakeTableSnapshot(Store& store) {
@@ -29,7 +37,9 @@
   BOOST_OUTCOME_TRY(groups, ReadRows(store, kGroupPrefix));
   // The first read has the lower revision: what changed between the two reads
   // is then read again with ReadChanges.
-  TableSnapshot snapshot{catalogue.revision, std::move(catalogue.rows)};
+  TableSnapshot snapshot;
+  snapshot.revision = catalogue.revision;
+  snapshot.rows = std::move(catalogue.rows);
   std::ranges::move(groups.rows, std::back_inserter(snapshot.rows));
   return snapshot;
 }
@@ -38,7 +48,9 @@
   RowsPage page;
   page.read.rows = snapshot.rows;
   page.read.revision = snapshot.revision;
-  const std::string body = RowsToJson(page);
+  const std::string body =
+      fmt::format("{} {}\n", snapshot.written_at_ms, snapshot.site) +
+      RowsToJson(page);
   return HeadOf(body) + body;
 }
 
@@ -48,23 +60,48 @@
       line_end == std::string_view::npos ? "" : text.substr(line_end + 1);
   if (line_end == std::string_view::npos ||
       text.substr(0, line_end + 1) != HeadOf(body)) {
-    return base::Fail(base::ErrorKind::kSnapshotInvalid,
-                      "the snapshot is cut, damaged or of another format");
+    return Invalid("the snapshot is cut, damaged or of another format");
   }
-  auto page = ParseRows(body);
+  TableSnapshot snapshot;
+  const std::size_t rows_at = body.find('\n') + 1;
+  const std::string_view origin = body.substr(0, rows_at);
+  const auto [time_end, error] = std::from_chars(
+      origin.data(), origin.data() + origin.size(), snapshot.written_at_ms);
+  const auto site_at = static_cast<std::size_t>(time_end - origin.data()) + 1;
+  if (error != std::errc() || site_at >= origin.size()) {
+    return Invalid("the snapshot does not tell its site and time");
+  }
+  snapshot.site = origin.substr(site_at, origin.size() - site_at - 1);
+  auto page = ParseRows(body.substr(rows_at));
   if (!page) {
-    return base::Fail(base::ErrorKind::kSnapshotInvalid,
-                      "the snapshot's rows cannot be read");
+    return Invalid("the snapshot's rows cannot be read");
   }
   for (const Row& row : page->read.rows) {
     if (!row.key.starts_with(kCataloguePrefix) &&
         !row.key.starts_with(kGroupPrefix)) {
-      return base::Fail(base::ErrorKind::kSnapshotInvalid,
-                        "the snapshot holds other rows than catalogue and "
-                        "groups");
+      return Invalid("the snapshot holds other rows than catalogue and groups");
     }
   }
-  return TableSnapshot{page->read.revision, std::move(page->read.rows)};
+  snapshot.revision = page->read.revision;
+  snapshot.rows = std::move(page->read.rows);
+  return snapshot;
+}
+
+base::Result<void> CheckSnapshot(const TableSnapshot& snapshot,
+                                 std::string_view site,
+                                 std::int64_t now_ms,
+                                 base::Duration max_age) {
+  const base::Duration age =
+      base::milliseconds{now_ms - snapshot.written_at_ms};
+  if (snapshot.site != site) {
+    return base::Fail(base::ErrorKind::kSnapshotInvalid,
+                      "the snapshot is of another site");
+  }
+  if (age > max_age || age < -kClockDifference) {
+    return base::Fail(base::ErrorKind::kSnapshotInvalid,
+                      "the snapshot is too old or ahead of the clock");
+  }
+  return base::outcome::success();
 }
 
 base::Result<void> SaveSnapshot(Store& store,
--- a/src/eelgrassbridge/store/table_snapshot_test.cpp
+++ b/src/eelgrassbridge/store/table_snapshot_test.cpp
@@ -26,7 +26,7 @@
 
 TEST_CASE("cut, damaged and foreign snapshots are refused") {
   const std::string good =
-      EncodeSnapshot({7, {{"group/listing/sur/0", 3, "value"}}});
+      EncodeSnapshot({7, {{"group/listing/sur/0", 3, "value"}}, "astillas", 5});
   CHECK(DecodeSnapshot(good).has_value());
   for (std::size_t size = 0; size < good.size(); ++size) {
     CHECK_FALSE(DecodeSnapshot(good.substr(0, size)).has_value());
@@ -37,7 +37,27 @@
     CHECK_FALSE(DecodeSnapshot(damaged).has_value());
   }
   CHECK_FALSE(
-      DecodeSnapshot(EncodeSnapshot({7, {{"member/1", 1, "x"}}})).has_value());
+      DecodeSnapshot(EncodeSnapshot({7, {{"member/1", 1, "x"}}, "astillas", 5}))
+          .has_value());
+}
+
+// Guards against routing by the rows of another site or of a time from which no
+// owner can still be serving.
+TEST_CASE("snapshots of another site and of another time are refused") {
+  const auto read =
+      DecodeSnapshot(EncodeSnapshot({7, {}, "astillas del plata", 100'000}));
+  REQUIRE(read.has_value());
+  const TableSnapshot& snapshot = read.value();
+  const auto is_taken = [&](std::string_view site, std::int64_t now_ms) {
+    return CheckSnapshot(snapshot, site, now_ms, base::seconds{900})
+        .has_value();
+  };
+  CHECK(is_taken("astillas del plata", 100'000));
+  CHECK(is_taken("astillas del plata", 1'000'000));
+  CHECK_FALSE(is_taken("astillas del plata", 1'000'001));
+  CHECK(is_taken("astillas del plata", 40'000));
+  CHECK_FALSE(is_taken("astillas del plata", 39'999));
+  CHECK_FALSE(is_taken("astillas", 100'000));
 }
 
 }  // namespace eelgrassbridge::store
