--- a/src/eelgrassbridge/daemon/control_snapshot.cpp
+++ b/src/eelgrassbridge/daemon/control_snapshot.cpp
@@ -41,7 +41,10 @@
   SnapshotControl& snapshot = state.snapshot;
   const bool is_due = state.table.revision > snapshot.written_revision ||
                       now >= snapshot.refresh_at;
-  if (!state.table.reachable || !is_due || !IsWriter(state)) {
+  // A table without a catalogue is new or was lost; it must not replace the
+  // copy from which it could be repaired.
+  if (!state.table.reachable || state.table.has_no_catalogue || !is_due ||
+      !IsWriter(state)) {
     return;
   }
   snapshot.request_open = true;
--- a/src/eelgrassbridge/daemon/control_snapshot_test.cpp
+++ b/src/eelgrassbridge/daemon/control_snapshot_test.cpp
@@ -165,6 +165,14 @@
   CHECK_FALSE(daemon.state.view.next.ready);
 }
 
+TEST_CASE("a table that was lost does not replace the snapshot") {
+  Starting daemon;
+  daemon.store = store::MakeMemoryStore(std::make_shared<store::MemoryTable>());
+  daemon.Run(base::seconds{60}, true);
+  CHECK(daemon.state.table.whole_read);
+  CHECK(daemon.saves == 0);
+}
+
 TEST_CASE("the snapshot is written after changes, at most every 30 s") {
   Starting daemon;
   daemon.Run(base::seconds{29}, true);
