--- a/src/eelgrassbridge/daemon/request_path_test_support.hpp
+++ b/src/eelgrassbridge/daemon/request_path_test_support.hpp
@@ -69,7 +69,7 @@
                           req.get_header_value("Eelgrassbridge-Epoch"),
                       "text/plain");
     } else if (req.path.ends_with("/slow")) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      std::this_thread::sleep_for(std::chrono::milliseconds(1500));
       res.set_content("late", "text/plain");
     } else {
       res.status = 404;
