Keep records that group rows still name, and demand in its home regions

Cause: the record of a lost member was deleted from the table while group rows still named it as owner or deputy. Demand of accounts was gossiped to all regions, also for accounts that are bound to home regions.

Change: the relay deletes a member's row only when no group row names it, and writes records of ended members after those of alive ones. A gossip item whose key ends in @REGIONS is sent to members of these regions only; the demand of a bound account has such a key. The fixture of the site tests is a header.

Fingerprints of suspects still go to all regions, as hashes.

--- a/include/eelgrassbridge/daemon/control_state.hpp
+++ b/include/eelgrassbridge/daemon/control_state.hpp
@@ -127,7 +127,7 @@
   base::TimePoint next_exchange{};
   base::TimePoint next_demand{};
   /// Own demand as published, by item.
-  std::map<std::uint64_t, std::map<std::string, double>> own_demand;
+  std::map<std::string, std::map<std::string, double>> own_demand;
   base::TimePoint load_measured_at{};
   /// Own load as last published, in requests per second.
   double published_load = 0;
--- a/include/eelgrassbridge/membership/membership_actions.hpp
+++ b/include/eelgrassbridge/membership/membership_actions.hpp
@@ -20,7 +20,7 @@
 struct GossipItem {
   /// The driver's own numbering of the kinds.
   std::uint32_t kind = 0;
-  std::string key;
+  std::string key;  ///< "NAME@litoral+sur" is sent to these regions only.
   std::uint64_t version = 0;
   std::string payload;
 
--- a/src/eelgrassbridge/daemon/control_exchange.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "eelgrassbridge/base/hash.hpp"
 #include "eelgrassbridge/catalogue/catalogue_queries.hpp"
@@ -63,6 +64,40 @@
   }
 }
 
+/// "@litoral" for the demand of an account that is bound to its home regions.
+std::string ScopeOf(const ControlState& state, std::string_view limit_name) {
+  const auto& catalogue = state.catalogue.current;
+  const std::string prefix = limits::AccountLimitName("");
+  if (catalogue == nullptr || !limit_name.starts_with(prefix)) {
+    return {};
+  }
+  limit_name.remove_prefix(prefix.size());
+  const auto* const account = catalogue::FindAccount(*catalogue, limit_name);
+  return account == nullptr || account->home_regions.empty()
+             ? std::string()
+             : '@' + catalogue::ResidencyName(account->home_regions);
+}
+
+/// Sets a demand in its item. After a change of home regions it is zero in the
+/// item of the earlier ones.
+void SetOwnDemand(ControlState& state,
+                  const limits::Demand& demand,
+                  std::set<std::string>& changed) {
+  const auto bucket = base::Hash64(demand.name) % kDemandBuckets;
+  const std::string name =
+      fmt::format("{}/{}", base::ToString(state.self), bucket);
+  const std::string key = name + ScopeOf(state, demand.name);
+  for (auto& [other, demands] : state.own_demand) {
+    const auto stale = demands.find(demand.name);
+    if (other != key && stale != demands.end() && stale->second != 0) {
+      stale->second = 0;
+      changed.insert(other);
+    }
+  }
+  state.own_demand[key][demand.name] = demand.requests_per_second;
+  changed.insert(key);
+}
+
 void PublishDemand(ControlState& state, base::TimePoint now) {
   if (now < state.next_demand) {
     return;
@@ -76,16 +111,13 @@
     const std::scoped_lock lock(state.context.accounts.mutex);
     changed = limits::PublishDemand(state.context.accounts.limiter, now);
   }
-  std::unordered_set<std::uint64_t> buckets;
-  for (limits::Demand& demand : changed) {
-    const std::uint64_t bucket = base::Hash64(demand.name) % kDemandBuckets;
-    buckets.insert(bucket);
-    state.own_demand[bucket][demand.name] = demand.requests_per_second;
+  std::set<std::string> keys;
+  for (const limits::Demand& demand : changed) {
+    SetOwnDemand(state, demand, keys);
   }
-  for (const std::uint64_t bucket : buckets) {
-    PublishItem(state, now, ItemKind::kDemand,
-                fmt::format("{}/{}", base::ToString(state.self), bucket),
-                json(state.own_demand[bucket]).dump());
+  for (const std::string& key : keys) {
+    PublishItem(state, now, ItemKind::kDemand, key,
+                json(state.own_demand[key]).dump());
   }
 }
 
--- a/src/eelgrassbridge/daemon/control_exchange_test.cpp
+++ b/src/eelgrassbridge/daemon/control_exchange_test.cpp
@@ -64,6 +64,34 @@
   }
 }
 
+TEST_CASE("the demand of an account stays in its home regions") {
+  Fixture fixture;
+  auto catalogue = std::make_shared<catalogue::Catalogue>();
+  catalogue->accounts = {{"yard", {"litoral"}, {}}, {"free", {}, {}}};
+  fixture.state.catalogue.current = catalogue;
+  const std::vector<std::string> names{limits::AccountLimitName("yard"),
+                                       limits::AccountLimitName("free")};
+  for (const std::string& name : names) {
+    const limits::LimitRef ref{name, 100, 0};
+    limits::TakeAll(fixture.context.accounts.limiter, {&ref, 1}, fixture.now);
+  }
+  fixture.RunSecond(1);
+  int bound = 0;
+  int anywhere = 0;
+  for (const auto& [key, item] : fixture.state.membership.items) {
+    if (item.payload.find("account/yard") != std::string::npos) {
+      CHECK(item.key.ends_with("@litoral"));
+      ++bound;
+    }
+    if (item.payload.find("account/free") != std::string::npos) {
+      CHECK(item.key.find('@') == std::string::npos);
+      ++anywhere;
+    }
+  }
+  CHECK(bound == 1);
+  CHECK(anywhere == 1);
+}
+
 TEST_CASE("a load is told on a change of more than a tenth only") {
   Fixture fixture;
   fixture.RunSecond(100);
--- a/src/eelgrassbridge/daemon/control_membership.cpp
+++ b/src/eelgrassbridge/daemon/control_membership.cpp
@@ -34,6 +34,17 @@
   }
 }
 
+/// A daemon that starts later needs the record of a lost owner or deputy: its
+/// peer address shows whether a successor lives there, without which the
+/// take-over waits for the deputy's read bound.
+bool IsNamedInRows(const ControlState& state, base::DaemonId id) {
+  const auto names = [&](const auto& groups) {
+    const auto found = groups.find(id);
+    return found != groups.end() && !found->second.empty();
+  };
+  return names(state.ownership.by_owner) || names(state.ownership.by_deputy);
+}
+
 /// Writes member records. Rows of lost and left members are deleted, so that
 /// the table does not grow with each restart of a daemon.
 void Announce(ControlState& state,
@@ -47,11 +58,16 @@
   transaction.operation_id = NextOperationId(state);
   OpenAnnouncement open;
   for (const membership::Member& member : members) {
+    const bool is_ended = !membership::IsAlive(member);
+    if (is_ended && IsNamedInRows(state, member.id)) {
+      // Not confirmed, so the core repeats it.
+      continue;
+    }
     open.members.push_back(member.id);
     const auto known = state.table.member_versions.find(member.id);
     const std::uint64_t version =
         known == state.table.member_versions.end() ? 0 : known->second;
-    const bool is_alive = membership::IsAlive(member);
+    const bool is_alive = !is_ended;
     if (!is_alive && version == 0) {
       continue;
     }
--- /dev/null
+++ b/src/eelgrassbridge/daemon/control_site_test_support.hpp
@@ -0,0 +1,205 @@
+// Several control states with one in-memory table and simulated time.
+#ifndef EELGRASSBRIDGE_DAEMON_CONTROL_SITE_TEST_SUPPORT_HPP
+#define EELGRASSBRIDGE_DAEMON_CONTROL_SITE_TEST_SUPPORT_HPP
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <set>
+
+#include "eelgrassbridge/base/hash.hpp"
+#include "eelgrassbridge/catalogue/catalogue_queries.hpp"
+#include "eelgrassbridge/daemon/control_events.hpp"
+#include "eelgrassbridge/daemon/control_status.hpp"
+
+namespace eelgrassbridge::daemon {
+
+inline catalogue::Catalogue SomeCatalogue() {
+  catalogue::Catalogue catalogue;
+  catalogue.site = "astillas";
+  catalogue.data_centres = {{"sur-canelones", "sur"}, {"sur-cerro", "sur"}};
+  catalogue::Service service;
+  service.name = "listing";
+  service.owner = "stock";
+  service.divided_by_key = true;
+  service.instances = 3;
+  service.regions = {"sur"};
+  service.kinds.emplace_back().name = "read";
+  catalogue.services = {service};
+  return catalogue;
+}
+
+inline settings::Settings SettingsOf(int number) {
+  settings::Settings settings;
+  settings.site = "astillas";
+  settings.name = "d" + std::to_string(number);
+  settings.region = "sur";
+  settings.data_centre = number % 2 == 0 ? "sur-cerro" : "sur-canelones";
+  settings.http = {"127.0.0.1", static_cast<std::uint16_t>(8000 + number)};
+  settings.peer = {"127.0.0.1", static_cast<std::uint16_t>(9000 + number)};
+  settings.seeds = {{"127.0.0.1", 9000}};
+  settings.target.service = "listing";
+  return settings;
+}
+
+/// Fixed, so that each run takes the same way.
+inline base::DaemonId IdOf(int number, int run) {
+  const std::string name = std::to_string(number);
+  return {base::Hash64(run == 0 ? name : name + "/" + std::to_string(run))};
+}
+
+struct Node {
+  Node(int number, int run, base::TimePoint now)
+      : settings(SettingsOf(number)),
+        context(settings),
+        state(settings, initial, context, IdOf(number, run), now) {}
+
+  settings::Settings settings;
+  catalogue::Catalogue initial = SomeCatalogue();
+  RequestContext context;
+  ControlState state;
+  bool runs = true;
+  std::vector<wire::Incoming> inbox;
+};
+
+struct Site {
+  explicit Site(int count) {
+    for (int number = 0; number < count; ++number) {
+      this->Add(number);
+    }
+  }
+
+  /// @param run counts the starts of a daemon at one address.
+  Node& Add(int number, int run = 0) {
+    this->nodes.push_back(std::make_unique<Node>(number, run, this->now));
+    Node& node = *this->nodes.back();
+    OnTargetEvent(node.state, this->now, {true, false});
+    return node;
+  }
+
+  void Deliver(Node& from, const wire::Outgoing& outgoing) {
+    for (const auto& node : this->nodes) {
+      const bool is_receiver =
+          node->state.membership.self.peer_address == outgoing.address &&
+          (!outgoing.to || outgoing.to == node->state.self);
+      if (node->runs && is_receiver) {
+        node->inbox.push_back({from.state.self, outgoing.message});
+      }
+    }
+  }
+
+  void RunStore(Node& node) {
+    while (!node.state.to_reader.empty()) {
+      StoreReadResult result{node.state.to_reader.front(), this->now, {}};
+      node.state.to_reader.pop_front();
+      if (this->store_runs) {
+        result = RunRead(this->store, result.read);
+        result.sent_at = this->now;
+      }
+      OnReadResult(node.state, this->now, result);
+    }
+    while (!node.state.to_writer.empty()) {
+      const StoreWrite write = node.state.to_writer.front();
+      node.state.to_writer.pop_front();
+      if (this->store_runs) {
+        OnWriteResult(node.state, this->now, RunWrite(this->store, write));
+      } else if (const auto* const lost =
+                     std::get_if<store::Transaction>(&write)) {
+        OnWriteResult(node.state, this->now,
+                      TransactionEnd{lost->operation_id, {}});
+      }
+    }
+  }
+
+  void Step() {
+    this->now += kTick;
+    for (const auto& node : this->nodes) {
+      if (!node->runs) {
+        continue;
+      }
+      std::vector<wire::Incoming> inbox;
+      inbox.swap(node->inbox);
+      for (wire::Incoming& incoming : inbox) {
+        OnPeerMessage(node->state, this->now, std::move(incoming));
+      }
+      OnControlTick(node->state, this->now);
+      this->RunStore(*node);
+      FinishRound(node->state, this->now);
+      std::vector<wire::Outgoing> outgoing;
+      outgoing.swap(node->state.to_peers);
+      for (const wire::Outgoing& message : outgoing) {
+        this->Deliver(*node, message);
+      }
+    }
+    this->CheckExclusive();
+  }
+
+  /// A paused or killed daemon counts too: its workers may still run.
+  void CheckExclusive() {
+    std::set<base::GroupId> served;
+    for (const auto& node : this->nodes) {
+      for (const auto& [group, gate] : node->state.gates.open) {
+        if (!gate->released.load() && IsLeaseValid(*gate, this->now)) {
+          const std::string name = base::ToString(group);
+          CAPTURE(name);
+          REQUIRE(served.insert(group).second);
+        }
+      }
+    }
+  }
+
+  /// Groups that some running daemon may serve now.
+  std::size_t Served() const {
+    std::size_t count = 0;
+    for (const auto& node : this->nodes) {
+      for (const auto& [group, gate] : node->state.gates.open) {
+        count += node->runs && !gate->released.load() &&
+                 IsLeaseValid(*gate, this->now);
+      }
+    }
+    return count;
+  }
+
+  bool RunUntil(const std::function<bool()>& holds, base::Duration longest) {
+    const base::TimePoint end = this->now + longest;
+    while (this->now < end) {
+      this->Step();
+      if (holds()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool IsWholeServed() const { return this->Served() == kGroups; }
+
+  static constexpr std::size_t kGroups = 12;
+  static constexpr base::Duration kTick = base::milliseconds{50};
+  base::TimePoint now = base::FromMicroseconds(1'000'000'000);
+  std::shared_ptr<store::MemoryTable> table =
+      std::make_shared<store::MemoryTable>();
+  store::Store store = store::MakeMemoryStore(this->table);
+  bool store_runs = true;
+  std::vector<std::unique_ptr<Node>> nodes;
+};
+
+/// All running daemons name the same owner for each group.
+inline bool AgreeOnOwners(const Site& site) {
+  for (const base::GroupId& group : catalogue::AllGroups(SomeCatalogue())) {
+    std::set<base::DaemonId> owners;
+    for (const auto& node : site.nodes) {
+      if (node->runs) {
+        const auto view = node->context.routing.view.load();
+        owners.insert(FindOwner(*view, group).owner);
+      }
+    }
+    if (owners.size() != 1 || owners.contains(base::DaemonId{})) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace eelgrassbridge::daemon
+
+#endif  // EELGRASSBRIDGE_DAEMON_CONTROL_SITE_TEST_SUPPORT_HPP
--- a/src/eelgrassbridge/membership/gossip.cpp
+++ b/src/eelgrassbridge/membership/gossip.cpp
@@ -28,6 +28,28 @@
   return at->second;
 }
 
+/// Whether a member may be sent an item: what is known of a client account
+/// that is bound to its home regions goes nowhere else.
+bool MayKnow(const MembershipState& state,
+             base::DaemonId id,
+             std::string_view key) {
+  const std::size_t at = key.rfind('@');
+  if (at == std::string_view::npos) {
+    return true;
+  }
+  const Member* const member = FindMember(state, id);
+  std::string_view regions = key.substr(at + 1);
+  while (member != nullptr && !regions.empty()) {
+    const std::size_t end = regions.find('+');
+    if (regions.substr(0, end) == member->region) {
+      return true;
+    }
+    regions.remove_prefix(end == std::string_view::npos ? regions.size()
+                                                        : end + 1);
+  }
+  return false;
+}
+
 /// Adds one change to the message; returns its size, or zero if it is to be
 /// left out.
 std::size_t AddChange(const MembershipState& state,
@@ -46,7 +68,8 @@
   }
   const auto item =
       state.items.find({change.key.item_kind, change.key.item_key});
-  if (item == state.items.end()) {
+  if (item == state.items.end() ||
+      !MayKnow(state, message.to, item->second.key)) {
     return 0;
   }
   message.items.push_back(item->second);
--- a/src/eelgrassbridge/membership/membership_commands.cpp
+++ b/src/eelgrassbridge/membership/membership_commands.cpp
@@ -105,7 +105,8 @@
     return;
   }
   state.next_announce = now + state.options.announce_interval;
-  AnnounceMembers announce;
+  std::vector<Member> alive;
+  std::vector<Member> ended;
   std::erase_if(state.to_announce, [&](const auto& item) {
     const auto member = state.members.find(item.first);
     if (member == state.members.end()) {
@@ -114,12 +115,18 @@
     if (Announcer(state, member->second) != state.self.id) {
       return now - item.second > state.options.announce_memory;
     }
-    if (announce.members.size() < state.options.announce_batch) {
-      announce.members.push_back(member->second);
-      state.announcing[item.first] = member->second.record_version;
-    }
+    (IsAlive(member->second) ? alive : ended).push_back(member->second);
     return false;
   });
+  // The records of ended members may have to wait, so they come last.
+  AnnounceMembers announce{std::move(alive)};
+  announce.members.insert(announce.members.end(), ended.begin(), ended.end());
+  if (announce.members.size() > state.options.announce_batch) {
+    announce.members.resize(state.options.announce_batch);
+  }
+  for (const Member& member : announce.members) {
+    state.announcing[member.id] = member.record_version;
+  }
   if (!announce.members.empty()) {
     actions.emplace_back(std::move(announce));
   }
--- a/src/eelgrassbridge/membership/membership_test.cpp
+++ b/src/eelgrassbridge/membership/membership_test.cpp
@@ -43,6 +43,18 @@
   CHECK(fleet.daemons.at({5}).counters.gossip_messages == sent);
 }
 
+TEST_CASE("gossip: an item bound to a region is sent nowhere else") {
+  Fleet fleet = MakeFleet(12);
+  Run(fleet, milliseconds{3000});
+  PublishItem(fleet.daemons.at({1}), fleet.now, {3, "1/0@sur", 1, "bound"});
+  PublishItem(fleet.daemons.at({1}), fleet.now, {3, "1/1@litoral+sur", 1, ""});
+  Run(fleet, milliseconds{10000});
+  for (const auto& [id, state] : fleet.daemons) {
+    CHECK(state.items.contains({3, "1/0@sur"}) == (state.self.region == "sur"));
+    CHECK(state.items.contains({3, "1/1@litoral+sur"}));
+  }
+}
+
 TEST_CASE("gossip: an older version of an item changes nothing") {
   MembershipState state = MakeMembershipState(MemberOf(1), {}, TimePoint{});
   Actions actions;
