Begin a take-over although an old write of the group is still open

A former owner had a rewrite of unknown result; it then heard of newer rows, but only a read of the table ends an open write and nobody asked for one. When it became the taker of the group, its take-over waited for that write for ever.

Ruled out: a wait for H (the key was still unserved 120 s after healing), a safety fault (no violation in either history).

Change: a queued take-over that meets an open write reads the row, as the later phases do, and goes on when the read has ended the write.

Conclusion: a liveness fault of the core, not of its safety.

--- a/src/eelgrassbridge/ownership/history_test.cpp
+++ b/src/eelgrassbridge/ownership/history_test.cpp
@@ -18,6 +18,19 @@
   }));
 }
 
+// In these histories a former owner heard of newer rows only, never read one,
+// and so kept a write of unknown result open. A take-over that waited for that
+// write never began, and the key stayed without an owner.
+TEST_CASE("histories: an open write of a lost group blocks no take-over") {
+  for (const std::uint64_t seed : {2067107U, 2078650U}) {
+    HistoryOptions options;
+    options.seed = seed;
+    const HistoryResult result = RunHistory(options);
+    CHECK(result.violation.empty());
+    CHECK(result.unserved_keys == 0U);
+  }
+}
+
 // Guards the checker itself: a check that sees nothing would pass everything.
 TEST_CASE("histories: the checker sees each kind of violation") {
   const base::GroupId group{"listing", "sur", 0, std::nullopt};
--- a/src/eelgrassbridge/ownership/take_over.cpp
+++ b/src/eelgrassbridge/ownership/take_over.cpp
@@ -90,13 +90,32 @@
   detail::Submit(state, now, WriteKind::kIntent, {{row}}, actions);
 }
 
+/// A write of unknown result, or none at all after a refusal: look at the row.
+/// FollowTakeOver carries on with what the table holds.
+void StepUnresolved(OwnershipState& state,
+                    base::TimePoint now,
+                    TakeOver& take_over) {
+  const auto open = state.open_writes.find(take_over.row.group);
+  const bool is_awaited =
+      open != state.open_writes.end() && !open->second.unknown;
+  if (!is_awaited && now >= take_over.retry_at) {
+    take_over.retry_at = now + kTakeOverRetry;
+    state.to_read.insert(take_over.row.group);
+  }
+}
+
 void StepQueued(OwnershipState& state,
                 base::TimePoint now,
                 TakeOver& take_over,
                 Actions& actions) {
   if (now < take_over.retry_at || now < TakeOverDue(state, take_over) ||
-      now < state.started_at + TakerLeaseWait(state.options) ||
-      detail::HasOpenWrite(state, take_over.row.group)) {
+      now < state.started_at + TakerLeaseWait(state.options)) {
+    return;
+  }
+  if (detail::HasOpenWrite(state, take_over.row.group)) {
+    // Of unknown result, from the time when this daemon owned the group. It has
+    // heard of newer versions, but only a read of the table ends the write.
+    StepUnresolved(state, now, take_over);
     return;
   }
   SubmitIntent(state, now, take_over, actions);
@@ -185,20 +204,6 @@
   }
 }
 
-/// A write of unknown result, or none at all after a refusal: look at the row.
-/// FollowTakeOver carries on with what the table holds.
-void StepUnresolved(OwnershipState& state,
-                    base::TimePoint now,
-                    TakeOver& take_over) {
-  const auto open = state.open_writes.find(take_over.row.group);
-  const bool is_awaited =
-      open != state.open_writes.end() && !open->second.unknown;
-  if (!is_awaited && now >= take_over.retry_at) {
-    take_over.retry_at = now + kTakeOverRetry;
-    state.to_read.insert(take_over.row.group);
-  }
-}
-
 void LookAtOrphans(OwnershipState& state, base::TimePoint now) {
   const std::size_t count = std::min(kOrphansPerTick, state.orphans.size());
   for (std::size_t i = 0; i < count; ++i) {
