Refuse texts in the catalogue that are not UTF-8

Cause: the new fuzzing step found a catalogue whose owner held bytes that are not UTF-8. It was accepted, its JSON form replaced the bytes, and the daemons had another catalogue than the operator was told.

Change: such a text is a problem of the catalogue, shown with its path like any other.

--- a/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
+++ b/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
@@ -6,6 +6,7 @@
 
 #include "eelgrassbridge/catalogue/catalogue_json.hpp"
 #include "eelgrassbridge/catalogue/diff.hpp"
+#include "eelgrassbridge/catalogue/write_catalogue.hpp"
 
 namespace eelgrassbridge::catalogue {
 
@@ -152,6 +153,20 @@
   CHECK(Has(UnsafeReasons(both, narrow)[0], "service listing"));
 }
 
+// Found by fuzzing: the JSON form replaced the bytes, so the daemons got
+// another catalogue than was accepted.
+TEST_CASE("a text that is not UTF-8 is refused") {
+  std::string text = WriteCatalogueYaml(Example("astillas"));
+  const std::size_t at = text.find("listings team");
+  REQUIRE(at != std::string::npos);
+  CHECK(ReadCatalogue(text, "c.yaml").has_value());
+  text[at] = '\x9b';
+  const auto read = ReadCatalogue(text, "c.yaml");
+  REQUIRE_FALSE(read.has_value());
+  CHECK(
+      Has(read.error().detail, "services[0].owner: accepted is text in UTF-8"));
+}
+
 TEST_CASE("a change that would give a key two owners is forbidden") {
   const Catalogue before = Example("astillas");
   Catalogue grown = before;
--- a/src/eelgrassbridge/catalogue/validate.cpp
+++ b/src/eelgrassbridge/catalogue/validate.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <nlohmann/json.hpp>
 #include <set>
 
 #include "eelgrassbridge/base/yaml_fields.hpp"
@@ -31,6 +32,18 @@
   }
 }
 
+/// JSON carries only valid UTF-8: other bytes would be replaced on the way to
+/// the daemons, which would then have another catalogue than was accepted.
+void CheckText(Checker& checker,
+               const std::string& path,
+               const std::string& text) {
+  try {
+    (void)nlohmann::json(text).dump();
+  } catch (const nlohmann::json::type_error&) {
+    AddProblem(checker.problems, 0, path, "accepted is text in UTF-8");
+  }
+}
+
 void CheckUnique(Checker& checker,
                  std::set<std::string_view>& seen,
                  const std::string& path,
@@ -112,6 +125,7 @@
   CheckCount(checker, path + ".limits.max_body_bytes",
              service.limits.max_body_bytes, 0, kMaxBodyBytes);
   CheckDuration(checker, path + ".run_limit", service.run_limit);
+  CheckText(checker, path + ".owner", service.owner);
   CheckRegions(checker, path + ".regions", service.regions);
   if (service.regions.empty()) {
     AddProblem(checker.problems, 0, path + ".regions",
