--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -17,7 +17,7 @@
 # The flags are those of cpp-httplib's pkg-config file, which the library was
 # built with; poll() lifts select()'s limit of 1,024 descriptors in the headers.
 target_compile_definitions(eelgrassbridge_options INTERFACE
-  SPDLOG_COMPILED_LIB SPDLOG_FMT_EXTERNAL ASIO_STANDALONE
+  SPDLOG_COMPILED_LIB SPDLOG_FMT_EXTERNAL ASIO_STANDALONE ASIO_NO_DEPRECATED
   CPPHTTPLIB_OPENSSL_SUPPORT CPPHTTPLIB_ZLIB_SUPPORT CPPHTTPLIB_BROTLI_SUPPORT)
 target_link_libraries(eelgrassbridge_options INTERFACE
   Threads::Threads spdlog::spdlog ${XXHASH_LIBRARY})
@@ -44,7 +44,7 @@
     add_library(eelgrassbridge_${name} INTERFACE)
     target_link_libraries(eelgrassbridge_${name} INTERFACE ${dependencies})
   endif()
-  if(tests)
+  if(tests AND NOT EELGRASSBRIDGE_NODE_ONLY)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
     target_link_libraries(${name}_test PRIVATE eelgrassbridge_${name}
                           ${RAPIDCHECK_LIBRARY})
--- a/include/eelgrassbridge/cli/command.hpp
+++ b/include/eelgrassbridge/cli/command.hpp
@@ -55,6 +55,7 @@
 
 // The commands, in the files named after them.
 std::vector<Command> LocalCommands();
+std::vector<Command> NodeCommands();
 std::vector<Command> CatalogueCommands();
 std::vector<Command> TakeOutCommands();
 std::vector<Command> StatusCommands();
--- /dev/null
+++ b/include/eelgrassbridge/http/server.hpp
@@ -0,0 +1,132 @@
+// HTTP/1.1 server on one event loop: connections, pipelined requests in order,
+// bodies in both directions with back-pressure.
+#ifndef EELGRASSBRIDGE_HTTP_SERVER_HPP
+#define EELGRASSBRIDGE_HTTP_SERVER_HPP
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "eelgrassbridge/http/event.hpp"
+#include "eelgrassbridge/http/message.hpp"
+#include "eelgrassbridge/http/parser.hpp"
+
+namespace eelgrassbridge::http {
+
+/// @brief Limits of a listener; the owner may change them at any time.
+struct ServerLimits {
+  std::uint64_t max_body_bytes = 64ULL << 20U;
+  std::chrono::milliseconds head_timeout{3000};
+  std::chrono::milliseconds idle_timeout{15000};
+  /// Connections beyond this are closed at once, which bounds descriptors.
+  std::uint32_t max_connections = 1500;
+};
+
+/// @brief Counts of a listener.
+struct ServerCounts {
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t invalid = 0;
+  std::uint32_t open = 0;
+};
+
+/// @brief A connection of a caller. Lives as long as its coroutines.
+struct ServerConnection {
+  ServerConnection(asio::io_context& io, asio::ip::tcp::socket accepted);
+
+  asio::ip::tcp::socket socket;
+  /// Received and not parsed yet; bounded, so a caller that sends faster than
+  /// its requests are handled is slowed down by TCP.
+  std::string input;
+  MessageParser parser{MessageKind::kRequest};
+  Event input_changed;
+  Event input_taken;
+  asio::steady_timer timeout;
+  /// The caller has closed or reset the connection.
+  bool ended = false;
+  /// Closed by this side.
+  bool closed = false;
+  /// Called once when the caller leaves while a request is being handled.
+  std::function<void()> on_caller_left;
+};
+
+/// @brief One request and the response to it.
+///
+/// Invariant: a response is started at most once, and one that cannot be
+/// finished ends the connection, so a cut response never looks complete.
+struct Exchange {
+  std::shared_ptr<ServerConnection> connection;
+  RequestHead head;
+  std::uint64_t max_body_bytes = 0;
+  std::uint64_t body_received = 0;
+  bool body_complete = false;
+  /// The caller waits for "100 Continue" before it sends the body.
+  bool continue_expected = false;
+  bool response_started = false;
+  bool response_complete = false;
+  bool response_chunked = false;
+  bool close_after = false;
+};
+
+using Handler = std::function<asio::awaitable<void>(Exchange&)>;
+
+struct Server {
+  explicit Server(asio::io_context& event_loop) : io(event_loop) {}
+
+  asio::io_context& io;
+  std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
+  Handler handler;
+  ServerLimits limits;
+  ServerCounts counts;
+  /// Each response closes its connection from now on.
+  bool draining = false;
+  std::uint32_t active_requests = 0;
+};
+
+/// @brief Binds the address; throws std::system_error when that fails.
+void Listen(Server& server, const asio::ip::tcp::endpoint& endpoint);
+
+/// @brief Accepts connections until the acceptor is closed.
+asio::awaitable<void> Serve(Server& server);
+
+/// @brief Result of reading a piece of a request body.
+enum class BodyRead : std::uint8_t {
+  kMore,
+  kComplete,
+  kTooLarge,
+  kCallerLeft,
+  kInvalid,
+};
+
+/// @brief Appends the next piece of the body to `body`.
+asio::awaitable<BodyRead> ReadBody(Exchange& exchange, std::string& body);
+
+/// @brief Sends a whole response. False: the connection is gone.
+asio::awaitable<bool> Respond(Exchange& exchange,
+                              int status,
+                              Headers headers,
+                              std::string_view body);
+
+/// @brief Starts a response whose body follows in pieces; no length means
+/// chunked.
+asio::awaitable<bool> StartResponse(Exchange& exchange,
+                                    int status,
+                                    Headers headers,
+                                    std::optional<std::uint64_t> length);
+asio::awaitable<bool> WriteBody(Exchange& exchange, std::string_view data);
+asio::awaitable<bool> FinishResponse(Exchange& exchange);
+
+/// @brief Ends the connection without finishing the response.
+void Abort(Exchange& exchange);
+
+}  // namespace eelgrassbridge::http
+
+#endif  // EELGRASSBRIDGE_HTTP_SERVER_HPP
--- /dev/null
+++ b/include/eelgrassbridge/node/platform_port.hpp
@@ -0,0 +1,122 @@
+// What the node needs to know about the platform it runs on. The adapter of a
+// platform fills it; nothing else knows the platform's names.
+#ifndef EELGRASSBRIDGE_NODE_PLATFORM_PORT_HPP
+#define EELGRASSBRIDGE_NODE_PLATFORM_PORT_HPP
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "eelgrassbridge/base/error.hpp"
+#include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/catalogue/route_table.hpp"
+#include "eelgrassbridge/node/row_store.hpp"
+#include "eelgrassbridge/ranges/range_map.hpp"
+
+namespace eelgrassbridge::node {
+
+/// @brief Names of the headers between callers, daemons and targets.
+struct HeaderNames {
+  std::string request_id;
+  /// Time left, in milliseconds.
+  std::string time_left;
+  /// Service of the VM where the request began.
+  std::string caller_service;
+  /// Target that is to run the request; another one refuses it.
+  std::string expected_target;
+  /// The target's id in its answers.
+  std::string target_id;
+  /// Marks an answer of a target that did not run the request.
+  std::string not_run;
+  /// Load of the target in its answers.
+  std::string load;
+  std::string retry_after;
+  std::string key;
+  /// Set by targets on each answer of theirs.
+  std::string signature;
+};
+
+struct HeldRange {
+  ranges::KeyRange keys;
+  std::uint64_t fencing_token = 0;
+
+  bool operator==(const HeldRange&) const = default;
+};
+
+struct ReleasedRange {
+  ranges::KeyRange keys;
+  /// To be given to the next owner, which is slow at first without it.
+  std::string handover;
+};
+
+/// @brief What a target says of itself.
+struct TargetReport {
+  std::string target;
+  std::string service;
+  std::string address;
+  std::uint32_t slots = 0;
+  /// It is about to stop.
+  bool leaving = false;
+  base::Duration cold_remaining{};
+  /// Increases with each report of one life.
+  std::uint64_t sequence = 0;
+  /// Unix milliseconds of its start.
+  std::int64_t born = 0;
+  /// Ranges that it holds or still works on.
+  std::vector<HeldRange> held;
+  /// Ranges released since its last acknowledged report.
+  std::vector<ReleasedRange> released;
+};
+
+struct Grant {
+  ranges::KeyRange keys;
+  std::uint64_t fencing_token = 0;
+  std::string handover;
+};
+
+/// @brief Answer to a report of a target.
+struct ReportAnswer {
+  /// All ranges that the target is to hold; none renews nothing.
+  std::optional<std::vector<Grant>> grants;
+  /// Counted from the sending of the report.
+  base::Duration hold{};
+};
+
+/// @brief A call of the target beside the daemon.
+struct TargetCall {
+  enum class Kind : std::uint8_t { kNone, kReport, kDeparture };
+  Kind kind = Kind::kNone;
+  std::string target;
+};
+
+/// @brief A row of the operator.
+struct OperatorRow {
+  enum class Kind : std::uint8_t { kOther, kRoutes, kOutOfService };
+  Kind kind = Kind::kOther;
+  std::string data_centre;
+};
+
+/// @brief The platform's words, decoded.
+struct PlatformPort {
+  HeaderNames headers;
+  std::string operator_table;
+  RowStore store;
+  std::function<bool(std::string_view method, std::string_view target)>
+      is_readiness_call;
+  std::function<TargetCall(std::string_view method, std::string_view target)>
+      target_call;
+  std::function<base::Result<TargetReport>(std::string_view target,
+                                           std::string_view body)>
+      decode_report;
+  std::function<std::string(const ReportAnswer&)> encode_report_answer;
+  std::function<OperatorRow(const RowName&)> operator_row;
+  std::function<base::Result<catalogue::RouteTable>(std::string_view value)>
+      decode_routes;
+};
+
+}  // namespace eelgrassbridge::node
+
+#endif  // EELGRASSBRIDGE_NODE_PLATFORM_PORT_HPP
--- /dev/null
+++ b/include/eelgrassbridge/node/run_node.hpp
@@ -0,0 +1,29 @@
+// The life of a node from its start to its planned stop.
+#ifndef EELGRASSBRIDGE_NODE_RUN_NODE_HPP
+#define EELGRASSBRIDGE_NODE_RUN_NODE_HPP
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "eelgrassbridge/base/error.hpp"
+#include "eelgrassbridge/node/platform_port.hpp"
+#include "eelgrassbridge/node/settings.hpp"
+
+namespace eelgrassbridge::node {
+
+/// @brief Makes the port of a platform for a loop and settings.
+using MakePort =
+    std::function<PlatformPort(asio::io_context&, const NodeSettings&)>;
+/// @brief Reads the settings again, on SIGHUP.
+using ReadSettings = std::function<base::Result<NodeSettings>()>;
+
+/// @brief Runs until a planned stop has ended, and ends the process then. Fails
+/// if an address cannot be bound.
+base::Result<void> RunNode(const NodeSettings& settings,
+                           const MakePort& make_port,
+                           const ReadSettings& read_settings);
+
+}  // namespace eelgrassbridge::node
+
+#endif  // EELGRASSBRIDGE_NODE_RUN_NODE_HPP
--- /dev/null
+++ b/src/eelgrassbridge/cli/node_commands.cpp
@@ -0,0 +1,93 @@
+// Commands that run a daemon on the users' platform.
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "adapter.hpp"
+#include "eelgrassbridge/cli/command.hpp"
+#include "eelgrassbridge/node/run_node.hpp"
+
+namespace eelgrassbridge::cli {
+
+namespace {
+
+base::Result<node::NodeSettings> ReadPlatformSettings(
+    const std::string& file_name) {
+  auto settings = node::ReadNodeSettingsFile(file_name);
+  if (!settings) {
+    return settings;
+  }
+  auto bounds = platform::DecodeBounds(settings.value().platform_bounds);
+  if (!bounds) {
+    return base::Fail(bounds.error().kind, bounds.error().detail);
+  }
+  settings.value().bounds = bounds.value();
+  return settings;
+}
+
+std::string SettingsFile(const CommandContext& context) {
+  std::string file = Text(context, "settings");
+  if (file.empty()) {
+    const char* const named = std::getenv(platform::kSettingsVariable);
+    file = named == nullptr ? "" : named;
+  }
+  return file;
+}
+
+ExitCode RunNodeCommand(CommandContext& context) {
+  const std::string file = SettingsFile(context);
+  const auto settings = ReadPlatformSettings(file);
+  if (!settings) {
+    return Report(context, settings.error());
+  }
+  const auto ended =
+      node::RunNode(settings.value(), platform::MakePort,
+                    [file] { return ReadPlatformSettings(file); });
+  return ended ? ExitCode::kSuccess : Report(context, ended.error());
+}
+
+ExitCode CheckNodeSettings(CommandContext& context) {
+  const std::string file = Text(context, "FILE");
+  const auto settings = ReadPlatformSettings(file);
+  if (!settings) {
+    return Report(context, settings.error());
+  }
+  const node::NodeSettings& found = settings.value();
+  if (context.json) {
+    PrintJson(context, {{"valid", true},
+                        {"name", found.name},
+                        {"callers", found.callers},
+                        {"peers", found.peers},
+                        {"store", found.store_address}});
+    return ExitCode::kSuccess;
+  }
+  context.out << file << ": valid; node " << found.name << " in "
+              << found.data_centre << " beside " << found.service
+              << ", callers " << found.callers << ", store "
+              << found.store_address << "\n";
+  return ExitCode::kSuccess;
+}
+
+}  // namespace
+
+std::vector<Command> NodeCommands() {
+  return {{"node",
+           "Run the daemon beside a target on a platform with a row store",
+           {},
+           false,
+           [](cxxopts::Options& options) {
+             options.add_options()(
+                 "settings",
+                 "Settings file (environment: EELGRASSBRIDGE_SETTINGS)",
+                 cxxopts::value<std::string>(), "FILE");
+           },
+           RunNodeCommand},
+          {"check-node-settings",
+           "Check a node's settings file and report all problems at once",
+           {"FILE"},
+           false,
+           nullptr,
+           CheckNodeSettings}};
+}
+
+}  // namespace eelgrassbridge::cli
--- a/src/eelgrassbridge/cli/run.cpp
+++ b/src/eelgrassbridge/cli/run.cpp
@@ -13,16 +13,6 @@
 
 namespace {
 
-std::vector<Command> MakeCommands() {
-  std::vector<Command> all;
-  for (auto* group :
-       {LocalCommands, CatalogueCommands, TakeOutCommands, StatusCommands,
-        ReportCommands, KeysCommands, CompletionCommands}) {
-    std::ranges::copy(group(), std::back_inserter(all));
-  }
-  return all;
-}
-
 std::string GeneralHelp() {
   std::string text =
       "Routes requests to servers that own keys exclusively.\n\n"
@@ -116,11 +106,6 @@
 
 }  // namespace
 
-std::span<const Command> AllCommands() {
-  static const std::vector<Command> commands = MakeCommands();
-  return commands;
-}
-
 cxxopts::Options OptionsOf(const Command& command) {
   cxxopts::Options options(fmt::format("eelgrassbridge {}", command.name),
                            std::string(command.summary));
--- /dev/null
+++ b/src/eelgrassbridge/http/client.cpp
@@ -0,0 +1,307 @@
+// Connections to servers: opening, keeping, and reading of responses.
+#include "eelgrassbridge/http/client.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <system_error>
+
+namespace eelgrassbridge::http {
+
+namespace {
+
+using asio::awaitable;
+using asio::ip::tcp;
+using base::ErrorKind;
+
+constexpr std::size_t kReadPiece = std::size_t{16} * 1024;
+/// Keep-alive probes of TCP find a server that fell silent while a call waits
+/// for its answer: one second of silence, then two probes.
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 2;
+/// A server closes an idle connection at the time that it announces; a request
+/// must not cross that close.
+constexpr std::chrono::milliseconds kIdleMargin{1000};
+constexpr int kFirstFinalStatus = 200;
+
+void SetOption(tcp::socket& socket, int level, int name, int value) {
+  // An option that cannot be set only makes a silent server be noticed later.
+  ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+}
+
+void Prepare(tcp::socket& socket, const PoolOptions& options) {
+  std::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(options.unacknowledged_timeout.count()));
+}
+
+/// Whether nothing has arrived on an idle connection, not even its end.
+bool IsQuiet(ClientConnection& connection) {
+  char byte = 0;
+  const auto size = ::recv(connection.socket.native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+ClientPointer TakeIdle(ConnectionPool& pool, const tcp::endpoint& endpoint) {
+  const auto found = pool.idle.find(endpoint);
+  if (found == pool.idle.end()) {
+    return nullptr;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  auto& connections = found->second;
+  while (!connections.empty()) {
+    ClientPointer connection = std::move(connections.back());
+    connections.pop_back();
+    if (now - connection->idle_since < connection->idle_limit &&
+        IsQuiet(*connection)) {
+      connection->reused = true;
+      Restart(connection->parser);
+      return connection;
+    }
+    Close(*connection);
+  }
+  return nullptr;
+}
+
+/// The idle time that a server announces in "Keep-Alive: timeout=S".
+std::optional<std::chrono::milliseconds> AnnouncedIdleTime(
+    const ResponseHead& response) {
+  static constexpr std::string_view kKey = "timeout=";
+  const std::string_view value = ValueOf(response.headers, "Keep-Alive");
+  const auto at = value.find(kKey);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view text = value.substr(at + kKey.size());
+  text = text.substr(0, text.find_first_not_of("0123456789"));
+  const auto number = ParseNumber(text);
+  if (!number) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(*number);
+}
+
+/// Reads and parses up to the next stop. False: the connection has ended
+/// within the message.
+awaitable<bool> ParseMore(ClientConnection& connection) {
+  if (connection.input.empty()) {
+    std::array<char, kReadPiece> piece;
+    std::error_code error;
+    const std::size_t size = co_await connection.socket.async_read_some(
+        asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::eof) {
+      ParseEnd(connection.parser);
+      co_return connection.parser.state == ParseState::kComplete;
+    }
+    if (error) {
+      co_return false;
+    }
+    connection.input.assign(piece.data(), size);
+  }
+  const std::size_t consumed = Parse(connection.parser, connection.input);
+  connection.input.erase(0, consumed);
+  co_return connection.parser.state != ParseState::kInvalid &&
+      connection.parser.state != ParseState::kHeadTooLarge;
+}
+
+awaitable<base::Result<Response>> Exchange(ClientConnection& connection,
+                                           const ShortRequest& request) {
+  const std::string head =
+      RequestText(request.method, request.target, request.headers,
+                  {Framing::Kind::kLength, request.body.size()});
+  const bool sent = co_await Send(connection, head, request.body);
+  if (!sent) {
+    co_return base::Fail(ErrorKind::kPeerLost, "the request was cut");
+  }
+  auto read_head = co_await ReadResponseHead(connection, false);
+  if (!read_head) {
+    co_return base::Fail(ErrorKind::kPeerLost, read_head.error().detail);
+  }
+  Response response;
+  response.head = std::move(read_head.value());
+  ResponseRead read = ResponseRead::kMore;
+  while (read == ResponseRead::kMore) {
+    read = co_await ReadResponseBody(connection);
+    response.body += connection.parser.body;
+    connection.parser.body.clear();
+    if (response.body.size() > request.max_response_bytes) {
+      co_return base::Fail(ErrorKind::kPeerLost, "the response is too long");
+    }
+  }
+  if (read == ResponseRead::kCut) {
+    co_return base::Fail(ErrorKind::kPeerLost, "the response was cut");
+  }
+  co_return response;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(asio::io_context& io, tcp::endpoint server)
+    : endpoint(std::move(server)), socket(io) {}
+
+std::optional<tcp::endpoint> ParseEndpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::error_code error;
+  const auto address =
+      asio::ip::make_address(std::string(text.substr(0, colon)), error);
+  const auto port = ParseNumber(text.substr(colon + 1));
+  if (error || !port || *port == 0 || *port > UINT16_MAX) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(address, static_cast<std::uint16_t>(*port));
+}
+
+awaitable<base::Result<ClientPointer>> Acquire(ConnectionPool& pool,
+                                               tcp::endpoint endpoint) {
+  if (ClientPointer kept = TakeIdle(pool, endpoint)) {
+    co_return kept;
+  }
+  auto connection = std::make_shared<ClientConnection>(pool.io, endpoint);
+  ++pool.opened;
+  std::error_code error;
+  connection->socket.open(endpoint.protocol(), error);
+  if (error) {
+    co_return base::Fail(ErrorKind::kPeerUnreachable, error.message());
+  }
+  Prepare(connection->socket, pool.options);
+  asio::steady_timer timer(pool.io, pool.options.connect_timeout);
+  timer.async_wait([connection](const std::error_code& cancelled) {
+    if (!cancelled) {
+      Close(*connection);
+    }
+  });
+  co_await connection->socket.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  timer.cancel();
+  if (error || !connection->socket.is_open()) {
+    Close(*connection);
+    co_return base::Fail(ErrorKind::kPeerUnreachable, error.message());
+  }
+  co_return connection;
+}
+
+void Release(ConnectionPool& pool,
+             const ClientPointer& connection,
+             const ResponseHead& response) {
+  auto& connections = pool.idle[connection->endpoint];
+  const auto announced = AnnouncedIdleTime(response);
+  connection->idle_limit = pool.options.idle_timeout;
+  if (announced) {
+    connection->idle_limit =
+        std::min(connection->idle_limit, *announced - kIdleMargin);
+  }
+  if (!response.keep_alive || !connection->input.empty() ||
+      !connection->socket.is_open() ||
+      connection->idle_limit <= std::chrono::milliseconds{0} ||
+      connections.size() >= pool.options.max_idle_per_address) {
+    Close(*connection);
+    return;
+  }
+  connection->idle_since = std::chrono::steady_clock::now();
+  connections.push_back(connection);
+}
+
+void Close(ClientConnection& connection) {
+  std::error_code ignored;
+  connection.socket.close(ignored);
+}
+
+awaitable<bool> Send(ClientConnection& connection,
+                     std::string_view first,
+                     std::string_view second) {
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(first),
+                                                     asio::buffer(second)};
+  std::error_code error;
+  co_await asio::async_write(connection.socket, buffers,
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+awaitable<base::Result<ResponseHead>> ReadResponseHead(
+    ClientConnection& connection,
+    bool no_body,
+    bool take_interim) {
+  while (true) {
+    Restart(connection.parser);
+    connection.parser.no_body = no_body;
+    while (!connection.parser.head_done) {
+      const bool parsed = co_await ParseMore(connection);
+      if (!parsed) {
+        co_return base::Fail(ErrorKind::kAnswerCut,
+                             "no whole head of a response");
+      }
+    }
+    const bool interim = connection.parser.raw.status_code < kFirstFinalStatus;
+    if (!interim) {
+      co_return TakeResponseHead(connection.parser);
+    }
+    while (connection.parser.state != ParseState::kComplete) {
+      const bool parsed = co_await ParseMore(connection);
+      if (!parsed) {
+        co_return base::Fail(ErrorKind::kAnswerCut, "an interim response was cut");
+      }
+    }
+    if (take_interim) {
+      co_return TakeResponseHead(connection.parser);
+    }
+  }
+}
+
+awaitable<ResponseRead> ReadResponseBody(ClientConnection& connection) {
+  if (connection.parser.state == ParseState::kComplete) {
+    co_return ResponseRead::kComplete;
+  }
+  const bool parsed = co_await ParseMore(connection);
+  if (!parsed) {
+    co_return ResponseRead::kCut;
+  }
+  co_return connection.parser.state == ParseState::kComplete
+      ? ResponseRead::kComplete
+      : ResponseRead::kMore;
+}
+
+awaitable<base::Result<Response>> Call(ConnectionPool& pool,
+                                       tcp::endpoint endpoint,
+                                       ShortRequest request) {
+  auto acquired = co_await Acquire(pool, endpoint);
+  if (!acquired) {
+    co_return base::Fail(acquired.error().kind, acquired.error().detail);
+  }
+  const ClientPointer connection = std::move(acquired.value());
+  auto timed_out = std::make_shared<bool>(false);
+  asio::steady_timer timer(pool.io, request.timeout);
+  timer.async_wait([connection, timed_out](const std::error_code& cancelled) {
+    if (!cancelled) {
+      *timed_out = true;
+      Close(*connection);
+    }
+  });
+  auto response = co_await Exchange(*connection, request);
+  timer.cancel();
+  if (!response) {
+    Close(*connection);
+    if (*timed_out) {
+      co_return base::Fail(ErrorKind::kPeerTimeout, "no answer in time");
+    }
+    co_return response;
+  }
+  Release(pool, connection, response.value().head);
+  co_return response;
+}
+
+}  // namespace eelgrassbridge::http
--- /dev/null
+++ b/src/eelgrassbridge/http/parser.cpp
@@ -0,0 +1,163 @@
+// Callbacks of http-parser.
+#include "eelgrassbridge/http/parser.hpp"
+
+#include <utility>
+
+namespace eelgrassbridge::http {
+
+namespace {
+
+MessageParser& Self(http_parser* raw) {
+  return *static_cast<MessageParser*>(raw->data);
+}
+
+int OnUrl(http_parser* raw, const char* data, std::size_t size) {
+  Self(raw).target.append(data, size);
+  return 0;
+}
+
+int OnHeaderField(http_parser* raw, const char* data, std::size_t size) {
+  MessageParser& self = Self(raw);
+  if (self.head_done) {
+    return 0;  // A trailer: nothing in it is needed.
+  }
+  if (self.headers.empty() || self.value_follows) {
+    self.headers.emplace_back();
+    self.value_follows = false;
+  }
+  self.headers.back().name.append(data, size);
+  return 0;
+}
+
+int OnHeaderValue(http_parser* raw, const char* data, std::size_t size) {
+  MessageParser& self = Self(raw);
+  if (!self.head_done) {
+    self.value_follows = true;
+    self.headers.back().value.append(data, size);
+  }
+  return 0;
+}
+
+int OnHeadersComplete(http_parser* raw) {
+  MessageParser& self = Self(raw);
+  self.head_done = true;
+  self.state = ParseState::kHead;
+  http_parser_pause(raw, 1);
+  return self.no_body ? 1 : 0;
+}
+
+int OnBody(http_parser* raw, const char* data, std::size_t size) {
+  Self(raw).body.append(data, size);
+  return 0;
+}
+
+int OnMessageComplete(http_parser* raw) {
+  Self(raw).state = ParseState::kComplete;
+  http_parser_pause(raw, 1);
+  return 0;
+}
+
+http_parser_settings MakeSettings() {
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_url = OnUrl;
+  settings.on_header_field = OnHeaderField;
+  settings.on_header_value = OnHeaderValue;
+  settings.on_headers_complete = OnHeadersComplete;
+  settings.on_body = OnBody;
+  settings.on_message_complete = OnMessageComplete;
+  return settings;
+}
+
+const http_parser_settings& Settings() {
+  static const http_parser_settings kSettings = MakeSettings();
+  return kSettings;
+}
+
+void SetFailure(MessageParser& parser, http_errno code) {
+  parser.state = code == HPE_HEADER_OVERFLOW ? ParseState::kHeadTooLarge
+                                             : ParseState::kInvalid;
+}
+
+bool IsChunked(const MessageParser& parser) {
+  return (parser.raw.flags & F_CHUNKED) != 0;
+}
+
+}  // namespace
+
+MessageParser::MessageParser(MessageKind message_kind) : kind(message_kind) {
+  Restart(*this);
+}
+
+void Restart(MessageParser& parser) {
+  http_parser_init(&parser.raw, parser.kind == MessageKind::kRequest
+                                    ? HTTP_REQUEST
+                                    : HTTP_RESPONSE);
+  parser.raw.data = &parser;
+  parser.state = ParseState::kMore;
+  parser.target.clear();
+  parser.headers.clear();
+  parser.body.clear();
+  parser.head_done = false;
+  parser.no_body = false;
+  parser.value_follows = false;
+}
+
+std::size_t Parse(MessageParser& parser, std::string_view input) {
+  parser.state = ParseState::kMore;
+  if (HTTP_PARSER_ERRNO(&parser.raw) == HPE_PAUSED) {
+    http_parser_pause(&parser.raw, 0);
+  }
+  const std::size_t consumed = http_parser_execute(
+      &parser.raw, &Settings(), input.data(), input.size());
+  const http_errno code = HTTP_PARSER_ERRNO(&parser.raw);
+  if (code != HPE_OK && code != HPE_PAUSED) {
+    SetFailure(parser, code);
+  } else if (parser.raw.upgrade != 0) {
+    // Neither CONNECT nor a change of protocol is passed on.
+    parser.state = ParseState::kInvalid;
+  }
+  return consumed;
+}
+
+void ParseEnd(MessageParser& parser) {
+  parser.state = ParseState::kMore;
+  if (HTTP_PARSER_ERRNO(&parser.raw) == HPE_PAUSED) {
+    http_parser_pause(&parser.raw, 0);
+  }
+  http_parser_execute(&parser.raw, &Settings(), "", 0);
+  if (parser.state != ParseState::kComplete) {
+    parser.state = ParseState::kInvalid;
+  }
+}
+
+RequestHead TakeRequestHead(MessageParser& parser) {
+  RequestHead head;
+  head.method = http_method_str(static_cast<http_method>(parser.raw.method));
+  head.target = std::move(parser.target);
+  head.headers = std::move(parser.headers);
+  head.keep_alive = http_should_keep_alive(&parser.raw) != 0;
+  if (!IsChunked(parser)) {
+    const auto length = ParseNumber(ValueOf(head.headers, "Content-Length"));
+    head.length = length.value_or(0);
+  }
+  head.has_body = IsChunked(parser) || *head.length > 0;
+  return head;
+}
+
+ResponseHead TakeResponseHead(MessageParser& parser) {
+  ResponseHead head;
+  head.status = static_cast<int>(parser.raw.status_code);
+  head.headers = std::move(parser.headers);
+  head.keep_alive = http_should_keep_alive(&parser.raw) != 0;
+  if (!IsChunked(parser)) {
+    head.length = ParseNumber(ValueOf(head.headers, "Content-Length"));
+  }
+  return head;
+}
+
+void SetMaxHeadBytes(std::uint32_t bytes) {
+  http_parser_set_max_header_size(bytes);
+}
+
+}  // namespace eelgrassbridge::http
--- /dev/null
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -0,0 +1,371 @@
+// Reading of tables and long polls for their changes.
+#include "eelgrassbridge/node/feeds.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "eelgrassbridge/node/rows.hpp"
+#include "eelgrassbridge/node/target_run.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using asio::awaitable;
+using base::ErrorKind;
+
+/// Longest wait of one poll. A poll that the store has lost is noticed after
+/// this time, so it bounds how late a change is heard after an outage.
+constexpr std::chrono::milliseconds kPollTime{3000};
+/// Pause after a failed call; doubled up to the longest one.
+constexpr std::chrono::milliseconds kFirstPause{100};
+constexpr std::chrono::milliseconds kLongestPause{800};
+/// Changes that follow each other closely are fetched together.
+constexpr std::chrono::milliseconds kFeedPause{25};
+
+struct Backoff {
+  std::chrono::milliseconds next = kFirstPause;
+};
+
+awaitable<void> Pause(Node& node, Backoff& backoff) {
+  std::uniform_real_distribution<double> spread(0.5, 1);
+  const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+      backoff.next * spread(node.random));
+  backoff.next = std::min(backoff.next * 2, kLongestPause);
+  co_await http::Sleep(node.io, pause);
+}
+
+void NoteAnswer(Node& node,
+                const base::Result<RowPage>& answer,
+                base::TimePoint sent_at) {
+  if (answer) {
+    NoteStore(node, true, {}, &answer.value().state, sent_at);
+  } else if (answer.error().kind != ErrorKind::kNotFound) {
+    NoteStore(node, false, answer.error().detail, nullptr, sent_at);
+  }
+}
+
+awaitable<base::Result<RowPage>> ReadPartition(Node& node,
+                                               std::string table,
+                                               std::string partition) {
+  const base::TimePoint sent_at = base::BootClock::now();
+  auto page = co_await node.port.store.read(std::move(table),
+                                            std::move(partition));
+  NoteAnswer(node, page, sent_at);
+  co_return page;
+}
+
+/// The answer to a poll says when the store answered, but not when it began to
+/// wait, so only the time of its arrival bounds its clock from below.
+awaitable<base::Result<RowPage>> Poll(Node& node, FeedPosition position) {
+  const base::TimePoint sent_at = base::BootClock::now();
+  auto page = co_await node.port.store.follow(std::move(position));
+  if (page) {
+    NoteStore(node, true, {}, nullptr, sent_at);
+  } else {
+    NoteAnswer(node, page, sent_at);
+  }
+  co_return page;
+}
+
+void SetOutOfService(Node& node, const std::string& data_centre, bool out) {
+  const bool was_out = node.data_centres_out.contains(data_centre);
+  if (was_out == out) {
+    return;
+  }
+  if (out) {
+    node.data_centres_out.insert(data_centre);
+  } else {
+    node.data_centres_out.erase(data_centre);
+  }
+  Log(node.log, out ? EventKind::kDataCentreOut : EventKind::kDataCentreBack,
+      {{"data_centre", data_centre}});
+  RefreshChoices(node);
+  http::Notify(node.lease_wanted);
+  http::Notify(node.target_changed);
+}
+
+void TakeRoutes(Node& node, const StoredRow& row) {
+  auto decoded = node.port.decode_routes(row.value);
+  if (!decoded) {
+    Count(node, "routes_rejected_total");
+    Log(node.log, EventKind::kRoutesRejected,
+        {{"cause", decoded.error().detail},
+         {"row_version", static_cast<std::int64_t>(row.version)}});
+    return;
+  }
+  // A version never goes back in one life of the process, whatever a delayed
+  // or damaged row says.
+  if (node.routes && decoded.value().version <= node.routes->version) {
+    return;
+  }
+  node.routes = std::make_shared<const catalogue::RouteTable>(
+      std::move(decoded.value()));
+  const catalogue::CallerLimits& limits = node.routes->limits;
+  http::SetMaxHeadBytes(limits.max_head_bytes);
+  http::ServerLimits& server = node.callers_server.limits;
+  server.max_body_bytes = limits.max_body_bytes;
+  server.head_timeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          limits.head_timeout);
+  server.idle_timeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          limits.idle_timeout);
+  node.peers_server.limits.max_body_bytes = limits.max_body_bytes;
+  RefreshAdmission(node);
+  http::Notify(node.lease_wanted);
+  Log(node.log, EventKind::kRoutesInForce,
+      {{"version", static_cast<std::int64_t>(node.routes->version)},
+       {"hosts", static_cast<std::int64_t>(node.routes->by_host.size())}});
+}
+
+void TakeMember(Node& node, const StoredRow& row) {
+  const std::string address = row.name.key.substr(kMemberPrefix.size());
+  std::uint64_t& version = node.fleet.versions[address];
+  if (row.version < version) {
+    return;
+  }
+  version = row.removed ? 0 : row.version;
+  if (row.removed) {
+    node.fleet.members.erase(address);
+    Log(node.log, EventKind::kMemberRemoved, {{"address", address}});
+    RefreshChoices(node);
+    return;
+  }
+  auto member = DecodeMember(row.value);
+  if (!member || member.value().address != address) {
+    Log(node.log, EventKind::kRowRejected,
+        {{"row", row.name.key},
+         {"cause", member ? "the address is another one"
+                          : std::string_view(member.error().detail)}});
+    return;
+  }
+  Log(node.log, EventKind::kMemberChanged,
+      {{"address", address},
+       {"service", member.value().service},
+       {"target", member.value().target},
+       {"serving", std::int64_t{member.value().serving}},
+       {"row_version", static_cast<std::int64_t>(row.version)}});
+  node.fleet.members[address] = std::move(member.value());
+  RefreshChoices(node);
+}
+
+void TakeMap(Node& node, const StoredRow& row) {
+  ServiceRanges& ranges = node.ranges[row.name.partition];
+  if (row.version <= ranges.version || row.removed) {
+    return;
+  }
+  auto map = ranges::DecodeMap(row.value);
+  if (!map) {
+    Log(node.log, EventKind::kRowRejected,
+        {{"row", row.name.key}, {"cause", map.error().detail}});
+    return;
+  }
+  ranges.map = std::move(map.value());
+  ranges.version = row.version;
+  ranges.heard_at = base::BootClock::now();
+  Log(node.log, EventKind::kRangesChanged,
+      {{"service", row.name.partition},
+       {"entries", static_cast<std::int64_t>(ranges.map.entries.size())},
+       {"version", static_cast<std::int64_t>(row.version)}});
+  http::Notify(node.ranges_changed);
+  http::Notify(node.target_changed);
+  http::Notify(node.release_wanted);
+}
+
+/// Reads the operator's rows; the version from which to follow them.
+awaitable<base::Result<std::uint64_t>> ReadOperator(Node& node) {
+  auto page = co_await ReadPartition(node, node.port.operator_table, "");
+  if (!page) {
+    co_return base::Fail(page.error().kind, page.error().detail);
+  }
+  std::set<std::string> out;
+  for (const StoredRow& row : page.value().rows) {
+    TakeOperatorRow(node, row);
+    const OperatorRow meaning = node.port.operator_row(row.name);
+    if (meaning.kind == OperatorRow::Kind::kOutOfService) {
+      out.insert(meaning.data_centre);
+    }
+  }
+  const auto known = node.data_centres_out;
+  for (const std::string& data_centre : known) {
+    if (!out.contains(data_centre)) {
+      SetOutOfService(node, data_centre, false);
+    }
+  }
+  co_return page.value().state.version;
+}
+
+std::vector<std::string> KnownServices(const Node& node) {
+  std::vector<std::string> services = {node.settings.service};
+  if (node.routes) {
+    for (const auto& [name, service] : node.routes->services) {
+      if (name != node.settings.service) {
+        services.push_back(name);
+      }
+    }
+  }
+  return services;
+}
+
+awaitable<base::Result<std::uint64_t>> ReadService(Node& node,
+                                                   const std::string& service) {
+  auto page =
+      co_await ReadPartition(node, std::string(kFleetTable), service);
+  if (!page) {
+    co_return base::Fail(page.error().kind, page.error().detail);
+  }
+  std::set<std::string> present;
+  for (const StoredRow& row : page.value().rows) {
+    TakeFleetRow(node, row);
+    present.insert(row.name.key);
+  }
+  // Rows that were removed while the history was lost.
+  std::vector<StoredRow> removed;
+  for (const auto& [address, member] : node.fleet.members) {
+    RowName name = MemberRow(service, address);
+    if (member.service == service && !present.contains(name.key)) {
+      removed.push_back({std::move(name), {}, page.value().state.version, true});
+    }
+  }
+  for (const StoredRow& row : removed) {
+    TakeFleetRow(node, row);
+  }
+  co_return page.value().state.version;
+}
+
+/// Reads the rows of all services; the version from which to follow them.
+awaitable<base::Result<std::uint64_t>> ReadFleet(
+    Node& node,
+    std::set<std::string>& services_read) {
+  std::uint64_t from = UINT64_MAX;
+  for (const std::string& service : KnownServices(node)) {
+    auto version = co_await ReadService(node, service);
+    if (!version) {
+      co_return base::Fail(version.error().kind, version.error().detail);
+    }
+    services_read.insert(service);
+    from = std::min(from, version.value());
+  }
+  node.fleet.known = true;
+  http::Notify(node.member_wanted);
+  http::Notify(node.lease_wanted);
+  co_return from;
+}
+
+/// Services that came with a later version of the routes may have rows from
+/// before this process followed the table.
+awaitable<void> ReadNewServices(Node& node,
+                                std::set<std::string>& services_read) {
+  for (const std::string& service : KnownServices(node)) {
+    if (!services_read.contains(service)) {
+      auto version = co_await ReadService(node, service);
+      if (version) {
+        services_read.insert(service);
+      }
+    }
+  }
+}
+
+}  // namespace
+
+void TakeOperatorRow(Node& node, const StoredRow& row) {
+  const OperatorRow meaning = node.port.operator_row(row.name);
+  switch (meaning.kind) {
+    case OperatorRow::Kind::kRoutes:
+      if (!row.removed) {
+        TakeRoutes(node, row);
+      }
+      break;
+    case OperatorRow::Kind::kOutOfService:
+      SetOutOfService(node, meaning.data_centre, !row.removed);
+      break;
+    case OperatorRow::Kind::kOther:
+      break;
+  }
+}
+
+void TakeFleetRow(Node& node, const StoredRow& row) {
+  if (row.name.key == kMapKey) {
+    TakeMap(node, row);
+  } else if (row.name.key.starts_with(kMemberPrefix)) {
+    TakeMember(node, row);
+  }
+}
+
+awaitable<void> FollowOperator(Node& node) {
+  Backoff backoff;
+  while (true) {
+    auto start = co_await ReadOperator(node);
+    if (!start) {
+      co_await Pause(node, backoff);
+      continue;
+    }
+    backoff = Backoff{};
+    FeedPosition position{node.port.operator_table, start.value(), kPollTime};
+    while (true) {
+      auto page = co_await Poll(node, position);
+      if (!page && page.error().kind == ErrorKind::kNotFound) {
+        break;
+      }
+      if (!page) {
+        co_await Pause(node, backoff);
+        continue;
+      }
+      backoff = Backoff{};
+      for (const StoredRow& row : page.value().rows) {
+        TakeOperatorRow(node, row);
+      }
+      position.after = std::max(position.after, page.value().state.version);
+    }
+  }
+}
+
+awaitable<void> FollowFleet(Node& node) {
+  Backoff backoff;
+  while (!node.routes) {
+    // The routes name the services whose rows are to be read.
+    co_await http::Wait(node.lease_wanted);
+  }
+  while (true) {
+    std::set<std::string> services_read;
+    auto start = co_await ReadFleet(node, services_read);
+    if (!start) {
+      co_await Pause(node, backoff);
+      continue;
+    }
+    backoff = Backoff{};
+    FeedPosition position{std::string(kFleetTable), start.value(), kPollTime};
+    while (true) {
+      auto page = co_await Poll(node, position);
+      if (!page && page.error().kind == ErrorKind::kNotFound) {
+        break;
+      }
+      if (!page) {
+        co_await Pause(node, backoff);
+        continue;
+      }
+      backoff = Backoff{};
+      for (const StoredRow& row : page.value().rows) {
+        TakeFleetRow(node, row);
+      }
+      position.after = std::max(position.after, page.value().state.version);
+      co_await ReadNewServices(node, services_read);
+      co_await http::Sleep(node.io, kFeedPause);
+    }
+  }
+}
+
+awaitable<base::Result<CommitResult>> Commit(Node& node,
+                                             RowTransaction transaction) {
+  const base::TimePoint sent_at = base::BootClock::now();
+  auto result = co_await node.port.store.commit(std::move(transaction));
+  if (result) {
+    NoteStore(node, true, {}, &result.value().state, sent_at);
+  } else {
+    NoteStore(node, false, result.error().detail, nullptr, sent_at);
+  }
+  co_return result;
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/member.cpp
@@ -0,0 +1,35 @@
+// JSON form of a member's row.
+#include "eelgrassbridge/node/member.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrassbridge::node {
+
+using nlohmann::json;
+
+std::string EncodeMember(const Member& member) {
+  return json{{"address", member.address}, {"data_centre", member.data_centre},
+              {"service", member.service}, {"target", member.target},
+              {"born", member.born},       {"slots", member.slots},
+              {"serving", member.serving}}
+      .dump();
+}
+
+base::Result<Member> DecodeMember(std::string_view text) {
+  try {
+    const json value = json::parse(text);
+    Member member;
+    member.address = value.at("address").get<std::string>();
+    member.data_centre = value.at("data_centre").get<std::string>();
+    member.service = value.at("service").get<std::string>();
+    member.target = value.at("target").get<std::string>();
+    member.born = value.at("born").get<std::int64_t>();
+    member.slots = value.at("slots").get<std::uint32_t>();
+    member.serving = value.at("serving").get<bool>();
+    return member;
+  } catch (const json::exception& error) {
+    return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
+  }
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/node.cpp
@@ -0,0 +1,140 @@
+// State of a node and small questions about it.
+#include "eelgrassbridge/node/node.hpp"
+
+#include "eelgrassbridge/base/hash.hpp"
+#include "eelgrassbridge/base/identifier.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+/// Slots before the target has told its own number.
+constexpr std::uint32_t kInitialSlots = 4;
+constexpr std::uint32_t kInitialConnections = 64;
+/// Requests that wait for the target; beyond it they are refused at once.
+constexpr std::uint32_t kQueueCapacity = 48;
+
+http::PoolOptions TargetPoolOptions() {
+  http::PoolOptions options;
+  // The target is on the same VM: only a target that is gone or overloaded
+  // does not accept.
+  options.connect_timeout = std::chrono::milliseconds{200};
+  return options;
+}
+
+limits::TargetLimiter MakeLimiter() {
+  limits::TargetLimiterOptions options;
+  options.slots = kInitialSlots;
+  options.connections = kInitialConnections;
+  options.queue_capacity = kQueueCapacity;
+  limits::TargetLimiter limiter = limits::MakeTargetLimiter(options);
+  // The target tells how long it is cold, and the pacer keeps to that; the ramp
+  // only serves to give way to refusals.
+  limiter.ramp.level = limiter.ramp.capacity;
+  return limiter;
+}
+
+limits::ServiceRetryOptions RetryOptions(const Bounds& bounds) {
+  limits::ServiceRetryOptions options;
+  options.earned_per_request = bounds.retry_ratio / 2;
+  options.extra = bounds.retry_extra;
+  options.window = bounds.retry_window;
+  return options;
+}
+
+routing::Locality LocalityOf(const Node& node, const Member& member) {
+  if (member.data_centre == node.settings.data_centre) {
+    return routing::Locality::kDataCentre;
+  }
+  return RegionOf(node.settings, member.data_centre) == node.settings.region
+             ? routing::Locality::kRegion
+             : routing::Locality::kOtherRegion;
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& event_loop,
+           NodeSettings node_settings,
+           PlatformPort platform_port)
+    : io(event_loop),
+      settings(std::move(node_settings)),
+      port(std::move(platform_port)),
+      process(base::RandomHex128()),
+      random(base::NewDaemonId().value),
+      peers(event_loop, http::PoolOptions{}),
+      targets(event_loop, TargetPoolOptions()),
+      callers_server(event_loop),
+      peers_server(event_loop),
+      readiness_server(event_loop),
+      reports_server(event_loop),
+      target_changed(event_loop),
+      lease_wanted(event_loop),
+      member_wanted(event_loop),
+      ranges_changed(event_loop),
+      release_wanted(event_loop) {
+  this->admission.limiter = MakeLimiter();
+  this->retries.options = RetryOptions(this->settings.bounds);
+  this->log.name = this->settings.name;
+}
+
+void Count(Node& node, std::string_view name, std::string_view labels) {
+  base::GetCounter(node.counters, name, labels) += 1;
+}
+
+bool OwnsRanges(const Node& node) {
+  if (!node.routes) {
+    return false;
+  }
+  const auto* const service =
+      catalogue::FindService(*node.routes, node.settings.service);
+  return service != nullptr && service->divided_by_key;
+}
+
+bool TargetTakesRequests(const Node& node) {
+  return IsServing(node.target) &&
+         !node.data_centres_out.contains(node.settings.data_centre);
+}
+
+void RefreshChoices(Node& node) {
+  std::map<std::string, std::vector<routing::TargetMember>> by_service;
+  node.fleet.address_of.clear();
+  for (const auto& [address, member] : node.fleet.members) {
+    const bool may_get_work =
+        member.serving && !node.data_centres_out.contains(member.data_centre);
+    const base::DaemonId number = NumberOf(address);
+    node.fleet.address_of[number] = address;
+    by_service[member.service].push_back(
+        {number, LocalityOf(node, member), may_get_work});
+  }
+  for (auto& [service, table] : node.fleet.targets) {
+    if (!by_service.contains(service)) {
+      routing::SetMembers(table, {});
+    }
+  }
+  for (const auto& [service, members] : by_service) {
+    routing::SetMembers(node.fleet.targets[service], members);
+  }
+}
+
+base::DaemonId NumberOf(std::string_view address) {
+  return base::DaemonId{base::Hash64(address)};
+}
+
+void NoteStore(Node& node,
+               bool reachable,
+               std::string_view cause,
+               const StoreState* state,
+               base::TimePoint sent_at) {
+  if (state != nullptr) {
+    node.store.clock = {state->time, sent_at, true};
+  }
+  if (reachable == node.store.reachable) {
+    return;
+  }
+  node.store.reachable = reachable;
+  Log(node.log,
+      reachable ? EventKind::kStoreRegained : EventKind::kStoreLost,
+      {{"cause", cause}});
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/reports.cpp
@@ -0,0 +1,147 @@
+// Reports of the target and readiness.
+#include "eelgrassbridge/node/reports.hpp"
+
+#include "eelgrassbridge/node/metrics.hpp"
+#include "eelgrassbridge/node/peer_call.hpp"
+#include "eelgrassbridge/node/target_run.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using asio::awaitable;
+
+constexpr std::size_t kMaxReport = std::size_t{64} * 1024;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+
+/// Why a report is not one of the target beside this daemon; empty if it is.
+std::string_view WrongReport(const Node& node, const TargetReport& report) {
+  if (report.service != node.settings.service) {
+    return "the service is another one";
+  }
+  if (report.address != node.settings.target_address) {
+    return "the address is another one";
+  }
+  return {};
+}
+
+void NoteLeaving(Node& node, std::string_view cause) {
+  Log(node.log, EventKind::kTargetLeaving,
+      {{"target", node.target.id}, {"cause", cause}});
+  http::Notify(node.member_wanted);
+  http::Notify(node.lease_wanted);
+  http::Notify(node.target_changed);
+}
+
+void TakeIn(Node& node, const TargetReport& report) {
+  const base::TimePoint now = base::BootClock::now();
+  const bool was_leaving = node.target.leaving;
+  const ReportIntake intake = TakeReport(node.target, report, now);
+  if (intake == ReportIntake::kStale) {
+    return;
+  }
+  if (intake == ReportIntake::kNewLife) {
+    Log(node.log, EventKind::kTargetStarted,
+        {{"target", report.target},
+         {"born", report.born},
+         {"slots", std::int64_t{report.slots}},
+         {"cold_ms", report.cold_remaining.count() / 1000}});
+    node.admission.cold.cold_until = {};
+    http::Notify(node.member_wanted);
+    http::Notify(node.lease_wanted);
+  }
+  node.admission.cold.cold_until = now + report.cold_remaining;
+  if (node.target.leaving && (!was_leaving ||
+                              intake == ReportIntake::kNewLife)) {
+    NoteLeaving(node, "it says so");
+  }
+  RefreshAdmission(node);
+  http::Notify(node.release_wanted);
+}
+
+ReportAnswer AnswerFor(Node& node, const TargetReport& report) {
+  const bool current = report.target == node.target.id &&
+                       report.born == node.target.born &&
+                       report.sequence == node.target.sequence;
+  const auto found = node.ranges.find(node.settings.service);
+  if (!current || found == node.ranges.end() || !OwnsRanges(node) ||
+      found->second.map.entries.empty()) {
+    return {};
+  }
+  return MakeGrants(node.target, found->second.map, node.settings.peers,
+                    node.lease.right, node.lease.options,
+                    base::BootClock::now());
+}
+
+awaitable<void> HandleReport(Node& node,
+                             http::Exchange& exchange,
+                             std::string target) {
+  Message message;
+  const auto received = co_await ReceiveBody(exchange, message, kMaxReport);
+  if (!received) {
+    http::Abort(exchange);
+    co_return;
+  }
+  auto report = node.port.decode_report(target, message.body);
+  const std::string_view wrong =
+      report ? WrongReport(node, report.value())
+             : std::string_view(report.error().detail);
+  if (!wrong.empty()) {
+    Count(node, "reports_rejected_total");
+    Log(node.log, EventKind::kReportRejected,
+        {{"target", target}, {"cause", wrong}});
+    co_await http::Respond(exchange, kBadRequest, {}, {});
+    co_return;
+  }
+  TakeIn(node, report.value());
+  const ReportAnswer answer = AnswerFor(node, report.value());
+  http::Headers headers;
+  headers.push_back({"Content-Type", "application/json"});
+  const std::string body = node.port.encode_report_answer(answer);
+  co_await http::Respond(exchange, kOk, std::move(headers), body);
+  // Requests that waited for a key can be sent now that the target knows it.
+  http::Notify(node.target_changed);
+}
+
+}  // namespace
+
+awaitable<void> HandleTargetCall(Node& node, http::Exchange& exchange) {
+  const TargetCall call =
+      node.port.target_call(exchange.head.method, exchange.head.target);
+  switch (call.kind) {
+    case TargetCall::Kind::kReport:
+      co_await HandleReport(node, exchange, call.target);
+      break;
+    case TargetCall::Kind::kDeparture:
+      if (TakeDeparture(node.target, call.target)) {
+        NoteLeaving(node, "it has left");
+      }
+      co_await http::Respond(exchange, kOk, {}, {});
+      break;
+    case TargetCall::Kind::kNone:
+      co_await http::Respond(exchange, kNotFound, {}, {});
+      break;
+  }
+}
+
+awaitable<void> HandleReadiness(Node& node, http::Exchange& exchange) {
+  if (node.port.is_readiness_call(exchange.head.method,
+                                  exchange.head.target)) {
+    const bool ready = !node.stopping && node.routes && node.fleet.known;
+    co_await http::Respond(exchange, ready ? kOk : kServiceUnavailable, {}, {});
+    co_return;
+  }
+  if (exchange.head.method == "GET" && exchange.head.target == "/metrics") {
+    http::Headers headers;
+    headers.push_back({"Content-Type", "text/plain"});
+    const std::string text = MetricsText(node);
+    co_await http::Respond(exchange, kOk, std::move(headers), text);
+    co_return;
+  }
+  co_await http::Respond(exchange, kNotFound, {}, {});
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/request.cpp
@@ -0,0 +1,125 @@
+// Terms, proofs and results of requests.
+#include "eelgrassbridge/node/request.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr std::array<std::string_view, 3> kClassNames = {
+    "idempotent", "non_idempotent", "upload"};
+constexpr std::size_t kTermsParts = 4;
+
+std::optional<catalogue::RequestClass> ClassNamed(std::string_view name) {
+  const auto found = std::ranges::find(kClassNames, name);
+  if (found == kClassNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<catalogue::RequestClass>(found - kClassNames.begin());
+}
+
+std::array<std::string_view, kTermsParts> SplitTerms(std::string_view text) {
+  std::array<std::string_view, kTermsParts> parts;
+  for (std::string_view& part : parts) {
+    const auto end = text.find(';');
+    part = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view{}
+                                         : text.substr(end + 1);
+  }
+  return parts;
+}
+
+}  // namespace
+
+void Cancel(Cancellation& cancellation, base::ErrorKind cause) {
+  if (cancellation.cause) {
+    return;
+  }
+  cancellation.cause = cause;
+  if (cancellation.abort) {
+    cancellation.abort();
+  }
+}
+
+std::optional<NotRunProof> NotRunProof::FromTarget(
+    const http::ResponseHead& response,
+    const HeaderNames& names) {
+  const bool not_run = response.status == kMisdirected ||
+                       http::Find(response.headers, names.not_run) != nullptr;
+  return not_run ? std::optional(NotRunProof{}) : std::nullopt;
+}
+
+std::optional<NotRunProof> NotRunProof::FromDaemon(
+    const http::ResponseHead& response) {
+  const bool not_run = http::ValueOf(response.headers, kOutcomeHeader) ==
+                       base::OutcomeName(base::Outcome::kNotRun);
+  return not_run ? std::optional(NotRunProof{}) : std::nullopt;
+}
+
+RunResult NotRun(base::ErrorKind cause, NotRunProof proof) {
+  RunResult result;
+  result.outcome = base::Outcome::kNotRun;
+  result.cause = cause;
+  result.proof = proof;
+  return result;
+}
+
+RunResult Unknown(base::ErrorKind cause) {
+  RunResult result;
+  result.outcome = base::Outcome::kUnknown;
+  result.cause = cause;
+  result.reached_target = true;
+  return result;
+}
+
+void RemoveOwnHeaders(http::Headers& headers) {
+  std::erase_if(headers, [](const http::Header& header) {
+    return header.name.size() >= kOwnPrefix.size() &&
+           http::SameName(
+               std::string_view(header.name).substr(0, kOwnPrefix.size()),
+               kOwnPrefix);
+  });
+}
+
+std::string EncodeTerms(const RequestTerms& terms) {
+  const auto objective =
+      std::chrono::duration_cast<base::milliseconds>(terms.objective).count();
+  return fmt::format(
+      "{};{};{};{}",
+      kClassNames[static_cast<std::size_t>(terms.request_class)],
+      terms.priority, objective, terms.key ? fmt::format("{}", *terms.key) : "");
+}
+
+base::Result<void> DecodeTerms(std::string_view text, RequestTerms& terms) {
+  const auto parts = SplitTerms(text);
+  const auto request_class = ClassNamed(parts[0]);
+  const auto priority = http::ParseNumber(parts[1]);
+  const auto objective = http::ParseNumber(parts[2]);
+  const auto key = http::ParseNumber(parts[3]);
+  if (!request_class || !priority || !objective ||
+      (!key && !parts[3].empty())) {
+    return base::Fail(base::ErrorKind::kBadRequest,
+                      "the terms of the request cannot be read");
+  }
+  terms.request_class = *request_class;
+  terms.priority = static_cast<std::uint32_t>(*priority);
+  terms.objective = base::milliseconds{*objective};
+  terms.key.reset();
+  if (key) {
+    terms.key = static_cast<std::uint32_t>(*key);
+  }
+  return base::outcome::success();
+}
+
+std::int64_t MillisecondsLeft(base::TimePoint deadline, base::TimePoint now) {
+  const auto left =
+      std::chrono::duration_cast<base::milliseconds>(deadline - now).count();
+  return std::max<std::int64_t>(0, left);
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/rows.cpp
@@ -0,0 +1,19 @@
+// Names of rows.
+#include "eelgrassbridge/node/rows.hpp"
+
+namespace eelgrassbridge::node {
+
+RowName MapRow(std::string_view service) {
+  return {std::string(kFleetTable), std::string(service), std::string(kMapKey)};
+}
+
+RowName MemberRow(std::string_view service, std::string_view address) {
+  return {std::string(kFleetTable), std::string(service),
+          std::string(kMemberPrefix).append(address)};
+}
+
+RowName LeaseRow(std::string_view service, std::string_view address) {
+  return {std::string(kLeaseTable), std::string(service), std::string(address)};
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -0,0 +1,130 @@
+// Reading of a node's settings.
+#include "eelgrassbridge/node/settings.hpp"
+
+#include <spdlog/fmt/fmt.h>
+#include <yaml-cpp/yaml.h>
+
+#include "eelgrassbridge/base/file.hpp"
+#include "eelgrassbridge/base/problem.hpp"
+#include "eelgrassbridge/http/client.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+constexpr std::size_t kMaxFileBytes = std::size_t{1} << 20U;
+
+struct Reader {
+  const YAML::Node& root;
+  base::Problems problems;
+};
+
+int LineOf(const YAML::Node& value) {
+  return value.IsDefined() ? value.Mark().line + 1 : 0;
+}
+
+void ReadText(Reader& reader, const char* name, std::string& value) {
+  const YAML::Node found = reader.root[name];
+  if (!found.IsDefined() || !found.IsScalar() || found.Scalar().empty()) {
+    base::AddProblem(reader.problems, LineOf(found), name,
+                     "a text is required");
+    return;
+  }
+  value = found.Scalar();
+}
+
+void ReadAddress(Reader& reader, const char* name, std::string& value) {
+  ReadText(reader, name, value);
+  if (!value.empty() && !http::ParseEndpoint(value)) {
+    base::AddProblem(
+        reader.problems, LineOf(reader.root[name]), name,
+        fmt::format("'{}' is no address; write IP:PORT", value));
+  }
+}
+
+template <typename T>
+void ReadOptional(Reader& reader, const char* name, T& value) {
+  const YAML::Node found = reader.root[name];
+  if (!found.IsDefined() || found.IsNull()) {
+    return;
+  }
+  try {
+    value = found.as<T>();
+  } catch (const YAML::Exception&) {
+    base::AddProblem(reader.problems, LineOf(found), name,
+                     "the value is of another type");
+  }
+}
+
+void ReadRegions(Reader& reader, NodeSettings& settings) {
+  const YAML::Node regions = reader.root["data_centres"];
+  if (!regions.IsMap()) {
+    base::AddProblem(reader.problems, LineOf(regions), "data_centres",
+                     "a map from data centre to region is required");
+    return;
+  }
+  for (const auto& entry : regions) {
+    settings.regions[entry.first.as<std::string>()] =
+        entry.second.as<std::string>();
+  }
+}
+
+NodeSettings ReadAll(Reader& reader) {
+  NodeSettings settings;
+  ReadText(reader, "name", settings.name);
+  ReadText(reader, "data_centre", settings.data_centre);
+  ReadText(reader, "region", settings.region);
+  ReadRegions(reader, settings);
+  ReadAddress(reader, "callers", settings.callers);
+  ReadAddress(reader, "peers", settings.peers);
+  ReadAddress(reader, "readiness", settings.readiness);
+  ReadAddress(reader, "reports", settings.reports);
+  ReadAddress(reader, "target_address", settings.target_address);
+  ReadText(reader, "service", settings.service);
+  ReadAddress(reader, "store_address", settings.store_address);
+  ReadOptional(reader, "max_descriptors", settings.max_descriptors);
+  ReadOptional(reader, "first_start", settings.first_start);
+  ReadOptional(reader, "platform_bounds", settings.platform_bounds);
+  return settings;
+}
+
+}  // namespace
+
+base::Result<NodeSettings> ReadNodeSettings(std::string_view file_name,
+                                            std::string_view text) {
+  try {
+    const YAML::Node root = YAML::Load(std::string(text));
+    if (!root.IsMap()) {
+      return base::Fail(base::ErrorKind::kSettingsInvalid,
+                        fmt::format("{}: no settings", file_name));
+    }
+    Reader reader{root, {}};
+    reader.problems.file = file_name;
+    NodeSettings settings = ReadAll(reader);
+    if (reader.problems.count > 0) {
+      return base::Fail(base::ErrorKind::kSettingsInvalid,
+                        base::ToString(reader.problems));
+    }
+    return settings;
+  } catch (const YAML::Exception& error) {
+    return base::Fail(base::ErrorKind::kSettingsInvalid,
+                      fmt::format("{}: {}", file_name, error.what()));
+  }
+}
+
+base::Result<NodeSettings> ReadNodeSettingsFile(const std::string& file_name) {
+  auto text = base::ReadFile(file_name, kMaxFileBytes);
+  if (!text) {
+    return base::Fail(base::ErrorKind::kSettingsInvalid, text.error().detail);
+  }
+  return ReadNodeSettings(file_name, text.value());
+}
+
+std::string_view RegionOf(const NodeSettings& settings,
+                          std::string_view data_centre) {
+  const auto found = settings.regions.find(data_centre);
+  return found == settings.regions.end() ? std::string_view{}
+                                         : std::string_view{found->second};
+}
+
+}  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -0,0 +1,315 @@
+// Admission to the target beside the daemon, and the run itself.
+#include "eelgrassbridge/node/target_run.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+#include "eelgrassbridge/node/key_demand.hpp"
+#include "eelgrassbridge/node/transmit.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using asio::awaitable;
+using base::ErrorKind;
+using base::TimePoint;
+
+/// A request that waits longer than this part of its objective is better sent
+/// elsewhere, or by its caller once more.
+constexpr double kWaitShare = 0.4;
+/// The target's own answer at its deadline still reaches the caller in time.
+constexpr base::Duration kDeadlineMargin = base::milliseconds{10};
+
+TimePoint LatestStart(const RequestTerms& terms, TimePoint now) {
+  const auto wait = base::Duration{static_cast<std::int64_t>(
+      static_cast<double>(terms.objective.count()) * kWaitShare)};
+  return std::min(terms.deadline - kDeadlineMargin, now + wait);
+}
+
+/// Waits for an event, at most until that time.
+awaitable<void> WaitUntil(Node& node, http::Event& event, TimePoint latest) {
+  asio::steady_timer timer(node.io, latest - base::BootClock::now());
+  timer.async_wait([&event](const std::error_code& cancelled) {
+    if (!cancelled) {
+      http::Notify(event);
+    }
+  });
+  co_await http::Wait(event);
+}
+
+/// Refused before anything else: the target is not there, leaves, is another
+/// one than the sender has chosen, or is out of service.
+std::optional<ErrorKind> ReasonAgainst(const Node& node,
+                                       const RequestTerms& terms) {
+  if (terms.service != node.settings.service || node.target.id.empty()) {
+    return ErrorKind::kNoTarget;
+  }
+  if (!terms.target.empty() && terms.target != node.target.id) {
+    return ErrorKind::kNoTarget;
+  }
+  if (!TargetTakesRequests(node)) {
+    return ErrorKind::kDraining;
+  }
+  return std::nullopt;
+}
+
+bool OwnsKey(const Node& node, const RequestTerms& terms) {
+  const auto found = node.ranges.find(terms.service);
+  if (found == node.ranges.end()) {
+    return false;
+  }
+  const ranges::RangeEntry* const entry =
+      ranges::FindEntry(found->second.map, *terms.key);
+  return entry != nullptr && entry->next_daemon.empty() &&
+         entry->owner.daemon == node.settings.peers;
+}
+
+/// Waits until the target holds the key.
+awaitable<std::optional<ErrorKind>> AwaitKey(Node& node,
+                                             const RequestTerms& terms,
+                                             TimePoint latest,
+                                             const Cancellation& cancellation) {
+  while (!IsGranted(node.target, *terms.key, base::BootClock::now())) {
+    if (!OwnsKey(node, terms) || base::BootClock::now() >= latest) {
+      co_return ErrorKind::kNotOwner;
+    }
+    co_await WaitUntil(node, node.target_changed, latest);
+    if (cancellation.cause) {
+      co_return *cancellation.cause;
+    }
+  }
+  co_return std::nullopt;
+}
+
+/// Lets queued requests run or tells them that they are refused.
+void DispatchWaiters(Node& node) {
+  Admission& admission = node.admission;
+  while (const auto dispatch = limits::NextDispatch(admission.limiter,
+                                                    base::BootClock::now())) {
+    const auto found = admission.waiters.find(dispatch->ticket);
+    if (found == admission.waiters.end()) {
+      continue;
+    }
+    SlotWaiter& waiter = *found->second;
+    waiter.refusal = dispatch->refusal;
+    waiter.dispatched = !dispatch->refusal;
+    waiter.generation = dispatch->generation;
+    http::Notify(waiter.event);
+    admission.waiters.erase(found);
+  }
+}
+
+/// A slot of the target; freed when the last reference goes.
+struct Slot {
+  Slot(Node& owner, std::uint64_t admitted_in)
+      : node(owner), generation(admitted_in), started(base::BootClock::now()) {}
+  Slot(const Slot&) = delete;
+  Slot& operator=(const Slot&) = delete;
+  ~Slot() {
+    limits::Finish(this->node.admission.limiter, this->end,
+                   base::BootClock::now() - this->started, this->generation);
+    DispatchWaiters(this->node);
+  }
+
+  Node& node;
+  std::uint64_t generation;
+  TimePoint started;
+  limits::RunEnd end = limits::RunEnd::kCancelled;
+};
+
+using SlotPointer = std::shared_ptr<Slot>;
+
+/// Waits in the queue until the ticket is dispatched, refused or withdrawn.
+awaitable<base::Result<SlotPointer>> AwaitDispatch(
+    Node& node,
+    limits::Ticket ticket,
+    TimePoint latest,
+    CancellationPointer cancellation) {
+  auto waiter = std::make_shared<SlotWaiter>(node.io);
+  node.admission.waiters[ticket] = waiter;
+  cancellation->abort = [waiter] { http::Notify(waiter->event); };
+  while (!waiter->dispatched && !waiter->refusal && !cancellation->cause &&
+         base::BootClock::now() < latest) {
+    co_await WaitUntil(node, waiter->event, latest);
+  }
+  cancellation->abort = nullptr;
+  if (waiter->dispatched) {
+    co_return std::make_shared<Slot>(node, waiter->generation);
+  }
+  if (waiter->refusal) {
+    co_return base::Fail(*waiter->refusal, {});
+  }
+  node.admission.waiters.erase(ticket);
+  limits::Withdraw(node.admission.limiter, ticket);
+  co_return base::Fail(cancellation->cause.value_or(ErrorKind::kOverloaded),
+                       {});
+}
+
+catalogue::PriorityClass ClassOf(std::uint32_t priority) {
+  constexpr std::uint32_t kLast = limits::kPriorityClassCount - 1;
+  return static_cast<catalogue::PriorityClass>(std::min(priority, kLast));
+}
+
+awaitable<base::Result<SlotPointer>> AcquireSlot(
+    Node& node,
+    const RequestTerms& terms,
+    TimePoint latest,
+    CancellationPointer cancellation) {
+  const auto start = limits::ReserveStart(node.admission.cold,
+                                          base::BootClock::now(), latest);
+  if (!start) {
+    co_return base::Fail(ErrorKind::kOverloaded, {});
+  }
+  const base::Duration wait = *start - base::BootClock::now();
+  if (wait > base::Duration{0}) {
+    co_await http::Sleep(node.io, wait);
+  }
+  if (cancellation->cause) {
+    co_return base::Fail(*cancellation->cause, {});
+  }
+  const limits::Admission admission = limits::Admit(
+      node.admission.limiter, {ClassOf(terms.priority), {}, latest},
+      base::BootClock::now());
+  DispatchWaiters(node);
+  switch (admission.state) {
+    case limits::Admission::State::kRun:
+      co_return std::make_shared<Slot>(node, admission.generation);
+    case limits::Admission::State::kRefused:
+      co_return base::Fail(admission.refusal, {});
+    case limits::Admission::State::kQueued:
+      break;
+  }
+  co_return co_await AwaitDispatch(node, admission.ticket, latest,
+                                   cancellation);
+}
+
+http::Headers HeadersForTarget(const Node& node,
+                               const RequestTerms& terms,
+                               const Message& message) {
+  const HeaderNames& names = node.port.headers;
+  http::Headers headers = message.headers;
+  const std::int64_t left = MillisecondsLeft(
+      terms.deadline - kDeadlineMargin, base::BootClock::now());
+  headers.push_back({names.time_left, fmt::format("{}", left)});
+  headers.push_back({names.expected_target, node.target.id});
+  headers.push_back({names.caller_service, terms.caller_service});
+  return headers;
+}
+
+limits::RunEnd EndOf(const RunResult& result) {
+  switch (result.outcome) {
+    case base::Outcome::kAnswered:
+      return limits::RunEnd::kAnswered;
+    case base::Outcome::kNotRun:
+      return limits::RunEnd::kRefused;
+    case base::Outcome::kUnknown:
+      break;
+  }
+  return result.cause == ErrorKind::kCancelled ? limits::RunEnd::kCancelled
+                                               : limits::RunEnd::kFailed;
+}
+
+/// An answer of the target that proves that it has not run the request is no
+/// answer to the caller yet: another attempt may be made.
+void ReadMeaning(const Node& node, RunResult& result) {
+  if (result.outcome != base::Outcome::kAnswered) {
+    return;
+  }
+  result.reached_target = true;
+  if (const auto proof =
+          NotRunProof::FromTarget(result.head, node.port.headers)) {
+    result.outcome = base::Outcome::kNotRun;
+    result.cause = ErrorKind::kTargetRefused;
+    result.proof = *proof;
+  }
+}
+
+}  // namespace
+
+awaitable<RunResult> RunOnTarget(Node& node,
+                                 const RequestTerms& terms,
+                                 const Message& message,
+                                 CancellationPointer cancellation) {
+  const TimePoint latest = LatestStart(terms, base::BootClock::now());
+  if (terms.key) {
+    NoteArrival(node.demand, *terms.key, base::BootClock::now());
+  }
+  if (const auto reason = ReasonAgainst(node, terms)) {
+    co_return NotRun(*reason, NotRunProof::NeverSent());
+  }
+  if (terms.key) {
+    const auto reason = co_await AwaitKey(node, terms, latest, *cancellation);
+    if (reason) {
+      co_return NotRun(*reason, NotRunProof::NeverSent());
+    }
+  }
+  auto acquired = co_await AcquireSlot(node, terms, latest, cancellation);
+  if (!acquired) {
+    co_return NotRun(acquired.error().kind, NotRunProof::NeverSent());
+  }
+  const SlotPointer slot = std::move(acquired.value());
+  // The target may have begun to leave while the request waited.
+  if (const auto reason = ReasonAgainst(node, terms)) {
+    co_return NotRun(*reason, NotRunProof::NeverSent());
+  }
+  const TimePoint sent_at = base::BootClock::now();
+  Transmission transmission;
+  transmission.pool = &node.targets;
+  transmission.endpoint = *http::ParseEndpoint(node.settings.target_address);
+  transmission.headers = HeadersForTarget(node, terms, message);
+  transmission.request_id = terms.id;
+  RunResult result = co_await Transmit(node, message, std::move(transmission),
+                                       cancellation);
+  ReadMeaning(node, result);
+  slot->end = EndOf(result);
+  if (result.outcome == base::Outcome::kAnswered) {
+    NoteRunTime(node.demand, base::BootClock::now() - sent_at);
+  }
+  if (!result.body_complete) {
+    result.slot = slot;
+  }
+  Log(node.log, EventKind::kRequestRun,
+      {{"request", terms.id},
+       {"target", node.target.id},
+       {"outcome", base::OutcomeName(result.outcome)},
+       {"cause", result.outcome == base::Outcome::kAnswered
+                     ? std::string_view{}
+                     : base::ErrorName(result.cause)},
+       {"status", std::int64_t{result.head.status}},
+       {"waited_ms", (sent_at - latest).count() / 1000.0 +
+                         (latest - slot->started).count() / 1000.0},
+       {"in_flight", std::int64_t{InFlight(node)}},
+       {"report_sequence", static_cast<std::int64_t>(node.target.sequence)}});
+  co_return result;
+}
+
+std::uint32_t InFlight(const Node& node) {
+  return node.admission.limiter.in_flight + node.admission.limiter.queued;
+}
+
+void RefreshAdmission(Node& node) {
+  if (!node.routes) {
+    return;
+  }
+  const auto* const service =
+      catalogue::FindService(*node.routes, node.settings.service);
+  if (service == nullptr) {
+    return;
+  }
+  node.admission.cold.requests_per_second = service->cold_requests_per_second;
+  if (node.target.slots > 0) {
+    limits::TargetLimiter& limiter = node.admission.limiter;
+    const std::uint32_t before = limiter.ramp.capacity;
+    limits::SetTargetBounds(limiter, node.target.slots,
+                            std::max(node.target.slots,
+                                     service->max_connections));
+    if (limiter.ramp.capacity > before) {
+      limiter.ramp.level = limiter.ramp.capacity;
+    }
+  }
+  DispatchWaiters(node);
+}
+
+}  // namespace eelgrassbridge::node
