--- a/include/eelgrassbridge/node/settings.hpp
+++ b/include/eelgrassbridge/node/settings.hpp
@@ -7,7 +7,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "eelgrassbridge/base/error.hpp"
 #include "eelgrassbridge/base/time.hpp"
@@ -47,8 +46,6 @@
   std::uint32_t max_descriptors = 1024;
   /// The whole system starts for the first time.
   bool first_start = false;
-  /// Texts of the platform that its adapter turns into `bounds`.
-  std::vector<std::string> platform_bounds;
   Bounds bounds;
 
   bool operator==(const NodeSettings&) const = default;
--- a/src/eelgrassbridge/cli/node_commands.cpp
+++ b/src/eelgrassbridge/cli/node_commands.cpp
@@ -11,20 +11,6 @@
 
 namespace {
 
-base::Result<node::NodeSettings> ReadPlatformSettings(
-    const std::string& file_name) {
-  auto settings = node::ReadNodeSettingsFile(file_name);
-  if (!settings) {
-    return settings;
-  }
-  auto bounds = platform::DecodeBounds(settings.value().platform_bounds);
-  if (!bounds) {
-    return base::Fail(bounds.error().kind, bounds.error().detail);
-  }
-  settings.value().bounds = bounds.value();
-  return settings;
-}
-
 std::string SettingsFile(const CommandContext& context) {
   std::string file = Text(context, "settings");
   if (file.empty()) {
@@ -36,19 +22,19 @@
 
 ExitCode RunNodeCommand(CommandContext& context) {
   const std::string file = SettingsFile(context);
-  const auto settings = ReadPlatformSettings(file);
+  const auto settings = node::ReadNodeSettingsFile(file);
   if (!settings) {
     return Report(context, settings.error());
   }
   const auto ended =
       node::RunNode(settings.value(), platform::MakePort,
-                    [file] { return ReadPlatformSettings(file); });
+                    [file] { return node::ReadNodeSettingsFile(file); });
   return ended ? ExitCode::kSuccess : Report(context, ended.error());
 }
 
 ExitCode CheckNodeSettings(CommandContext& context) {
   const std::string file = Text(context, "FILE");
-  const auto settings = ReadPlatformSettings(file);
+  const auto settings = node::ReadNodeSettingsFile(file);
   if (!settings) {
     return Report(context, settings.error());
   }
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -56,6 +56,27 @@
   }
 }
 
+void ReadSeconds(Reader& reader, const char* name, base::Duration& value) {
+  double seconds = std::chrono::duration<double>(value).count();
+  ReadOptional(reader, name, seconds);
+  if (seconds <= 0) {
+    base::AddProblem(reader.problems, LineOf(reader.root[name]), name,
+                     "a time above 0 is required");
+    return;
+  }
+  value = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+void ReadBounds(Reader& reader, Bounds& bounds) {
+  ReadSeconds(reader, "drain_seconds", bounds.drain);
+  ReadSeconds(reader, "grace_seconds", bounds.grace);
+  ReadOptional(reader, "retry_ratio", bounds.retry_ratio);
+  ReadOptional(reader, "retry_extra", bounds.retry_extra);
+  ReadSeconds(reader, "retry_window_seconds", bounds.retry_window);
+  ReadSeconds(reader, "longest_hold_seconds", bounds.longest_hold);
+}
+
 void ReadRegions(Reader& reader, NodeSettings& settings) {
   const YAML::Node regions = reader.root["data_centres"];
   if (!regions.IsMap()) {
@@ -84,7 +105,7 @@
   ReadAddress(reader, "store_address", settings.store_address);
   ReadOptional(reader, "max_descriptors", settings.max_descriptors);
   ReadOptional(reader, "first_start", settings.first_start);
-  ReadOptional(reader, "platform_bounds", settings.platform_bounds);
+  ReadBounds(reader, settings.bounds);
   return settings;
 }
 
