Keep timers from acting on waits that have ended

A planned stop took requests until the kill. Ruled out: memory (11 MB), signals. Change: Event shares its timer, Alarm checks that it is still armed; requests that come 3 s after SIGTERM are refused as not run.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -6,7 +6,6 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -49,7 +48,7 @@
   MessageParser parser{MessageKind::kRequest};
   Event input_changed;
   Event input_taken;
-  asio::steady_timer timeout;
+  Alarm timeout;
   /// The caller has closed or reset the connection.
   bool ended = false;
   /// Closed by this side.
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -141,6 +141,8 @@
   http::Event release_wanted;
 
   bool stopping = false;
+  /// The planned stop is so far that no new request is taken.
+  bool refusing = false;
   EventLog log;
   base::CounterRegistry counters;
 };
--- a/include/eelgrassbridge/node/peer_call.hpp
+++ b/include/eelgrassbridge/node/peer_call.hpp
@@ -29,7 +29,7 @@
   RequestWatch& operator=(const RequestWatch&) = delete;
 
   CancellationPointer cancellation;
-  asio::steady_timer timer;
+  http::Alarm alarm;
   http::Exchange& exchange;
 };
 
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -6,11 +6,12 @@
 
 #include <array>
 #include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <system_error>
 
+#include "eelgrassbridge/http/event.hpp"
+
 namespace eelgrassbridge::http {
 
 namespace {
@@ -179,15 +180,12 @@
     co_return base::Fail(ErrorKind::kPeerUnreachable, error.message());
   }
   Prepare(connection->socket, pool.options);
-  asio::steady_timer timer(pool.io, pool.options.connect_timeout);
-  timer.async_wait([connection](const std::error_code& cancelled) {
-    if (!cancelled) {
-      Close(*connection);
-    }
-  });
+  Alarm alarm(pool.io);
+  Arm(alarm, pool.options.connect_timeout,
+      [connection] { Close(*connection); });
   co_await connection->socket.async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
-  timer.cancel();
+  Disarm(alarm);
   if (error || !connection->socket.is_open()) {
     Close(*connection);
     co_return base::Fail(ErrorKind::kPeerUnreachable, error.message());
@@ -283,19 +281,17 @@
     co_return base::Fail(acquired.error().kind, acquired.error().detail);
   }
   const ClientPointer connection = std::move(acquired.value());
-  auto timed_out = std::make_shared<bool>(false);
-  asio::steady_timer timer(pool.io, request.timeout);
-  timer.async_wait([connection, timed_out](const std::error_code& cancelled) {
-    if (!cancelled) {
-      *timed_out = true;
-      Close(*connection);
-    }
+  bool timed_out = false;
+  Alarm alarm(pool.io);
+  Arm(alarm, request.timeout, [connection, &timed_out] {
+    timed_out = true;
+    Close(*connection);
   });
   auto response = co_await Exchange(*connection, request);
-  timer.cancel();
+  Disarm(alarm);
   if (!response) {
     Close(*connection);
-    if (*timed_out) {
+    if (timed_out) {
       co_return base::Fail(ErrorKind::kPeerTimeout, "no answer in time");
     }
     co_return response;
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -91,13 +91,11 @@
 void CloseAfter(ServerConnection& connection,
                 std::chrono::milliseconds time,
                 std::weak_ptr<ServerConnection> owner) {
-  connection.timeout.expires_after(time);
-  connection.timeout.async_wait(
-      [owner = std::move(owner)](const std::error_code& error) {
-        if (const auto alive = owner.lock(); alive && !error) {
-          Close(*alive);
-        }
-      });
+  Arm(connection.timeout, time, [owner = std::move(owner)] {
+    if (const auto alive = owner.lock()) {
+      Close(*alive);
+    }
+  });
 }
 
 enum class HeadRead : std::uint8_t { kHead, kEnded, kInvalid, kTooLarge };
@@ -127,7 +125,7 @@
         co_return HeadRead::kInvalid;
       case ParseState::kHead:
       case ParseState::kComplete:
-        connection->timeout.cancel();
+        Disarm(connection->timeout);
         co_return HeadRead::kHead;
     }
   }
@@ -161,7 +159,7 @@
     dropped.clear();
     read = co_await ReadBody(exchange, dropped);
   }
-  exchange.connection->timeout.cancel();
+  Disarm(exchange.connection->timeout);
   if (read != BodyRead::kComplete) {
     exchange.close_after = true;
   }
@@ -224,7 +222,7 @@
   while (usable) {
     usable = co_await HandleOne(server, connection);
   }
-  connection->timeout.cancel();
+  Disarm(connection->timeout);
   Close(*connection);
   --server.counts.open;
 }
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -337,9 +337,10 @@
   request.terms.id =
       http::ValueOf(exchange.head.headers, node.port.headers.request_id);
   const auto routes = node.routes;
-  if (!routes || !node.fleet.known) {
+  if (!routes || !node.fleet.known || node.refusing) {
     co_await Refuse(node, exchange, request, NotRunProof::NeverSent(),
-                    ErrorKind::kNotReady);
+                    node.refusing ? ErrorKind::kDraining
+                                  : ErrorKind::kNotReady);
     co_return;
   }
   if (request.terms.id.empty()) {
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -179,14 +179,8 @@
 }
 
 awaitable<void> WaitForRenewal(Node& node, base::Duration longest) {
-  asio::steady_timer timer(node.io, longest);
-  timer.async_wait([&node](const std::error_code& cancelled) {
-    if (!cancelled) {
-      http::Notify(node.lease_wanted);
-    }
-  });
-  co_await http::Wait(node.lease_wanted);
-  timer.cancel();
+  co_await http::WaitUntil(node.lease_wanted,
+                           base::BootClock::now() + longest);
   co_await http::Sleep(node.io, kLeastInterval);
 }
 
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -154,17 +154,15 @@
                            http::Exchange& watched,
                            base::TimePoint deadline)
     : cancellation(std::make_shared<Cancellation>()),
-      timer(node.io, deadline - base::BootClock::now()),
+      alarm(node.io),
       exchange(watched) {
   watched.connection->on_caller_left = [pointer = this->cancellation] {
     Cancel(*pointer, ErrorKind::kCancelled);
   };
-  this->timer.async_wait(
-      [pointer = this->cancellation](const std::error_code& error) {
-        if (!error) {
-          Cancel(*pointer, ErrorKind::kTargetTimeout);
-        }
-      });
+  http::Arm(this->alarm, deadline - base::BootClock::now(),
+            [pointer = this->cancellation] {
+              Cancel(*pointer, ErrorKind::kTargetTimeout);
+            });
 }
 
 RequestWatch::~RequestWatch() {
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -183,16 +183,6 @@
   return changed;
 }
 
-awaitable<void> WaitForRelease(Node& node) {
-  asio::steady_timer timer(node.io, kReleaseCheck);
-  timer.async_wait([&node](const std::error_code& cancelled) {
-    if (!cancelled) {
-      http::Notify(node.release_wanted);
-    }
-  });
-  co_await http::Wait(node.release_wanted);
-}
-
 bool HasMoves(const Node& node) {
   const auto found = node.ranges.find(node.settings.service);
   return found != node.ranges.end() &&
@@ -221,7 +211,8 @@
 awaitable<void> HandOverRanges(Node& node) {
   while (true) {
     if (HasMoves(node)) {
-      co_await WaitForRelease(node);
+      co_await http::WaitUntil(node.release_wanted,
+                               base::BootClock::now() + kReleaseCheck);
     } else {
       co_await http::Wait(node.release_wanted);
     }
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -27,6 +27,9 @@
 /// Callers are told to go elsewhere by readiness, which the platform asks once
 /// a second and believes after two misses.
 constexpr std::chrono::milliseconds kNoticeTime{2300};
+/// From then on new requests are refused, so that all of them have ended before
+/// the kill.
+constexpr std::chrono::milliseconds kTakeTime{3000};
 /// The node ends once it has had no request for this long.
 constexpr std::chrono::milliseconds kIdleBeforeEnd{300};
 constexpr std::chrono::milliseconds kStopCheck{50};
@@ -72,6 +75,7 @@
     if (ActiveRequests(node) > 0) {
       busy_at = now;
     }
+    node.refusing = now - begun >= kTakeTime;
     if (now - begun >= kNoticeTime && now - busy_at >= kIdleBeforeEnd) {
       break;
     }
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -28,16 +28,6 @@
   return std::min(terms.deadline - kDeadlineMargin, now + wait);
 }
 
-/// Waits for an event, at most until that time.
-awaitable<void> WaitUntil(Node& node, http::Event& event, TimePoint latest) {
-  asio::steady_timer timer(node.io, latest - base::BootClock::now());
-  timer.async_wait([&event](const std::error_code& cancelled) {
-    if (!cancelled) {
-      http::Notify(event);
-    }
-  });
-  co_await http::Wait(event);
-}
 
 /// Refused before anything else: the target is not there, leaves, is another
 /// one than the sender has chosen, or is out of service.
@@ -49,7 +39,7 @@
   if (!terms.target.empty() && terms.target != node.target.id) {
     return ErrorKind::kNoTarget;
   }
-  if (!TargetTakesRequests(node)) {
+  if (!TargetTakesRequests(node) || node.refusing) {
     return ErrorKind::kDraining;
   }
   return std::nullopt;
@@ -75,7 +65,7 @@
     if (!OwnsKey(node, terms) || base::BootClock::now() >= latest) {
       co_return ErrorKind::kNotOwner;
     }
-    co_await WaitUntil(node, node.target_changed, latest);
+    co_await http::WaitUntil(node.target_changed, latest);
     if (cancellation.cause) {
       co_return *cancellation.cause;
     }
@@ -132,7 +122,7 @@
   cancellation->abort = [waiter] { http::Notify(waiter->event); };
   while (!waiter->dispatched && !waiter->refusal && !cancellation->cause &&
          base::BootClock::now() < latest) {
-    co_await WaitUntil(node, waiter->event, latest);
+    co_await http::WaitUntil(waiter->event, latest);
   }
   cancellation->abort = nullptr;
   if (waiter->dispatched) {
