Add stand-ins of the platform and tests of the node

Stand-ins of the store and of targets speak the platform's pages and lose, delay, refuse and forget as the pages tell; the site test runs daemons against them in one process.

--- a/include/eelgrassbridge/node/run_node.hpp
+++ b/include/eelgrassbridge/node/run_node.hpp
@@ -12,6 +12,12 @@
 
 namespace eelgrassbridge::node {
 
+struct Node;
+
+/// @brief Binds the addresses and starts all parts on the node's loop. Throws
+/// std::system_error if an address cannot be bound.
+void StartNode(Node& node);
+
 /// @brief Makes the port of a platform for a loop and settings.
 using MakePort =
     std::function<PlatformPort(asio::io_context&, const NodeSettings&)>;
--- /dev/null
+++ b/src/eelgrassbridge/http/client_test.cpp
@@ -0,0 +1,124 @@
+// The client with servers that misbehave.
+#include "eelgrassbridge/http/client.hpp"
+
+#include <doctest/doctest.h>
+
+#include "test_support.hpp"
+
+namespace eelgrassbridge::http {
+namespace {
+
+using base::ErrorKind;
+using test::Await;
+using test::Loopback;
+using test::LoopThread;
+using test::ScriptedServer;
+
+ShortRequest Get() {
+  ShortRequest request;
+  request.method = "GET";
+  request.target = "/";
+  request.headers = {{"Host", "h"}};
+  return request;
+}
+
+std::size_t IdleCount(const ConnectionPool& pool) {
+  std::size_t count = 0;
+  for (const auto& [endpoint, connections] : pool.idle) {
+    count += connections.size();
+  }
+  return count;
+}
+
+TEST_CASE("a whole response is read and its connection kept") {
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                        false);
+  for (int i = 0; i < 2; ++i) {
+    const auto response =
+        Await(loop.io, Call(pool, Loopback(server.port), Get()));
+    REQUIRE(response);
+    CHECK(response.value().body == "ok");
+  }
+  CHECK(pool.opened == 1);
+  asio::post(loop.io, [&pool] { pool.idle.clear(); });
+}
+
+TEST_CASE("spare bytes behind a response end its connection") {
+  // Guards against bytes that a later request would take for its answer.
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server(
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+      true);
+  const auto response =
+      Await(loop.io, Call(pool, Loopback(server.port), Get()));
+  REQUIRE(response);
+  CHECK(IdleCount(pool) == 0);
+}
+
+TEST_CASE("a response that is cut is no response") {
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true);
+  const auto response =
+      Await(loop.io, Call(pool, Loopback(server.port), Get()));
+  REQUIRE(!response);
+  CHECK(response.error().kind == ErrorKind::kPeerLost);
+}
+
+TEST_CASE("a response that ends with its connection is whole") {
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("HTTP/1.1 200 OK\r\n\r\nall of it", true);
+  const auto response =
+      Await(loop.io, Call(pool, Loopback(server.port), Get()));
+  REQUIRE(response);
+  CHECK(response.value().body == "all of it");
+  CHECK(IdleCount(pool) == 0);
+}
+
+TEST_CASE("bytes that are no response fail the call") {
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("garbage\r\n\r\n", true);
+  const auto response =
+      Await(loop.io, Call(pool, Loopback(server.port), Get()));
+  REQUIRE(!response);
+  CHECK(response.error().kind == ErrorKind::kPeerLost);
+}
+
+TEST_CASE("a server that cannot be reached proves that nothing was sent") {
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  asio::ip::tcp::acceptor closed(loop.io, Loopback());
+  const std::uint16_t port = closed.local_endpoint().port();
+  closed.close();
+  const auto response = Await(loop.io, Call(pool, Loopback(port), Get()));
+  REQUIRE(!response);
+  CHECK(response.error().kind == ErrorKind::kPeerUnreachable);
+}
+
+TEST_CASE("a server that is silent ends a call by its timeout") {
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("", false);
+  ShortRequest request = Get();
+  request.timeout = std::chrono::milliseconds{100};
+  const auto response =
+      Await(loop.io, Call(pool, Loopback(server.port), std::move(request)));
+  REQUIRE(!response);
+  CHECK(response.error().kind == ErrorKind::kPeerTimeout);
+}
+
+TEST_CASE("addresses") {
+  CHECK(ParseEndpoint("10.0.0.1:80").has_value());
+  CHECK(!ParseEndpoint("10.0.0.1").has_value());
+  CHECK(!ParseEndpoint("10.0.0.1:0").has_value());
+  CHECK(!ParseEndpoint("host:80").has_value());
+  CHECK(!ParseEndpoint("10.0.0.1:70000").has_value());
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::http
--- /dev/null
+++ b/src/eelgrassbridge/http/server_test.cpp
@@ -0,0 +1,143 @@
+// The server with plain sockets as callers.
+#include "eelgrassbridge/http/server.hpp"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+
+#include "test_support.hpp"
+
+namespace eelgrassbridge::http {
+namespace {
+
+using test::PlainClient;
+using test::TestServer;
+
+constexpr std::chrono::milliseconds kLongWork{10000};
+
+asio::awaitable<void> AnswerPath(Exchange& exchange) {
+  std::string body;
+  BodyRead read = BodyRead::kMore;
+  while (read == BodyRead::kMore) {
+    read = co_await ReadBody(exchange, body);
+  }
+  const std::string answer = exchange.head.target + ":" + body;
+  co_await Respond(exchange, 200, {}, answer);
+}
+
+TEST_CASE("pipelined requests are answered in order") {
+  // Guards against the loss of requests that were read ahead.
+  TestServer server(AnswerPath);
+  PlainClient client(server.port);
+  client.Send(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string all = client.ReadAll();
+  CHECK(all.find("/1:") < all.find("/2:"));
+  CHECK(all.find("/2:") < all.find("/3:"));
+  CHECK(all.find("/3:") != std::string::npos);
+}
+
+TEST_CASE("a caller that leaves is noticed while its request runs") {
+  // Guards against work that goes on for a caller that is gone.
+  auto left = std::make_shared<std::atomic<bool>>(false);
+  TestServer server([left](Exchange& exchange) -> asio::awaitable<void> {
+    auto event = std::make_shared<Event>(static_cast<asio::io_context&>(
+        exchange.connection->socket.get_executor().context()));
+    exchange.connection->on_caller_left = [left, event] {
+      *left = true;
+      Notify(*event);
+    };
+    co_await WaitUntil(*event, base::BootClock::now() + kLongWork);
+  });
+  {
+    PlainClient client(server.port);
+    client.Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  }
+  // Half a second is the bound that callers are promised.
+  for (int i = 0; i < 50 && !*left; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  CHECK(*left);
+}
+
+TEST_CASE("an early answer to a long body reaches the caller") {
+  // Guards against a reset that overtakes the answer, and against the rest of
+  // the body being taken for the next request.
+  TestServer server([](Exchange& exchange) -> asio::awaitable<void> {
+    const std::string answer = exchange.head.target;
+    co_await Respond(exchange, 200, {}, answer);
+  });
+  PlainClient client(server.port);
+  client.Send("POST /early HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n");
+  CHECK(client.ReadUntil("/early").find("200 OK") != std::string::npos);
+  client.Send(std::string(200000, 'x'));
+  client.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(client.ReadUntil("/next").find("200 OK") != std::string::npos);
+}
+
+TEST_CASE("a body over the limit is refused") {
+  TestServer server(AnswerPath);
+  server.server.limits.max_body_bytes = 100;
+  PlainClient client(server.port);
+  client.Send("POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n");
+  CHECK(client.ReadUntil("\r\n\r\n").find("413") != std::string::npos);
+}
+
+TEST_CASE("bytes that are no request get 400 and the end of the connection") {
+  TestServer server(AnswerPath);
+  PlainClient client(server.port);
+  client.Send("\x16\x03\x01 this is no HTTP\r\n\r\n");
+  CHECK(client.ReadAll().starts_with("HTTP/1.1 400"));
+  CHECK(server.server.counts.invalid == 1);
+}
+
+TEST_CASE("a response that is cut short ends the connection") {
+  // Guards against a cut answer that looks complete.
+  TestServer server([](Exchange& exchange) -> asio::awaitable<void> {
+    co_await StartResponse(exchange, 200, {}, std::nullopt);
+    co_await WriteBody(exchange, "part");
+    Abort(exchange);
+  });
+  PlainClient client(server.port);
+  client.Send("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string all = client.ReadAll();
+  CHECK(all.find("part") != std::string::npos);
+  CHECK(all.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a request that is half sent when the caller stops is dropped") {
+  TestServer server(AnswerPath);
+  server.server.limits.head_timeout = std::chrono::milliseconds{100};
+  PlainClient client(server.port);
+  client.Send("GET /half HTTP/1.1\r\nHo");
+  CHECK(client.ReadAll().empty());
+}
+
+TEST_CASE("hundreds of idle connections do not keep others waiting") {
+  // Guards against a worker that an idle connection holds.
+  TestServer server(AnswerPath);
+  std::vector<std::unique_ptr<PlainClient>> idle;
+  for (int i = 0; i < 300; ++i) {
+    idle.push_back(std::make_unique<PlainClient>(server.port));
+  }
+  PlainClient client(server.port);
+  client.Send("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(client.ReadUntil("/busy:").find("200 OK") != std::string::npos);
+}
+
+TEST_CASE("a body waits for 100 Continue") {
+  TestServer server(AnswerPath);
+  PlainClient client(server.port);
+  client.Send(
+      "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+      "Expect: 100-continue\r\n\r\n");
+  CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 100"));
+  client.Send("ok");
+  CHECK(client.ReadUntil("/wait:ok").find("200 OK") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::http
--- /dev/null
+++ b/src/eelgrassbridge/limits/cold_pacer_test.cpp
@@ -0,0 +1,44 @@
+// Rate towards a cold target.
+#include "eelgrassbridge/limits/cold_pacer.hpp"
+
+#include <doctest/doctest.h>
+
+namespace eelgrassbridge::limits {
+namespace {
+
+using base::milliseconds;
+using base::TimePoint;
+
+constexpr TimePoint kStart{base::Duration{base::seconds{100}}};
+
+TEST_CASE("a cold target gets no more than it bears in any second") {
+  // Guards against the crash of a target that starts.
+  ColdPacer pacer{17, kStart + base::seconds{3}, {}};
+  int started = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const TimePoint now = kStart + milliseconds{i};
+    const auto start = ReserveStart(pacer, now, now + milliseconds{100});
+    started += start && *start < kStart + base::seconds{1} ? 1 : 0;
+  }
+  CHECK(started <= 18);
+  CHECK(started >= 16);
+}
+
+TEST_CASE("a warm target is not held back") {
+  ColdPacer pacer{17, kStart, {}};
+  for (int i = 0; i < 100; ++i) {
+    CHECK(ReserveStart(pacer, kStart, kStart) == kStart);
+  }
+}
+
+TEST_CASE("a refused request takes no place") {
+  ColdPacer pacer{10, kStart + base::seconds{3}, {}};
+  CHECK(ReserveStart(pacer, kStart, kStart));
+  for (int i = 0; i < 10; ++i) {
+    CHECK(!ReserveStart(pacer, kStart, kStart + milliseconds{50}));
+  }
+  CHECK(ReserveStart(pacer, kStart, kStart + milliseconds{100}));
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::limits
--- /dev/null
+++ b/src/eelgrassbridge/node/own_target_test.cpp
@@ -0,0 +1,149 @@
+// Intake of reports and what is granted in answer.
+#include "eelgrassbridge/node/own_target.hpp"
+
+#include <doctest/doctest.h>
+
+namespace eelgrassbridge::node {
+namespace {
+
+using base::milliseconds;
+using base::TimePoint;
+
+constexpr TimePoint kNow{base::Duration{base::seconds{100}}};
+constexpr std::string_view kDaemon = "10.0.0.1:1";
+
+TargetReport Report(std::uint64_t sequence, std::int64_t born = 100) {
+  TargetReport report;
+  report.target = "target";
+  report.service = "s";
+  report.slots = 9;
+  report.sequence = sequence;
+  report.born = born;
+  return report;
+}
+
+ranges::RangeMap MapOf(const OwnTarget& target) {
+  ranges::RangeMap map;
+  const std::vector<ranges::OwnerId> owners = {OwnerOf(target, kDaemon)};
+  ranges::DivideEvenly(map, owners);
+  return map;
+}
+
+ranges::Right ValidRight() {
+  ranges::Right right;
+  ranges::Extend(right, kNow, {});
+  return right;
+}
+
+TEST_CASE("late reports of an earlier life change nothing") {
+  // Guards against a heartbeat that a cut has held up.
+  OwnTarget target;
+  CHECK(TakeReport(target, Report(1, 200), kNow) == ReportIntake::kNewLife);
+  TargetReport late = Report(99, 100);
+  late.target = "earlier";
+  late.leaving = true;
+  CHECK(TakeReport(target, late, kNow) == ReportIntake::kStale);
+  CHECK(target.id == "target");
+  CHECK(IsServing(target));
+}
+
+TEST_CASE("reports of one life count in the order of their numbers") {
+  OwnTarget target;
+  TakeReport(target, Report(5), kNow);
+  CHECK(TakeReport(target, Report(5), kNow) == ReportIntake::kStale);
+  CHECK(TakeReport(target, Report(4), kNow) == ReportIntake::kStale);
+  CHECK(TakeReport(target, Report(6), kNow) == ReportIntake::kSameLife);
+}
+
+TEST_CASE("a target that leaves does not serve again in the same life") {
+  OwnTarget target;
+  TargetReport leaving = Report(1);
+  leaving.leaving = true;
+  TakeReport(target, leaving, kNow);
+  TakeReport(target, Report(2), kNow);
+  CHECK(!IsServing(target));
+  CHECK(TakeReport(target, Report(1, 300), kNow) == ReportIntake::kNewLife);
+  CHECK(IsServing(target));
+}
+
+TEST_CASE("a target under the same id with a later birth knows nothing") {
+  // Guards against grants of a life that has ended.
+  OwnTarget target;
+  TakeReport(target, Report(10), kNow);
+  const ranges::RangeMap map = MapOf(target);
+  MakeGrants(target, map, kDaemon, ValidRight(), {}, kNow);
+  CHECK(IsGranted(target, 5, kNow));
+  TakeReport(target, Report(1, 300), kNow);
+  CHECK(!IsGranted(target, 5, kNow));
+  const ReportAnswer answer =
+      MakeGrants(target, map, kDaemon, ValidRight(), {}, kNow);
+  REQUIRE(answer.grants);
+  CHECK(answer.grants->empty());
+}
+
+TEST_CASE("nothing is granted without a right") {
+  OwnTarget target;
+  TakeReport(target, Report(1), kNow);
+  const ReportAnswer answer =
+      MakeGrants(target, MapOf(target), kDaemon, {}, {}, kNow);
+  CHECK(!answer.grants);
+}
+
+TEST_CASE("keys that move are released only when the target says so") {
+  // Guards against a next owner beside one that still works on the keys.
+  OwnTarget target;
+  TakeReport(target, Report(1), kNow);
+  ranges::RangeMap map = MapOf(target);
+  MakeGrants(target, map, kDaemon, ValidRight(), {}, kNow);
+  map.entries[0].next_daemon = "10.0.0.2:1";
+  const ranges::KeyRange all = map.entries[0].keys;
+  CHECK(!IsReleased(target, all, kNow));
+  TargetReport working = Report(2);
+  working.held = {{all, 1}};
+  TakeReport(target, working, kNow + milliseconds{500});
+  MakeGrants(target, map, kDaemon, ValidRight(), {}, kNow + milliseconds{500});
+  CHECK(!IsReleased(target, all, kNow + milliseconds{500}));
+  TargetReport free = Report(3);
+  free.released = {{all, "state"}};
+  TakeReport(target, free, kNow + milliseconds{600});
+  CHECK(IsReleased(target, all, kNow + milliseconds{600}));
+  CHECK(HandoverOf(target, all) == "state");
+}
+
+TEST_CASE("a silent target's keys are free when its hold has ended") {
+  OwnTarget target;
+  TakeReport(target, Report(1), kNow);
+  const ranges::RangeMap map = MapOf(target);
+  const ReportAnswer answer =
+      MakeGrants(target, map, kDaemon, ValidRight(), {}, kNow);
+  const ranges::KeyRange keys{0, 10};
+  CHECK(!IsReleased(target, keys, kNow + answer.hold));
+  CHECK(IsReleased(target, keys,
+                   ranges::HoldEnd(answer.hold, kNow, {}) + milliseconds{1}));
+}
+
+TEST_CASE("holds that an earlier process granted are respected") {
+  // Guards against a restarted daemon that gives keys away which its target
+  // still holds.
+  OwnTarget target;
+  TargetReport report = Report(7);
+  report.held = {{{0, 99}, 3}};
+  TakeReport(target, report, kNow);
+  CHECK(!IsReleased(target, {50, 60}, kNow + base::seconds{3}));
+  CHECK(IsReleased(target, {100, 200}, kNow));
+}
+
+TEST_CASE("a handover does not outlive another grant of its keys") {
+  OwnTarget target;
+  TargetReport report = Report(1);
+  TakeReport(target, report, kNow);
+  const ranges::RangeMap map = MapOf(target);
+  TargetReport released = Report(2);
+  released.released = {{map.entries[0].keys, "old"}};
+  TakeReport(target, released, kNow);
+  MakeGrants(target, map, kDaemon, ValidRight(), {}, kNow);
+  CHECK(HandoverOf(target, map.entries[0].keys).empty());
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -148,6 +148,18 @@
 
 }  // namespace
 
+void StartNode(Node& node) {
+  StartServers(node);
+  Log(node.log, EventKind::kStarted,
+      {{"data_centre", node.settings.data_centre},
+       {"service", node.settings.service},
+       {"process", node.process}});
+  for (auto* part : {FollowOperator, FollowFleet, PublishMember, KeepLease,
+                     PlanRanges, HandOverRanges, FlushLog}) {
+    asio::co_spawn(node.io, part(node), LogFailure);
+  }
+}
+
 base::Result<void> RunNode(const NodeSettings& settings,
                            const MakePort& make_port,
                            const ReadSettings& read_settings) {
@@ -157,18 +169,10 @@
   // connection only.
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    StartServers(node);
+    StartNode(node);
   } catch (const std::system_error& error) {
     return base::Fail(base::ErrorKind::kSettingsInvalid, error.what());
   }
-  Log(node.log, EventKind::kStarted,
-      {{"data_centre", settings.data_centre},
-       {"service", settings.service},
-       {"process", node.process}});
-  for (auto* part : {FollowOperator, FollowFleet, PublishMember, KeepLease,
-                     PlanRanges, HandOverRanges, FlushLog}) {
-    asio::co_spawn(io, part(node), LogFailure);
-  }
   asio::co_spawn(io, WatchSignals(node, read_settings), LogFailure);
   io.run();
   // The frames of coroutines that still wait refer to the node, so the process
--- /dev/null
+++ b/standins/platform/row_standin.cpp
@@ -0,0 +1,296 @@
+// The calls of the store.
+#include "row_standin.hpp"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/ip/tcp.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "base64.hpp"
+#include "eelgrassbridge/base/time.hpp"
+
+namespace eelgrassbridge::standins {
+
+namespace {
+
+using asio::awaitable;
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kForbidden = 403;
+constexpr int kGone = 410;
+constexpr int kConditionFailed = 412;
+constexpr int kServiceUnavailable = 503;
+constexpr std::chrono::milliseconds kSilence{60000};
+constexpr std::chrono::milliseconds kLateBy{300};
+
+RowStandin::Name NameOf(const json& value) {
+  return {value.at("table").get<std::string>(),
+          value.at("part").get<std::string>(),
+          value.at("key").get<std::string>()};
+}
+
+json RowJson(const RowStandin::Name& name, const RowStandin::Row& row) {
+  json value = {{"table", std::get<0>(name)},
+                {"part", std::get<1>(name)},
+                {"key", std::get<2>(name)},
+                {"ver", row.version}};
+  if (row.removed) {
+    value["removed"] = true;
+  } else {
+    value["value"] = row.value;
+  }
+  return value;
+}
+
+json State(const RowStandin& standin) {
+  const auto now = base::BootClock::now().time_since_epoch();
+  return {{"ver", standin.version},
+          {"now_s", std::chrono::duration<double>(now).count()}};
+}
+
+std::uint64_t VersionOf(const RowStandin& standin,
+                        const RowStandin::Name& name) {
+  const auto found = standin.rows.find(name);
+  return found == standin.rows.end() || found->second.removed
+             ? 0
+             : found->second.version;
+}
+
+struct Reply {
+  int status = kOk;
+  json body;
+};
+
+Reply ApplyTransaction(RowStandin& standin, const json& request) {
+  Reply reply{kOk, State(standin)};
+  json present = json::array();
+  bool holds = true;
+  for (const json& condition : request.at("expect")) {
+    const RowStandin::Name name = NameOf(condition);
+    const std::uint64_t version = VersionOf(standin, name);
+    holds = holds && version == condition.at("ver").get<std::uint64_t>();
+    if (version > 0) {
+      present.push_back(RowJson(name, standin.rows.at(name)));
+    }
+  }
+  if (!holds) {
+    reply.status = kConditionFailed;
+    reply.body["rows"] = present;
+    return reply;
+  }
+  ++standin.version;
+  ++standin.writes;
+  for (const json& write : request.at("writes")) {
+    const RowStandin::Name name = NameOf(write);
+    if (std::get<0>(name) == "op") {
+      return {kForbidden, json::object()};
+    }
+    standin.rows[name] = {write.at("value").get<std::string>(),
+                          standin.version, false};
+  }
+  for (const json& removal : request.at("delete")) {
+    standin.rows[NameOf(removal)] = {{}, standin.version, true};
+  }
+  http::Notify(standin.changed);
+  reply.body = State(standin);
+  return reply;
+}
+
+int HexDigit(char letter) {
+  int value = 0;
+  std::from_chars(&letter, &letter + 1, value, 16);
+  return value;
+}
+
+std::string UrlDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      decoded += static_cast<char>(HexDigit(text[i + 1]) * 16 +
+                                   HexDigit(text[i + 2]));
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
+std::map<std::string, std::string> QueryOf(std::string_view target) {
+  std::map<std::string, std::string> query;
+  const auto mark = target.find('?');
+  std::string_view rest =
+      mark == std::string_view::npos ? "" : target.substr(mark + 1);
+  while (!rest.empty()) {
+    const auto end = rest.find('&');
+    const std::string_view item = rest.substr(0, end);
+    const auto equals = item.find('=');
+    query[std::string(item.substr(0, equals))] =
+        UrlDecode(item.substr(equals + 1));
+    rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
+  }
+  return query;
+}
+
+Reply GetRows(const RowStandin& standin, std::string_view target) {
+  auto query = QueryOf(target);
+  Reply reply{kOk, State(standin)};
+  reply.body["rows"] = json::array();
+  reply.body["has_more"] = false;
+  for (const auto& [name, row] : standin.rows) {
+    const auto& [table, partition, key] = name;
+    if (table == query["table"] && partition == query["part"] &&
+        key >= query["from"] && !row.removed) {
+      reply.body["rows"].push_back(RowJson(name, row));
+    }
+  }
+  return reply;
+}
+
+/// All rows of the table that were changed after a version, oldest first.
+json ChangedRows(const RowStandin& standin,
+                 const std::string& table,
+                 std::uint64_t after) {
+  std::map<std::uint64_t, json> changed;
+  for (const auto& [name, row] : standin.rows) {
+    if (std::get<0>(name) == table && row.version > after) {
+      json& list = changed[row.version];
+      list.push_back(RowJson(name, row));
+    }
+  }
+  json rows = json::array();
+  for (const auto& [version, list] : changed) {
+    for (const json& row : list) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+awaitable<Reply> FollowRows(RowStandin& standin, std::string target) {
+  auto query = QueryOf(target);
+  const std::uint64_t after =
+      http::ParseNumber(query["after"]).value_or(0);
+  const auto wait = base::milliseconds{
+      static_cast<std::int64_t>(http::ParseNumber(query["wait_ms"]).value_or(0))};
+  if (after < standin.history_from) {
+    co_return Reply{kGone, State(standin)};
+  }
+  const base::TimePoint end = base::BootClock::now() + wait;
+  json rows = ChangedRows(standin, query["table"], after);
+  while (rows.empty() && base::BootClock::now() < end) {
+    co_await http::WaitUntil(standin.changed, end);
+    rows = ChangedRows(standin, query["table"], after);
+  }
+  Reply reply{kOk, State(standin)};
+  reply.body["rows"] = std::move(rows);
+  co_return reply;
+}
+
+awaitable<void> ApplyLate(RowStandin& standin, json request) {
+  co_await http::Sleep(
+      static_cast<asio::io_context&>(
+          standin.changed.timer->get_executor().context()),
+      kLateBy);
+  ApplyTransaction(standin, request);
+}
+
+awaitable<Reply> Dispatch(RowStandin& standin,
+                          std::string target,
+                          std::string body) {
+  const std::string_view path = http::PathOf(target);
+  if (path == "/api/rows-tx") {
+    const json request = json::parse(body);
+    if (standin.trouble == StoreTrouble::kLateWrites) {
+      asio::co_spawn(standin.server.io, ApplyLate(standin, request),
+                     asio::detached);
+      co_return Reply{};
+    }
+    co_return ApplyTransaction(standin, request);
+  }
+  if (path == "/api/rows-get") {
+    co_return GetRows(standin, target);
+  }
+  if (path == "/api/rows-feed") {
+    co_return co_await FollowRows(standin, target);
+  }
+  co_return Reply{kBadRequest, json::object()};
+}
+
+awaitable<void> Handle(RowStandin& standin, http::Exchange& exchange) {
+  ++standin.calls;
+  std::string body;
+  http::BodyRead read = http::BodyRead::kMore;
+  while (read == http::BodyRead::kMore) {
+    read = co_await http::ReadBody(exchange, body);
+  }
+  if (standin.delay.count() > 0) {
+    co_await http::Sleep(standin.server.io, standin.delay);
+  }
+  if (standin.trouble == StoreTrouble::kBusy) {
+    co_await http::Respond(exchange, kServiceUnavailable, {}, {});
+    co_return;
+  }
+  if (standin.trouble == StoreTrouble::kSilent) {
+    co_await http::Sleep(standin.server.io, kSilence);
+    co_return;
+  }
+  const std::string target = exchange.head.target;
+  const Reply reply = co_await Dispatch(standin, target, body);
+  if (standin.trouble != StoreTrouble::kNone) {
+    http::Abort(exchange);
+    co_return;
+  }
+  const std::string text = reply.body.dump();
+  co_await http::Respond(exchange, reply.status, {}, text);
+}
+
+}  // namespace
+
+RowStandin::RowStandin(asio::io_context& io) : server(io), changed(io) {}
+
+std::string Start(RowStandin& standin) {
+  standin.server.handler = [&standin](http::Exchange& exchange) {
+    return Handle(standin, exchange);
+  };
+  http::Listen(standin.server,
+               {asio::ip::make_address("127.0.0.1"), 0});
+  asio::co_spawn(standin.server.io, http::Serve(standin.server),
+                 asio::detached);
+  return "127.0.0.1:" +
+         std::to_string(standin.server.acceptor->local_endpoint().port());
+}
+
+void PutOperatorRow(RowStandin& standin,
+                    std::string_view key,
+                    std::string_view value) {
+  ++standin.version;
+  standin.rows[{"op", "", std::string(key)}] = {platform::EncodeBase64(value),
+                                                standin.version, false};
+  http::Notify(standin.changed);
+}
+
+void RemoveOperatorRow(RowStandin& standin, std::string_view key) {
+  ++standin.version;
+  standin.rows[{"op", "", std::string(key)}] = {{}, standin.version, true};
+  http::Notify(standin.changed);
+}
+
+void ForgetHistory(RowStandin& standin) {
+  standin.history_from = standin.version + 1;
+  ++standin.version;
+  http::Notify(standin.changed);
+}
+
+std::string ValueOf(const RowStandin& standin, const RowStandin::Name& name) {
+  const auto found = standin.rows.find(name);
+  if (found == standin.rows.end() || found->second.removed) {
+    return {};
+  }
+  return platform::DecodeBase64(found->second.value).value_or("");
+}
+
+}  // namespace eelgrassbridge::standins
--- /dev/null
+++ b/standins/platform/target_standin.cpp
@@ -0,0 +1,225 @@
+// Reports, holds and runs of the stand-in.
+#include "target_standin.hpp"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace eelgrassbridge::standins {
+
+namespace {
+
+using asio::awaitable;
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr int kInternalError = 500;
+
+http::Headers AnswerHeaders(const TargetStandin& target,
+                            const http::Exchange& exchange) {
+  http::Headers headers;
+  headers.push_back(
+      {"Request-Id",
+       std::string(http::ValueOf(exchange.head.headers, "Request-Id"))});
+  headers.push_back({"Instance-Id", target.id});
+  return headers;
+}
+
+awaitable<void> RefuseRun(TargetStandin& target,
+                          http::Exchange& exchange,
+                          int status) {
+  http::Headers headers = AnswerHeaders(target, exchange);
+  headers.push_back({"Not-Executed", "1"});
+  co_await http::Respond(exchange, status, std::move(headers), {});
+}
+
+bool IsMisdirected(const TargetStandin& target, const http::RequestHead& head) {
+  const std::string_view expected =
+      http::ValueOf(head.headers, "Expected-Instance");
+  const auto key = http::ParseNumber(http::ValueOf(head.headers, "Shard-Key"));
+  return expected != target.id ||
+         (target.divided &&
+          (!key || !Holds(target, static_cast<std::uint32_t>(*key))));
+}
+
+awaitable<void> AnswerRun(TargetStandin& target, http::Exchange& exchange) {
+  http::Headers headers = AnswerHeaders(target, exchange);
+  headers.push_back({"Server-Signature", target.id});
+  const std::string body = "done by " + target.id;
+  switch (target.trouble) {
+    case TargetTrouble::kFails:
+      co_await http::Respond(exchange, kInternalError, std::move(headers), {});
+      break;
+    case TargetTrouble::kLosesAnswers:
+      http::Abort(exchange);
+      break;
+    case TargetTrouble::kCutsAnswers:
+      co_await http::StartResponse(exchange, kOk, std::move(headers), 1000);
+      co_await http::WriteBody(exchange, body);
+      http::Abort(exchange);
+      break;
+    case TargetTrouble::kExtraAnswer: {
+      http::Headers again = headers;
+      co_await http::Respond(exchange, kOk, std::move(headers), body);
+      co_await http::Respond(exchange, kOk, std::move(again), "extra");
+      break;
+    }
+    case TargetTrouble::kNone:
+    case TargetTrouble::kFull:
+      co_await http::Respond(exchange, kOk, std::move(headers), body);
+      break;
+  }
+}
+
+awaitable<void> HandleRequest(TargetStandin& target, http::Exchange& exchange) {
+  if (IsMisdirected(target, exchange.head)) {
+    co_await RefuseRun(target, exchange, kMisdirected);
+    co_return;
+  }
+  if (target.trouble == TargetTrouble::kFull ||
+      target.running >= target.slots) {
+    co_await RefuseRun(target, exchange, kServiceUnavailable);
+    co_return;
+  }
+  const std::string id(http::ValueOf(exchange.head.headers, "Request-Id"));
+  target.last_caller_service =
+      http::ValueOf(exchange.head.headers, "Caller-Service");
+  ++target.runs[id];
+  ++target.running;
+  target.most_running = std::max(target.most_running, target.running);
+  std::string body;
+  http::BodyRead read = http::BodyRead::kMore;
+  while (read == http::BodyRead::kMore) {
+    read = co_await http::ReadBody(exchange, body);
+  }
+  target.bodies[id] = body;
+  bool left = false;
+  http::Event event(target.server.io);
+  exchange.connection->on_caller_left = [&left, &event] {
+    left = true;
+    http::Notify(event);
+  };
+  const base::TimePoint end = base::BootClock::now() + target.work;
+  while (!left && base::BootClock::now() < end) {
+    co_await http::WaitUntil(event, end);
+  }
+  exchange.connection->on_caller_left = nullptr;
+  --target.running;
+  target.cancelled += left ? 1 : 0;
+  if (!left) {
+    co_await AnswerRun(target, exchange);
+  }
+}
+
+json ReportBody(TargetStandin& target) {
+  json held = json::array();
+  if (base::BootClock::now() < target.held_until) {
+    for (const auto& hold : target.holds) {
+      held.push_back({hold.first, hold.last, hold.token});
+    }
+  }
+  json released = json::array();
+  for (const auto& hold : target.released) {
+    released.push_back({hold.first, hold.last, "state"});
+  }
+  return {{"address", target.address},
+          {"born", target.born},
+          {"holds", held},
+          {"released", released},
+          {"info",
+           {{"service", target.service},
+            {"version", "v1"},
+            {"zone", "a"},
+            {"capacity", target.slots}}},
+          {"status",
+           {{"phase", target.leaving ? "draining" : "ready"},
+            {"sequence", ++target.sequence},
+            {"cold_remaining_s", target.cold_seconds}}}};
+}
+
+/// Takes the ranges of an answer; what is left out is released.
+bool TakeAnswer(TargetStandin& target,
+                const json& answer,
+                base::TimePoint sent_at) {
+  if (!answer.contains("holds")) {
+    return false;
+  }
+  std::vector<TargetStandin::Hold> next;
+  for (const json& row : answer["holds"]) {
+    next.push_back({row.at(0).get<std::uint32_t>(),
+                    row.at(1).get<std::uint32_t>(),
+                    row.at(2).get<std::uint64_t>()});
+  }
+  bool any_released = false;
+  for (const auto& old : target.holds) {
+    const bool kept = std::ranges::any_of(next, [&old](const auto& hold) {
+      return hold.first <= old.first && old.last <= hold.last;
+    });
+    if (!kept) {
+      target.released.push_back(old);
+      any_released = true;
+    }
+  }
+  target.holds = std::move(next);
+  target.held_until =
+      sent_at + base::Duration{static_cast<std::int64_t>(
+                    answer.at("hold_s").get<double>() * 1e6)};
+  return any_released;
+}
+
+awaitable<void> ReportLoop(TargetStandin& target) {
+  while (target.reporting) {
+    const base::TimePoint sent_at = base::BootClock::now();
+    http::ShortRequest request;
+    request.method = "POST";
+    request.target = "/api/rpc?call=instances.heartbeat&of=" + target.id;
+    request.headers = {{"Host", "daemon"}};
+    request.body = ReportBody(target).dump();
+    const auto endpoint = http::ParseEndpoint(target.reports);
+    const auto answer =
+        co_await http::Call(target.pool, *endpoint, std::move(request));
+    bool again = false;
+    if (answer && answer.value().head.status == kOk) {
+      target.released.clear();
+      again = TakeAnswer(target, json::parse(answer.value().body), sent_at);
+    }
+    if (!again) {
+      co_await http::Sleep(target.server.io, target.report_interval);
+    }
+  }
+}
+
+}  // namespace
+
+TargetStandin::TargetStandin(asio::io_context& io, std::string target_id)
+    : server(io),
+      pool(io, {}),
+      id(std::move(target_id)),
+      born(base::UnixMilliseconds()) {}
+
+void Start(TargetStandin& target) {
+  target.server.handler = [&target](http::Exchange& exchange) {
+    return HandleRequest(target, exchange);
+  };
+  http::Listen(target.server, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::co_spawn(target.server.io, http::Serve(target.server), asio::detached);
+  target.address =
+      "127.0.0.1:" +
+      std::to_string(target.server.acceptor->local_endpoint().port());
+}
+
+void StartReports(TargetStandin& target) {
+  asio::co_spawn(target.server.io, ReportLoop(target), asio::detached);
+}
+
+bool Holds(const TargetStandin& target, std::uint32_t key) {
+  return base::BootClock::now() < target.held_until &&
+         std::ranges::any_of(target.holds, [key](const auto& hold) {
+           return hold.first <= key && key <= hold.last;
+         });
+}
+
+}  // namespace eelgrassbridge::standins
--- /dev/null
+++ b/standins/platform/target_standin.hpp
@@ -0,0 +1,83 @@
+// Stand-in of a target on the platform: it reports itself, holds ranges under
+// fencing tokens, and runs requests, as the platform's pages tell.
+#ifndef EELGRASSBRIDGE_STANDINS_PLATFORM_TARGET_STANDIN_HPP
+#define EELGRASSBRIDGE_STANDINS_PLATFORM_TARGET_STANDIN_HPP
+
+#include <asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/http/client.hpp"
+#include "eelgrassbridge/http/server.hpp"
+
+namespace eelgrassbridge::standins {
+
+/// @brief How a request ends at the target.
+enum class TargetTrouble : std::uint8_t {
+  kNone,
+  /// Says that it is full and has not run the request.
+  kFull,
+  /// Runs the request and answers 500.
+  kFails,
+  /// Runs the request and ends the connection without an answer.
+  kLosesAnswers,
+  /// Runs the request and cuts its answer in the middle.
+  kCutsAnswers,
+  /// Sends a second answer behind the first one.
+  kExtraAnswer,
+};
+
+struct TargetStandin {
+  TargetStandin(asio::io_context& io, std::string target_id);
+
+  struct Hold {
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t token = 0;
+  };
+
+  http::Server server;
+  http::ConnectionPool pool;
+  std::string id;
+  std::string service = "service";
+  std::string address;
+  /// Where it reports itself.
+  std::string reports;
+  std::int64_t born = 0;
+  std::uint64_t sequence = 0;
+  std::uint32_t slots = 9;
+  double cold_seconds = 0;
+  bool divided = false;
+  bool leaving = false;
+  bool reporting = true;
+  std::chrono::milliseconds report_interval{200};
+  std::chrono::milliseconds work{5};
+  TargetTrouble trouble = TargetTrouble::kNone;
+  std::vector<Hold> holds;
+  base::TimePoint held_until{};
+  std::vector<Hold> released;
+  /// Requests that it began to run, with how often.
+  std::map<std::string, int> runs;
+  std::map<std::string, std::string> bodies;
+  std::string last_caller_service;
+  std::uint32_t running = 0;
+  std::uint32_t most_running = 0;
+  std::uint64_t cancelled = 0;
+};
+
+/// @brief Listens on a free loopback port; sets the address.
+void Start(TargetStandin& target);
+
+/// @brief Begins to report itself. Ends when `reporting` is unset.
+void StartReports(TargetStandin& target);
+
+/// @brief Whether it holds the key now.
+bool Holds(const TargetStandin& target, std::uint32_t key);
+
+}  // namespace eelgrassbridge::standins
+
+#endif  // EELGRASSBRIDGE_STANDINS_PLATFORM_TARGET_STANDIN_HPP
