Ask targets for a free slot before waiting for one

Cause: a request queued at the first target it was sent to while others had free slots; callers that came back late waited in front of those who could be served in time; keys were balanced every 3 s from counts that had not filled up.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -59,6 +59,8 @@
   std::array<float, kBuckets> counts{};
   double total = 0;
   base::TimePoint decayed_at{};
+  /// First request; the zero time before it.
+  base::TimePoint began_at{};
   /// Mean run time; zero before the first answer.
   double run_seconds = 0;
 };
@@ -140,6 +142,9 @@
   /// Ranges may have become free for their next owner.
   http::Event release_wanted;
 
+  /// Longest time left of a request in milliseconds, by route.
+  std::map<std::string, std::uint64_t, std::less<>> longest_time_left;
+
   bool stopping = false;
   /// The planned stop is so far that no new request is taken.
   bool refusing = false;
--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -27,6 +27,9 @@
       catalogue::RequestClass::kNonIdempotent;
   std::uint32_t priority = 0;
   base::Duration objective{};
+  /// Longest time that it may wait for a slot of the target; zero while
+  /// another target may have one free.
+  base::Duration wait{};
   /// Key of a divided service.
   std::optional<std::uint32_t> key;
   /// Service of the VM where the request began; set by the daemon there.
@@ -139,8 +142,8 @@
 /// @brief Removes all headers that only daemons may set.
 void RemoveOwnHeaders(http::Headers& headers);
 
-/// @brief "idempotent;1;500;4711": class, priority, objective in milliseconds
-/// and key of a request, for another daemon.
+/// @brief "idempotent;1;500;200;4711": class, priority, objective and wait in
+/// milliseconds, and key of a request, for another daemon.
 std::string EncodeTerms(const RequestTerms& terms);
 base::Result<void> DecodeTerms(std::string_view text, RequestTerms& terms);
 
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -22,7 +22,13 @@
 /// Body bytes kept for another attempt; most uploads are shorter.
 constexpr std::size_t kKeptBody = std::size_t{64} * 1024;
 /// Attempts that reach no target cost little, but each takes a round trip.
-constexpr std::uint32_t kMaxAttempts = 5;
+constexpr std::uint32_t kMaxAttempts = 6;
+/// A request that waits for a slot longer than this part of its objective is
+/// better sent by its caller once more.
+constexpr double kWaitShare = 0.4;
+/// A caller that has tried for longer than this part of the objective cannot be
+/// answered in time any more; it does not wait in front of those who can.
+constexpr double kLateShare = 0.8;
 /// Another attempt needs at least this much time.
 constexpr base::Duration kLeastTime = base::milliseconds{40};
 /// Between attempts for a key whose owner changes or cannot be reached.
@@ -40,8 +46,15 @@
   std::uint32_t reached_targets = 0;
   /// An attempt may have run, so no later refusal proves anything.
   bool maybe_ran = false;
+  /// All targets in question have no free slot: one of them is waited for.
+  bool queueing = false;
 };
 
+base::Duration PartOf(base::Duration time, double share) {
+  return base::Duration{
+      static_cast<std::int64_t>(static_cast<double>(time.count()) * share)};
+}
+
 /// Where an attempt goes.
 struct Destination {
   std::string daemon;
@@ -62,20 +75,50 @@
   return Destination{entry->owner.daemon, entry->owner.target};
 }
 
-std::optional<Destination> ChooseMember(Node& node, const Attempts& attempts) {
-  const auto table = node.fleet.targets.find(attempts.request.terms.service);
-  if (table == node.fleet.targets.end()) {
-    return std::nullopt;
-  }
+/// Members that may not or cannot take the request.
+std::vector<base::DaemonId> Excluded(const Node& node,
+                                     const Attempts& attempts) {
   std::vector<base::DaemonId> exclude = attempts.tried;
+  if (attempts.route.home_regions.empty()) {
+    return exclude;
+  }
   for (const auto& [address, member] : node.fleet.members) {
     if (!catalogue::MayServe(attempts.route,
                              RegionOf(node.settings, member.data_centre))) {
       exclude.push_back(NumberOf(address));
     }
   }
-  const auto chosen = routing::ChooseTarget(table->second, node.random(),
-                                            exclude, base::BootClock::now());
+  return exclude;
+}
+
+std::optional<Destination> ChooseMember(Node& node, Attempts& attempts) {
+  RequestTerms& terms = attempts.request.terms;
+  const auto table = node.fleet.targets.find(terms.service);
+  if (table == node.fleet.targets.end()) {
+    return std::nullopt;
+  }
+  const TimePoint now = base::BootClock::now();
+  std::optional<base::DaemonId> chosen;
+  const bool stay_near =
+      terms.request_class == catalogue::RequestClass::kUpload;
+  if (stay_near) {
+    // The link between regions is narrow and billed; a large body goes over it
+    // only if no target of this region is there.
+    chosen = routing::ChooseTarget(table->second, node.random(),
+                                   Excluded(node, attempts), now,
+                                   routing::Locality::kRegion);
+  }
+  if (!chosen && (!stay_near || attempts.tried.empty())) {
+    chosen = routing::ChooseTarget(table->second, node.random(),
+                                   Excluded(node, attempts), now);
+  }
+  if (!chosen && !attempts.queueing && !attempts.tried.empty()) {
+    // Every target has been asked once; now one of them is waited for.
+    attempts.queueing = true;
+    attempts.tried.clear();
+    chosen = routing::ChooseTarget(table->second, node.random(),
+                                   Excluded(node, attempts), now);
+  }
   if (!chosen) {
     return std::nullopt;
   }
@@ -94,8 +137,7 @@
               route, RegionOf(node.settings, found->second.data_centre)));
 }
 
-std::optional<Destination> ChooseDestination(Node& node,
-                                             const Attempts& attempts) {
+std::optional<Destination> ChooseDestination(Node& node, Attempts& attempts) {
   const auto chosen = attempts.request.terms.key ? OwnerOfKey(node, attempts)
                                                  : ChooseMember(node, attempts);
   if (!chosen || !MayGoTo(node, attempts.route, *chosen)) {
@@ -137,6 +179,10 @@
   ++request.attempts;
   request.last_daemon = destination.daemon;
   request.terms.target = destination.target;
+  const bool may_wait =
+      (request.terms.key || attempts.queueing) && !request.late;
+  request.terms.wait = may_wait ? PartOf(request.terms.objective, kWaitShare)
+                                : base::Duration{0};
   if (!request.terms.key) {
     attempts.tried.push_back(NumberOf(destination.daemon));
   }
@@ -194,8 +240,7 @@
 /// Waits a moment for another owner of the key. False: it has waited enough.
 awaitable<bool> AwaitOwner(Node& node, const Attempts& attempts) {
   const RequestTerms& terms = attempts.request.terms;
-  const auto wait = base::Duration{static_cast<std::int64_t>(
-      static_cast<double>(terms.objective.count()) * kOwnerWaitShare)};
+  const base::Duration wait = PartOf(terms.objective, kOwnerWaitShare);
   const TimePoint now = base::BootClock::now();
   if (now + kOwnerPause >
       std::min(attempts.request.arrived + wait, terms.deadline)) {
@@ -274,6 +319,15 @@
   co_await AwaitPump(result);
 }
 
+/// The time left tells how long the caller has been trying: a first attempt has
+/// the longest one that was seen on its route.
+bool IsLate(Node& node, const Route& route, std::uint64_t left_ms) {
+  std::uint64_t& longest = node.longest_time_left[route.name];
+  longest = std::max(longest, left_ms);
+  return base::milliseconds{longest - left_ms} >
+         PartOf(route.objective, kLateShare);
+}
+
 /// Fills the terms from the head; an error for a request that cannot be served.
 base::Result<const Route*> ReadTerms(Node& node,
                                      const catalogue::RouteTable& routes,
@@ -297,6 +351,7 @@
   const auto left =
       http::ParseNumber(http::ValueOf(head.headers, names.time_left));
   if (left) {
+    request.late = IsLate(node, *route, *left);
     terms.deadline =
         std::min(terms.deadline,
                  request.arrived + base::Duration{base::milliseconds{std::min(
@@ -365,7 +420,7 @@
     co_await Reject(node, exchange, request, received.error().kind);
     co_return;
   }
-  Attempts attempts{*route.value(), request, message, {}, 0, false};
+  Attempts attempts{*route.value(), request, message, {}, 0, false, false};
   RunResult result = co_await RunAttempts(node, attempts, watch.cancellation);
   co_await GiveFinalAnswer(node, exchange, attempts, result);
 }
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -15,13 +15,14 @@
 using base::ErrorKind;
 
 /// Longest wait of one poll. A poll that the store has lost is noticed after
-/// this time, so it bounds how late a change is heard after an outage.
-constexpr std::chrono::milliseconds kPollTime{3000};
+/// this time and a second, so it bounds how late a change is heard after an
+/// outage.
+constexpr std::chrono::milliseconds kPollTime{5000};
 /// Pause after a failed call; doubled up to the longest one.
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr std::chrono::milliseconds kLongestPause{800};
 /// Changes that follow each other closely are fetched together.
-constexpr std::chrono::milliseconds kFeedPause{25};
+constexpr std::chrono::milliseconds kFeedPause{80};
 
 struct Backoff {
   std::chrono::milliseconds next = kFirstPause;
--- a/src/eelgrassbridge/node/key_demand.cpp
+++ b/src/eelgrassbridge/node/key_demand.cpp
@@ -1,6 +1,7 @@
 // Decaying counts of requests by key.
 #include "eelgrassbridge/node/key_demand.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -12,7 +13,7 @@
 /// dozen requests, short enough to follow keys that become busy.
 constexpr double kDecaySeconds = 4;
 constexpr base::Duration kDecayStep = base::milliseconds{250};
-constexpr double kRunTimeWeight = 0.05;
+constexpr double kRunTimeWeight = 0.1;
 constexpr std::uint32_t kParts = 16;
 constexpr std::uint32_t kKeysPerBucket =
     (ranges::kLastKey + 1) / KeyDemand::kBuckets;
@@ -34,6 +35,9 @@
     demand.total *= factor;
     demand.decayed_at = now;
   }
+  if (demand.began_at == base::TimePoint{}) {
+    demand.began_at = now;
+  }
   demand.counts[key / kKeysPerBucket] += 1;
   demand.total += 1;
 }
@@ -52,7 +56,12 @@
                          base::TimePoint now) {
   ranges::OwnerLoad load;
   const double factor = DecayOf(now - demand.decayed_at);
-  load.requests_per_second = demand.total * factor / kDecaySeconds;
+  // Before the counts have filled up, they stand for a shorter time.
+  const double filled = 1 - DecayOf(now - demand.began_at);
+  load.requests_per_second =
+      demand.total == 0
+          ? 0
+          : demand.total * factor / (kDecaySeconds * std::max(filled, 0.1));
   load.run_seconds = demand.run_seconds;
   load.slots = slots;
   double passed = 0;
--- a/src/eelgrassbridge/node/request.cpp
+++ b/src/eelgrassbridge/node/request.cpp
@@ -13,7 +13,7 @@
 constexpr int kMisdirected = 421;
 constexpr std::array<std::string_view, 3> kClassNames = {
     "idempotent", "non_idempotent", "upload"};
-constexpr std::size_t kTermsParts = 4;
+constexpr std::size_t kTermsParts = 5;
 
 std::optional<catalogue::RequestClass> ClassNamed(std::string_view name) {
   const auto found = std::ranges::find(kClassNames, name);
@@ -89,9 +89,11 @@
 std::string EncodeTerms(const RequestTerms& terms) {
   const auto objective =
       std::chrono::duration_cast<base::milliseconds>(terms.objective).count();
-  return fmt::format("{};{};{};{}",
+  const auto wait =
+      std::chrono::duration_cast<base::milliseconds>(terms.wait).count();
+  return fmt::format("{};{};{};{};{}",
                      kClassNames[static_cast<std::size_t>(terms.request_class)],
-                     terms.priority, objective,
+                     terms.priority, objective, wait,
                      terms.key ? fmt::format("{}", *terms.key) : "");
 }
 
@@ -100,15 +102,17 @@
   const auto request_class = ClassNamed(parts[0]);
   const auto priority = http::ParseNumber(parts[1]);
   const auto objective = http::ParseNumber(parts[2]);
-  const auto key = http::ParseNumber(parts[3]);
-  if (!request_class || !priority || !objective ||
-      (!key && !parts[3].empty())) {
+  const auto wait = http::ParseNumber(parts[3]);
+  const auto key = http::ParseNumber(parts[4]);
+  if (!request_class || !priority || !objective || !wait ||
+      (!key && !parts[4].empty())) {
     return base::Fail(base::ErrorKind::kBadRequest,
                       "the terms of the request cannot be read");
   }
   terms.request_class = *request_class;
   terms.priority = static_cast<std::uint32_t>(*priority);
   terms.objective = base::milliseconds{*objective};
+  terms.wait = base::milliseconds{*wait};
   terms.key.reset();
   if (key) {
     terms.key = static_cast<std::uint32_t>(*key);
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -16,16 +16,11 @@
 using base::ErrorKind;
 using base::TimePoint;
 
-/// A request that waits longer than this part of its objective is better sent
-/// elsewhere, or by its caller once more.
-constexpr double kWaitShare = 0.4;
 /// The target's own answer at its deadline still reaches the caller in time.
 constexpr base::Duration kDeadlineMargin = base::milliseconds{10};
 
 TimePoint LatestStart(const RequestTerms& terms, TimePoint now) {
-  const auto wait = base::Duration{static_cast<std::int64_t>(
-      static_cast<double>(terms.objective.count()) * kWaitShare)};
-  return std::min(terms.deadline - kDeadlineMargin, now + wait);
+  return std::min(terms.deadline - kDeadlineMargin, now + terms.wait);
 }
 
 /// Refused before anything else: the target is not there, leaves, is another
@@ -141,6 +136,10 @@
   return static_cast<catalogue::PriorityClass>(std::min(priority, kLast));
 }
 
+bool HasFreeSlot(const limits::TargetLimiter& limiter) {
+  return limiter.queued == 0 && limiter.in_flight < limits::Bound(limiter);
+}
+
 awaitable<base::Result<SlotPointer>> AcquireSlot(
     Node& node,
     const RequestTerms& terms,
@@ -158,8 +157,13 @@
   if (cancellation->cause) {
     co_return base::Fail(*cancellation->cause, {});
   }
+  const bool may_wait = terms.wait > base::Duration{0};
+  if (!may_wait && !HasFreeSlot(node.admission.limiter)) {
+    co_return base::Fail(ErrorKind::kOverloaded, {});
+  }
   const limits::Admission admission = limits::Admit(
-      node.admission.limiter, {ClassOf(terms.priority), {}, latest},
+      node.admission.limiter,
+      {ClassOf(terms.priority), {}, may_wait ? latest : terms.deadline},
       base::BootClock::now());
   DispatchWaiters(node);
   switch (admission.state) {
