Give a poll up when the store is lost, and wait at the first target again

Change: polls for the operator's rows wait 2.5 s; those for the fleet's rows wait 20 s and are given up when another call finds the store lost.

--- a/include/eelgrassbridge/node/final_answer.hpp
+++ b/include/eelgrassbridge/node/final_answer.hpp
@@ -19,8 +19,6 @@
   base::TimePoint arrived{};
   std::uint32_t attempts = 0;
   std::uint64_t routes_version = 0;
-  /// Its caller has tried before, for so long that no answer is in time.
-  bool late = false;
   /// Daemon of the last attempt.
   std::string last_daemon;
 };
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -96,8 +96,13 @@
 
 /// @brief Connection to the store as seen from here.
 struct StoreView {
+  explicit StoreView(asio::io_context& io) : changed(io) {}
   ranges::StoreClock clock;
   bool reachable = false;
+  /// How often it has been lost.
+  std::uint64_t losses = 0;
+  /// It has been lost, or a poll has ended.
+  http::Event changed;
 };
 
 struct Node {
@@ -142,9 +147,6 @@
   /// Ranges may have become free for their next owner.
   http::Event release_wanted;
 
-  /// Longest time left of a request in milliseconds, by route.
-  std::map<std::string, std::uint64_t, std::less<>> longest_time_left;
-
   bool stopping = false;
   /// The planned stop is so far that no new request is taken.
   bool refusing = false;
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -22,13 +22,10 @@
 /// Body bytes kept for another attempt; most uploads are shorter.
 constexpr std::size_t kKeptBody = std::size_t{64} * 1024;
 /// Attempts that reach no target cost little, but each takes a round trip.
-constexpr std::uint32_t kMaxAttempts = 6;
+constexpr std::uint32_t kMaxAttempts = 5;
 /// A request that waits for a slot longer than this part of its objective is
 /// better sent by its caller once more.
 constexpr double kWaitShare = 0.4;
-/// A caller that has tried for longer than this part of the objective cannot be
-/// answered in time any more; it does not wait in front of those who can.
-constexpr double kLateShare = 0.8;
 /// Another attempt needs at least this much time.
 constexpr base::Duration kLeastTime = base::milliseconds{40};
 /// Between attempts for a key whose owner changes or cannot be reached.
@@ -46,8 +43,6 @@
   std::uint32_t reached_targets = 0;
   /// An attempt may have run, so no later refusal proves anything.
   bool maybe_ran = false;
-  /// All targets in question have no free slot: one of them is waited for.
-  bool queueing = false;
 };
 
 base::Duration PartOf(base::Duration time, double share) {
@@ -92,33 +87,14 @@
 }
 
 std::optional<Destination> ChooseMember(Node& node, Attempts& attempts) {
-  RequestTerms& terms = attempts.request.terms;
+  const RequestTerms& terms = attempts.request.terms;
   const auto table = node.fleet.targets.find(terms.service);
   if (table == node.fleet.targets.end()) {
     return std::nullopt;
   }
-  const TimePoint now = base::BootClock::now();
-  std::optional<base::DaemonId> chosen;
-  const bool stay_near =
-      terms.request_class == catalogue::RequestClass::kUpload;
-  if (stay_near) {
-    // The link between regions is narrow and billed; a large body goes over it
-    // only if no target of this region is there.
-    chosen = routing::ChooseTarget(table->second, node.random(),
-                                   Excluded(node, attempts), now,
-                                   routing::Locality::kRegion);
-  }
-  if (!chosen && (!stay_near || attempts.tried.empty())) {
-    chosen = routing::ChooseTarget(table->second, node.random(),
-                                   Excluded(node, attempts), now);
-  }
-  if (!chosen && !attempts.queueing && !attempts.tried.empty()) {
-    // Every target has been asked once; now one of them is waited for.
-    attempts.queueing = true;
-    attempts.tried.clear();
-    chosen = routing::ChooseTarget(table->second, node.random(),
-                                   Excluded(node, attempts), now);
-  }
+  const auto chosen = routing::ChooseTarget(
+      table->second, node.random(), Excluded(node, attempts),
+      base::BootClock::now());
   if (!chosen) {
     return std::nullopt;
   }
@@ -179,10 +155,7 @@
   ++request.attempts;
   request.last_daemon = destination.daemon;
   request.terms.target = destination.target;
-  const bool may_wait =
-      (request.terms.key || attempts.queueing) && !request.late;
-  request.terms.wait = may_wait ? PartOf(request.terms.objective, kWaitShare)
-                                : base::Duration{0};
+  request.terms.wait = PartOf(request.terms.objective, kWaitShare);
   if (!request.terms.key) {
     attempts.tried.push_back(NumberOf(destination.daemon));
   }
@@ -319,15 +292,6 @@
   co_await AwaitPump(result);
 }
 
-/// The time left tells how long the caller has been trying: a first attempt has
-/// the longest one that was seen on its route.
-bool IsLate(Node& node, const Route& route, std::uint64_t left_ms) {
-  std::uint64_t& longest = node.longest_time_left[route.name];
-  longest = std::max(longest, left_ms);
-  return base::milliseconds{longest - left_ms} >
-         PartOf(route.objective, kLateShare);
-}
-
 /// Fills the terms from the head; an error for a request that cannot be served.
 base::Result<const Route*> ReadTerms(Node& node,
                                      const catalogue::RouteTable& routes,
@@ -351,7 +315,6 @@
   const auto left =
       http::ParseNumber(http::ValueOf(head.headers, names.time_left));
   if (left) {
-    request.late = IsLate(node, *route, *left);
     terms.deadline =
         std::min(terms.deadline,
                  request.arrived + base::Duration{base::milliseconds{std::min(
@@ -420,7 +383,7 @@
     co_await Reject(node, exchange, request, received.error().kind);
     co_return;
   }
-  Attempts attempts{*route.value(), request, message, {}, 0, false, false};
+  Attempts attempts{*route.value(), request, message, {}, 0, false};
   RunResult result = co_await RunAttempts(node, attempts, watch.cancellation);
   co_await GiveFinalAnswer(node, exchange, attempts, result);
 }
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -2,6 +2,9 @@
 #include "eelgrassbridge/node/feeds.hpp"
 
 #include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <optional>
 #include <vector>
 
 #include "eelgrassbridge/node/rows.hpp"
@@ -14,10 +17,13 @@
 using asio::awaitable;
 using base::ErrorKind;
 
-/// Longest wait of one poll. A poll that the store has lost is noticed after
-/// this time and a second, so it bounds how late a change is heard after an
-/// outage.
-constexpr std::chrono::milliseconds kPollTime{5000};
+/// Longest wait of a poll for the operator's changes. A poll that the store has
+/// lost is noticed after this time and a second; changes must be in force again
+/// soon after an outage, within the 4 s for which a calm store proves itself.
+constexpr std::chrono::milliseconds kOperatorPollTime{2500};
+/// The poll for the fleet's rows may wait longer, since an outage that ends a
+/// poll for the operator's rows ends it, too.
+constexpr std::chrono::milliseconds kFleetPollTime{20000};
 /// Pause after a failed call; doubled up to the longest one.
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr std::chrono::milliseconds kLongestPause{800};
@@ -56,17 +62,39 @@
   co_return page;
 }
 
-/// The answer to a poll says when the store answered, but not when it began to
-/// wait, so only the time of its arrival bounds its clock from below.
+struct PendingPoll {
+  std::optional<base::Result<RowPage>> page;
+};
+
+awaitable<void> RunPoll(Node& node,
+                        FeedPosition position,
+                        std::shared_ptr<PendingPoll> pending) {
+  pending->page.emplace(co_await node.port.store.follow(std::move(position)));
+  http::Notify(node.store.changed);
+}
+
+/// A poll that is given up when the store is lost meanwhile: the store may have
+/// lost the poll, too. The answer says when the store answered, but not when it
+/// began to wait, so it tells nothing about the store's clock.
 awaitable<base::Result<RowPage>> Poll(Node& node, FeedPosition position) {
   const base::TimePoint sent_at = base::BootClock::now();
-  auto page = co_await node.port.store.follow(std::move(position));
-  if (page) {
+  const std::uint64_t losses = node.store.losses;
+  auto pending = std::make_shared<PendingPoll>();
+  asio::co_spawn(node.io, RunPoll(node, std::move(position), pending),
+                 asio::detached);
+  while (!pending->page && node.store.losses == losses) {
+    co_await http::Wait(node.store.changed);
+  }
+  if (!pending->page) {
+    co_return base::Fail(ErrorKind::kStoreUnavailable,
+                         "the store was lost during a poll");
+  }
+  if (*pending->page) {
     NoteStore(node, true, {}, nullptr, sent_at);
   } else {
-    NoteAnswer(node, page, sent_at);
+    NoteAnswer(node, *pending->page, sent_at);
   }
-  co_return page;
+  co_return std::move(*pending->page);
 }
 
 void SetOutOfService(Node& node, const std::string& data_centre, bool out) {
@@ -301,7 +329,8 @@
       continue;
     }
     backoff = Backoff{};
-    FeedPosition position{node.port.operator_table, start.value(), kPollTime};
+    FeedPosition position{node.port.operator_table, start.value(),
+                          kOperatorPollTime};
     while (true) {
       auto page = co_await Poll(node, position);
       if (!page && page.error().kind == ErrorKind::kNotFound) {
@@ -334,7 +363,8 @@
       continue;
     }
     backoff = Backoff{};
-    FeedPosition position{std::string(kFleetTable), start.value(), kPollTime};
+    FeedPosition position{std::string(kFleetTable), start.value(),
+                          kFleetPollTime};
     while (true) {
       auto page = co_await Poll(node, position);
       if (!page && page.error().kind == ErrorKind::kNotFound) {
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -61,6 +61,7 @@
       port(std::move(platform_port)),
       process(base::RandomHex128()),
       random(base::NewDaemonId().value),
+      store(event_loop),
       peers(event_loop, http::PoolOptions{}),
       targets(event_loop, TargetPoolOptions()),
       callers_server(event_loop),
@@ -132,6 +133,10 @@
     return;
   }
   node.store.reachable = reachable;
+  if (!reachable) {
+    ++node.store.losses;
+    http::Notify(node.store.changed);
+  }
   Log(node.log, reachable ? EventKind::kStoreRegained : EventKind::kStoreLost,
       {{"cause", cause}});
 }
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -23,7 +23,7 @@
 constexpr base::Duration kSparePlanInterval = base::milliseconds{6000};
 /// Keys move for load at most this often, so that the effect of a move is
 /// seen before the next one.
-constexpr base::Duration kBalanceInterval = base::milliseconds{1500};
+constexpr base::Duration kBalanceInterval = base::milliseconds{3000};
 /// Added to the end of a lease before its ranges are taken, for the drift
 /// between the clocks.
 constexpr base::Duration kExpiryMargin = base::milliseconds{100};
