--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -51,6 +51,8 @@
     target_compile_definitions(${name}_test PRIVATE
       EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     add_test(NAME ${name}_test COMMAND ${name}_test)
+    set_property(GLOBAL APPEND PROPERTY EELGRASSBRIDGE_TEST_PROGRAMS
+                 ${name}_test)
     # RapidCheck draws its seed from the environment; a fixed seed keeps
     # verdicts the same from run to run.
     set_tests_properties(${name}_test PROPERTIES
--- /dev/null
+++ b/src/eelgrassbridge/http/event_test.cpp
@@ -0,0 +1,85 @@
+// Events and alarms whose owners end at the worst moment.
+#include "eelgrassbridge/http/event.hpp"
+
+#include <doctest/doctest.h>
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <optional>
+#include <thread>
+
+namespace eelgrassbridge::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("an alarm that is due when it is disarmed does not act") {
+  // Guards against a handler that is queued already and acts on what has ended.
+  asio::io_context io;
+  int calls = 0;
+  {
+    Alarm alarm(io);
+    Arm(alarm, milliseconds{0}, [&calls] { ++calls; });
+    std::this_thread::sleep_for(milliseconds{5});
+    Disarm(alarm);
+  }
+  io.run();
+  CHECK(calls == 0);
+}
+
+TEST_CASE("an alarm acts once, and can be armed again") {
+  asio::io_context io;
+  int calls = 0;
+  Alarm alarm(io);
+  Arm(alarm, milliseconds{1}, [&calls] { ++calls; });
+  io.run();
+  io.restart();
+  Arm(alarm, milliseconds{1}, [&calls] { ++calls; });
+  io.run();
+  CHECK(calls == 2);
+}
+
+asio::awaitable<void> WaitOnce(Event& event, bool& done) {
+  co_await WaitUntil(event, base::BootClock::now() + base::milliseconds{1});
+  done = true;
+}
+
+TEST_CASE("a wait whose event ends after its time is harmless") {
+  // Guards against the crash of the first score: the timer of a wait had
+  // expired in the same turn in which the wait and its event ended.
+  asio::io_context io;
+  for (int i = 0; i < 50; ++i) {
+    auto event = std::make_optional<Event>(io);
+    bool done = false;
+    asio::co_spawn(io, WaitOnce(*event, done), asio::detached);
+    io.poll();
+    std::this_thread::sleep_for(milliseconds{2});
+    // Both the time and the notification are due now.
+    Notify(*event);
+    while (!done) {
+      io.run_one();
+    }
+    event.reset();
+    io.run();
+    io.restart();
+  }
+}
+
+TEST_CASE("a notification wakes all that wait, and later ones wait on") {
+  asio::io_context io;
+  Event event(io);
+  int woken = 0;
+  const auto wait = [&event, &woken]() -> asio::awaitable<void> {
+    co_await Wait(event);
+    ++woken;
+  };
+  asio::co_spawn(io, wait(), asio::detached);
+  asio::co_spawn(io, wait(), asio::detached);
+  io.poll();
+  Notify(event);
+  io.poll();
+  CHECK(woken == 2);
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::http
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -92,9 +92,9 @@
   if (table == node.fleet.targets.end()) {
     return std::nullopt;
   }
-  const auto chosen = routing::ChooseTarget(
-      table->second, node.random(), Excluded(node, attempts),
-      base::BootClock::now());
+  const auto chosen =
+      routing::ChooseTarget(table->second, node.random(),
+                            Excluded(node, attempts), base::BootClock::now());
   if (!chosen) {
     return std::nullopt;
   }
--- /dev/null
+++ b/src/eelgrassbridge/node/request_test.cpp
@@ -0,0 +1,75 @@
+// Terms between daemons and proofs that a request has not run.
+#include "eelgrassbridge/node/request.hpp"
+
+#include <doctest/doctest.h>
+
+namespace eelgrassbridge::node {
+namespace {
+
+TEST_CASE("terms survive the way to another daemon") {
+  RequestTerms terms;
+  terms.request_class = catalogue::RequestClass::kUpload;
+  terms.priority = 2;
+  terms.objective = base::milliseconds{600};
+  terms.wait = base::milliseconds{240};
+  for (const auto key :
+       {std::optional<std::uint32_t>{}, std::optional<std::uint32_t>{65535}}) {
+    terms.key = key;
+    RequestTerms decoded;
+    REQUIRE(DecodeTerms(EncodeTerms(terms), decoded));
+    CHECK(decoded.request_class == terms.request_class);
+    CHECK(decoded.priority == terms.priority);
+    CHECK(decoded.objective == terms.objective);
+    CHECK(decoded.wait == terms.wait);
+    CHECK(decoded.key == terms.key);
+  }
+}
+
+TEST_CASE("terms that cannot be read are refused") {
+  RequestTerms terms;
+  for (const char* text : {"", "idempotent", "other;1;2;3;", "upload;x;2;3;",
+                           "upload;1;2;3;key", "upload;1;;3;"}) {
+    CAPTURE(text);
+    CHECK(!DecodeTerms(text, terms));
+  }
+}
+
+TEST_CASE("only an answer that says so proves that a request has not run") {
+  // Guards against a refusal that is not true.
+  HeaderNames names;
+  names.not_run = "Not-Run";
+  http::ResponseHead head;
+  head.status = 503;
+  CHECK(!NotRunProof::FromTarget(head, names));
+  CHECK(!NotRunProof::FromDaemon(head));
+  head.headers = {{"not-run", "1"}};
+  CHECK(NotRunProof::FromTarget(head, names));
+  head.headers = {{std::string(kOutcomeHeader), "unknown"}};
+  CHECK(!NotRunProof::FromDaemon(head));
+  head.headers = {{std::string(kOutcomeHeader),
+                   std::string(base::OutcomeName(base::Outcome::kNotRun))}};
+  CHECK(NotRunProof::FromDaemon(head));
+  head.status = 421;
+  head.headers.clear();
+  CHECK(NotRunProof::FromTarget(head, names));
+}
+
+TEST_CASE("headers that only daemons set are removed") {
+  http::Headers headers = {{"eelgrassbridge-Caller", "x"}, {"Accept", "y"}};
+  RemoveOwnHeaders(headers);
+  REQUIRE(headers.size() == 1);
+  CHECK(headers[0].name == "Accept");
+}
+
+TEST_CASE("a request is cancelled once") {
+  Cancellation cancellation;
+  int calls = 0;
+  cancellation.abort = [&calls] { ++calls; };
+  Cancel(cancellation, base::ErrorKind::kCancelled);
+  Cancel(cancellation, base::ErrorKind::kTargetTimeout);
+  CHECK(calls == 1);
+  CHECK(cancellation.cause == base::ErrorKind::kCancelled);
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::node
