Build all sources with the same allocation of Asio

Cause: Asio 1.22 takes aligned_alloc only where a header of the standard library was included before its own, so sources that are linked together freed each other's coroutine frames the wrong way (AddressSanitizer in platform_test, the first run under it: alloc-dealloc-mismatch in http/server.cpp, Serve). Ruled out: our own code, which allocates no frames by hand. Harmless with glibc's malloc. Change: ASIO_DISABLE_STD_ALIGNED_ALLOC for all sources.

--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -14,10 +14,14 @@
   target_link_options(eelgrassbridge_options INTERFACE
     -fsanitize=${EELGRASSBRIDGE_SANITIZE})
 endif()
+# Asio would take aligned_alloc only in sources that include a header of the
+# standard library before its own, and others would free that memory with
+# operator delete.
 # The flags are those of cpp-httplib's pkg-config file, which the library was
 # built with; poll() lifts select()'s limit of 1,024 descriptors in the headers.
 target_compile_definitions(eelgrassbridge_options INTERFACE
   SPDLOG_COMPILED_LIB SPDLOG_FMT_EXTERNAL ASIO_STANDALONE ASIO_NO_DEPRECATED
+  ASIO_DISABLE_STD_ALIGNED_ALLOC
   CPPHTTPLIB_OPENSSL_SUPPORT CPPHTTPLIB_ZLIB_SUPPORT CPPHTTPLIB_BROTLI_SUPPORT)
 target_link_libraries(eelgrassbridge_options INTERFACE
   Threads::Threads spdlog::spdlog ${XXHASH_LIBRARY})
--- a/src/eelgrassbridge/ranges/planning_test.cpp
+++ b/src/eelgrassbridge/ranges/planning_test.cpp
@@ -119,6 +119,7 @@
   rc::check("plans", [] {
     const int count = *rc::gen::inRange(1, 9);
     std::vector<LeaseRecord> all;
+    all.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       all.push_back(Lease(i, *rc::gen::inRange(0, 100)));
     }
