Remove what the node does not use, and follow tables in one place

Cause: two loops over the feeds and two error answers were the same; settings, header names and a function of the planner had no reader. Change: FollowTable and AnswerError; the unused are gone; the longest hold of the settings bounds holds.

--- a/include/eelgrassbridge/node/platform_port.hpp
+++ b/include/eelgrassbridge/node/platform_port.hpp
@@ -27,16 +27,10 @@
   std::string caller_service;
   /// Target that is to run the request; another one refuses it.
   std::string expected_target;
-  /// The target's id in its answers.
-  std::string target_id;
   /// Marks an answer of a target that did not run the request.
   std::string not_run;
-  /// Load of the target in its answers.
-  std::string load;
   std::string retry_after;
   std::string key;
-  /// Set by targets on each answer of theirs.
-  std::string signature;
 };
 
 struct HeldRange {
--- a/include/eelgrassbridge/node/settings.hpp
+++ b/include/eelgrassbridge/node/settings.hpp
@@ -15,8 +15,6 @@
 
 /// @brief Times and bounds that the operators promise to callers.
 struct Bounds {
-  /// A leaving target gets no request later than this.
-  base::Duration drain{base::milliseconds{2500}};
   /// From SIGTERM to the kill.
   base::Duration grace{base::seconds{6}};
   /// Repeats of requests of a service, over all daemons, in a window.
@@ -44,8 +42,6 @@
   std::string service;
   std::string store_address;
   std::uint32_t max_descriptors = 1024;
-  /// The whole system starts for the first time.
-  bool first_start = false;
   Bounds bounds;
 
   bool operator==(const NodeSettings&) const = default;
--- a/include/eelgrassbridge/ranges/planning.hpp
+++ b/include/eelgrassbridge/ranges/planning.hpp
@@ -41,10 +41,6 @@
                              const PlanningInput& input,
                              const PlanningOptions& options = {});
 
-/// @brief Utilization of a target by the demand for its keys: 1 means that all
-/// slots are busy all the time.
-double Utilization(const OwnerLoad& load, const PlanningOptions& options = {});
-
 }  // namespace eelgrassbridge::ranges
 
 #endif  // EELGRASSBRIDGE_RANGES_PLANNING_HPP
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -294,6 +295,40 @@
   }
 }
 
+awaitable<void> AfterFleetPage(Node& node,
+                               std::set<std::string>& services_read) {
+  co_await ReadNewServices(node, services_read);
+  co_await http::Sleep(node.io, kFeedPause);
+}
+
+awaitable<void> Nothing() {
+  co_return;
+}
+
+/// Takes the changes of a table until its history is lost.
+awaitable<void> FollowTable(Node& node,
+                            FeedPosition position,
+                            Backoff& backoff,
+                            void (*take)(Node&, const StoredRow&),
+                            std::function<awaitable<void>()> after_page) {
+  while (true) {
+    auto page = co_await Poll(node, position);
+    if (!page && page.error().kind == ErrorKind::kNotFound) {
+      co_return;
+    }
+    if (!page) {
+      co_await Pause(node, backoff);
+      continue;
+    }
+    backoff = Backoff{};
+    for (const StoredRow& row : page.value().rows) {
+      take(node, row);
+    }
+    position.after = std::max(position.after, page.value().state.version);
+    co_await after_page();
+  }
+}
+
 }  // namespace
 
 void TakeOperatorRow(Node& node, const StoredRow& row) {
@@ -331,21 +366,8 @@
     backoff = Backoff{};
     FeedPosition position{node.port.operator_table, start.value(),
                           kOperatorPollTime};
-    while (true) {
-      auto page = co_await Poll(node, position);
-      if (!page && page.error().kind == ErrorKind::kNotFound) {
-        break;
-      }
-      if (!page) {
-        co_await Pause(node, backoff);
-        continue;
-      }
-      backoff = Backoff{};
-      for (const StoredRow& row : page.value().rows) {
-        TakeOperatorRow(node, row);
-      }
-      position.after = std::max(position.after, page.value().state.version);
-    }
+    co_await FollowTable(node, std::move(position), backoff, TakeOperatorRow,
+                         [] { return Nothing(); });
   }
 }
 
@@ -365,23 +387,10 @@
     backoff = Backoff{};
     FeedPosition position{std::string(kFleetTable), start.value(),
                           kFleetPollTime};
-    while (true) {
-      auto page = co_await Poll(node, position);
-      if (!page && page.error().kind == ErrorKind::kNotFound) {
-        break;
-      }
-      if (!page) {
-        co_await Pause(node, backoff);
-        continue;
-      }
-      backoff = Backoff{};
-      for (const StoredRow& row : page.value().rows) {
-        TakeFleetRow(node, row);
-      }
-      position.after = std::max(position.after, page.value().state.version);
-      co_await ReadNewServices(node, services_read);
-      co_await http::Sleep(node.io, kFeedPause);
-    }
+    co_await FollowTable(node, std::move(position), backoff, TakeFleetRow,
+                         [&node, &services_read] {
+                           return AfterFleetPage(node, services_read);
+                         });
   }
 }
 
--- a/src/eelgrassbridge/node/final_answer.cpp
+++ b/src/eelgrassbridge/node/final_answer.cpp
@@ -61,6 +61,19 @@
   return headers;
 }
 
+awaitable<void> AnswerError(Node& node,
+                            http::Exchange& exchange,
+                            const EntryRequest& request,
+                            ErrorKind cause,
+                            int status,
+                            std::string_view outcome) {
+  LogFinal(node, EventKind::kRequestFailed, request, base::ErrorName(cause),
+           status);
+  CountFinal(node, request, outcome, base::ErrorName(cause));
+  co_await http::Respond(exchange, status, OwnHeaders(node, request, cause),
+                         {});
+}
+
 bool IsTimeout(ErrorKind cause) {
   return cause == ErrorKind::kTargetTimeout || cause == ErrorKind::kPeerTimeout;
 }
@@ -89,24 +102,17 @@
                      http::Exchange& exchange,
                      const EntryRequest& request,
                      ErrorKind cause) {
-  const int status = IsTimeout(cause) ? kGatewayTimeout : kBadGateway;
-  LogFinal(node, EventKind::kRequestFailed, request, base::ErrorName(cause),
-           status);
-  CountFinal(node, request, "failed", base::ErrorName(cause));
-  co_await http::Respond(exchange, status, OwnHeaders(node, request, cause),
-                         {});
+  co_await AnswerError(node, exchange, request, cause,
+                       IsTimeout(cause) ? kGatewayTimeout : kBadGateway,
+                       "failed");
 }
 
 awaitable<void> Reject(Node& node,
                        http::Exchange& exchange,
                        const EntryRequest& request,
                        ErrorKind cause) {
-  const int status = base::AnswerFor(cause).http_status;
-  LogFinal(node, EventKind::kRequestFailed, request, base::ErrorName(cause),
-           status);
-  CountFinal(node, request, "rejected", base::ErrorName(cause));
-  co_await http::Respond(exchange, status, OwnHeaders(node, request, cause),
-                         {});
+  co_await AnswerError(node, exchange, request, cause,
+                       base::AnswerFor(cause).http_status, "rejected");
 }
 
 awaitable<void> Deliver(Node& node,
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -1,6 +1,8 @@
 // State of a node and small questions about it.
 #include "eelgrassbridge/node/node.hpp"
 
+#include <algorithm>
+
 #include "eelgrassbridge/base/hash.hpp"
 #include "eelgrassbridge/base/identifier.hpp"
 
@@ -75,6 +77,8 @@
       release_wanted(event_loop) {
   this->admission.limiter = MakeLimiter();
   this->retries.options = RetryOptions(this->settings.bounds);
+  this->lease.options.hold =
+      std::min(this->lease.options.hold, this->settings.bounds.longest_hold);
   this->log.name = this->settings.name;
 }
 
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -68,7 +68,6 @@
 }
 
 void ReadBounds(Reader& reader, Bounds& bounds) {
-  ReadSeconds(reader, "drain_seconds", bounds.drain);
   ReadSeconds(reader, "grace_seconds", bounds.grace);
   ReadOptional(reader, "retry_ratio", bounds.retry_ratio);
   ReadOptional(reader, "retry_extra", bounds.retry_extra);
@@ -103,7 +102,6 @@
   ReadText(reader, "service", settings.service);
   ReadAddress(reader, "store_address", settings.store_address);
   ReadOptional(reader, "max_descriptors", settings.max_descriptors);
-  ReadOptional(reader, "first_start", settings.first_start);
   ReadBounds(reader, settings.bounds);
   return settings;
 }
--- a/src/eelgrassbridge/node/settings_test.cpp
+++ b/src/eelgrassbridge/node/settings_test.cpp
@@ -17,7 +17,7 @@
 target_address: 10.0.0.1:8304
 service: desk
 store_address: 10.9.0.1:8000
-drain_seconds: 2.5
+grace_seconds: 2.5
 retry_extra: 60
 )";
 
@@ -31,7 +31,7 @@
 TEST_CASE("whole settings") {
   const auto settings = ReadNodeSettings("f", kText);
   REQUIRE(settings);
-  CHECK(settings.value().bounds.drain == base::milliseconds{2500});
+  CHECK(settings.value().bounds.grace == base::milliseconds{2500});
   CHECK(settings.value().bounds.retry_extra == 60);
   CHECK(RegionOf(settings.value(), "b1") == "b");
   CHECK(RegionOf(settings.value(), "c1").empty());
@@ -39,12 +39,12 @@
 
 TEST_CASE("all problems are told at once, with their lines") {
   std::string text = Without("service: desk");
-  text += "grace_seconds: -1\nmax_descriptors: many\n";
+  text += "retry_window_seconds: -1\nmax_descriptors: many\n";
   const auto settings = ReadNodeSettings("file.yaml", text);
   REQUIRE(!settings);
   const std::string& detail = settings.error().detail;
   CHECK(detail.find("service") != std::string::npos);
-  CHECK(detail.find("grace_seconds") != std::string::npos);
+  CHECK(detail.find("retry_window_seconds") != std::string::npos);
   CHECK(detail.find("max_descriptors") != std::string::npos);
   CHECK(detail.find("file.yaml:") != std::string::npos);
 }
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -262,11 +262,6 @@
 
 }  // namespace
 
-double Utilization(const OwnerLoad& load, const PlanningOptions& options) {
-  return load.requests_per_second * RunSeconds(load, options) /
-         std::max(1U, load.slots);
-}
-
 std::optional<RangeMap> Plan(const RangeMap& map,
                              const PlanningInput& input,
                              const PlanningOptions& options) {
