End the loop of a test before what it works on

Tried: clearing the pool hung when a frame still held the connection, so it is closed. The thread sanitizer was not run again on this state.

--- a/src/eelgrassbridge/http/client_test.cpp
+++ b/src/eelgrassbridge/http/client_test.cpp
@@ -42,7 +42,13 @@
     CHECK(response.value().body == "ok");
   }
   CHECK(pool.opened == 1);
-  asio::post(loop.io, [&pool] { pool.idle.clear(); });
+  loop.Stop();
+  // The frame of the last call may hold its connection still.
+  for (const auto& [endpoint, connections] : pool.idle) {
+    for (const ClientPointer& connection : connections) {
+      Close(*connection);
+    }
+  }
 }
 
 TEST_CASE("spare bytes behind a response end its connection") {
--- a/src/eelgrassbridge/http/test_support.hpp
+++ b/src/eelgrassbridge/http/test_support.hpp
@@ -26,9 +26,13 @@
   LoopThread() : guard(asio::make_work_guard(this->io)) {
     this->thread = std::thread([this] { this->io.run(); });
   }
-  ~LoopThread() {
+  ~LoopThread() { this->Stop(); }
+  /// @brief Ends the loop; what it works on may be destroyed afterwards.
+  void Stop() {
     this->io.stop();
-    this->thread.join();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
   }
   LoopThread(const LoopThread&) = delete;
   LoopThread& operator=(const LoopThread&) = delete;
@@ -61,6 +65,9 @@
     this->port = this->server.acceptor->local_endpoint().port();
     asio::co_spawn(this->loop.io, Serve(this->server), asio::detached);
   }
+  ~TestServer() { this->loop.Stop(); }
+  TestServer(const TestServer&) = delete;
+  TestServer& operator=(const TestServer&) = delete;
 
   LoopThread loop;
   Server server;
