--- a/include/eelgrassbridge/node/feeds.hpp
+++ b/include/eelgrassbridge/node/feeds.hpp
@@ -3,6 +3,7 @@
 #define EELGRASSBRIDGE_NODE_FEEDS_HPP
 
 #include <asio/awaitable.hpp>
+#include <string>
 
 #include "eelgrassbridge/node/node.hpp"
 
@@ -16,6 +17,9 @@
 /// Never ends.
 asio::awaitable<void> FollowFleet(Node& node);
 
+/// @brief A data centre is taken out of service or back.
+void SetOutOfService(Node& node, const std::string& data_centre, bool out);
+
 /// @brief Takes one row of the operator.
 void TakeOperatorRow(Node& node, const StoredRow& row);
 
--- /dev/null
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -0,0 +1,140 @@
+// What the rows of the operator and of the fleet change in the node. Rows that
+// cannot be read, and older versions, change nothing.
+#include "eelgrassbridge/node/feeds.hpp"
+#include "eelgrassbridge/node/rows.hpp"
+#include "eelgrassbridge/node/target_run.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+void TakeRoutes(Node& node, const StoredRow& row) {
+  auto decoded = node.port.decode_routes(row.value);
+  if (!decoded) {
+    Count(node, "routes_rejected_total");
+    Log(node.log, EventKind::kRoutesRejected,
+        {{"cause", decoded.error().detail},
+         {"row_version", static_cast<std::int64_t>(row.version)}});
+    return;
+  }
+  // A version never goes back in one life of the process, whatever a delayed
+  // or damaged row says.
+  if (node.routes && decoded.value().version <= node.routes->version) {
+    return;
+  }
+  node.routes =
+      std::make_shared<const catalogue::RouteTable>(std::move(decoded.value()));
+  const catalogue::CallerLimits& limits = node.routes->limits;
+  http::SetMaxHeadBytes(limits.max_head_bytes);
+  http::ServerLimits& server = node.callers_server.limits;
+  server.max_body_bytes = limits.max_body_bytes;
+  server.head_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      limits.head_timeout);
+  server.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      limits.idle_timeout);
+  node.peers_server.limits.max_body_bytes = limits.max_body_bytes;
+  RefreshAdmission(node);
+  http::Notify(node.lease_wanted);
+  Log(node.log, EventKind::kRoutesInForce,
+      {{"version", static_cast<std::int64_t>(node.routes->version)},
+       {"hosts", static_cast<std::int64_t>(node.routes->by_host.size())}});
+}
+
+void TakeMember(Node& node, const StoredRow& row) {
+  const std::string address = row.name.key.substr(kMemberPrefix.size());
+  std::uint64_t& version = node.fleet.versions[address];
+  if (row.version < version) {
+    return;
+  }
+  version = row.removed ? 0 : row.version;
+  if (row.removed) {
+    node.fleet.members.erase(address);
+    Log(node.log, EventKind::kMemberRemoved, {{"address", address}});
+    RefreshChoices(node);
+    return;
+  }
+  auto member = DecodeMember(row.value);
+  if (!member || member.value().address != address) {
+    Log(node.log, EventKind::kRowRejected,
+        {{"row", row.name.key},
+         {"cause", member ? "the address is another one"
+                          : std::string_view(member.error().detail)}});
+    return;
+  }
+  Log(node.log, EventKind::kMemberChanged,
+      {{"address", address},
+       {"service", member.value().service},
+       {"target", member.value().target},
+       {"serving", std::int64_t{member.value().serving}},
+       {"row_version", static_cast<std::int64_t>(row.version)}});
+  node.fleet.members[address] = std::move(member.value());
+  RefreshChoices(node);
+}
+
+void TakeMap(Node& node, const StoredRow& row) {
+  ServiceRanges& ranges = node.ranges[row.name.partition];
+  if (row.version <= ranges.version || row.removed) {
+    return;
+  }
+  auto map = ranges::DecodeMap(row.value);
+  if (!map) {
+    Log(node.log, EventKind::kRowRejected,
+        {{"row", row.name.key}, {"cause", map.error().detail}});
+    return;
+  }
+  ranges.map = std::move(map.value());
+  ranges.version = row.version;
+  ranges.heard_at = base::BootClock::now();
+  Log(node.log, EventKind::kRangesChanged,
+      {{"service", row.name.partition},
+       {"entries", static_cast<std::int64_t>(ranges.map.entries.size())},
+       {"version", static_cast<std::int64_t>(row.version)}});
+  http::Notify(node.ranges_changed);
+  http::Notify(node.target_changed);
+  http::Notify(node.release_wanted);
+}
+
+}  // namespace
+
+void SetOutOfService(Node& node, const std::string& data_centre, bool out) {
+  const bool was_out = node.data_centres_out.contains(data_centre);
+  if (was_out == out) {
+    return;
+  }
+  if (out) {
+    node.data_centres_out.insert(data_centre);
+  } else {
+    node.data_centres_out.erase(data_centre);
+  }
+  Log(node.log, out ? EventKind::kDataCentreOut : EventKind::kDataCentreBack,
+      {{"data_centre", data_centre}});
+  RefreshChoices(node);
+  http::Notify(node.lease_wanted);
+  http::Notify(node.target_changed);
+}
+
+void TakeOperatorRow(Node& node, const StoredRow& row) {
+  const OperatorRow meaning = node.port.operator_row(row.name);
+  switch (meaning.kind) {
+    case OperatorRow::Kind::kRoutes:
+      if (!row.removed) {
+        TakeRoutes(node, row);
+      }
+      break;
+    case OperatorRow::Kind::kOutOfService:
+      SetOutOfService(node, meaning.data_centre, !row.removed);
+      break;
+    case OperatorRow::Kind::kOther:
+      break;
+  }
+}
+
+void TakeFleetRow(Node& node, const StoredRow& row) {
+  if (row.name.key == kMapKey) {
+    TakeMap(node, row);
+  } else if (row.name.key.starts_with(kMemberPrefix)) {
+    TakeMember(node, row);
+  }
+}
+
+}  // namespace eelgrassbridge::node
