Let a target use all its slots and queue by the latest start

Ruled out: processor time (0.008 of a core), connections, and full targets. Change: the ramp can be left out for targets that tell their slots, and a deadline can be one for the start. Both have tests that fail without them.

--- a/include/eelgrassbridge/limits/target_limiter.hpp
+++ b/include/eelgrassbridge/limits/target_limiter.hpp
@@ -35,12 +35,18 @@
   /// Requests that may wait; each one holds a worker of the daemon.
   std::uint32_t queue_capacity = 64;
   RampOptions ramp;
+  /// Whether the ramp bounds what is in flight. A target that tells its slots
+  /// and how long it is cold needs none: latency that a noisy neighbour causes
+  /// would take slots away from it.
+  bool ramped = true;
 };
 
 struct AdmissionRequest {
   catalogue::PriorityClass priority = catalogue::PriorityClass::kNormal;
   std::string_view account;
+  /// For the end of the run, or for its start.
   base::TimePoint deadline;
+  bool to_start = false;
 };
 
 /// @brief Answer to Admit.
@@ -96,7 +102,7 @@
 TargetLimiter MakeTargetLimiter(const TargetLimiterOptions& options);
 
 /// @brief Requests that may be in flight now: the least of slots, connections
-/// and ramp level.
+/// and, if it counts, the ramp's level.
 std::uint32_t Bound(const TargetLimiter& limiter);
 
 /// @brief Run now, queued, or refused (overloaded, deadline_before_run or
--- a/include/eelgrassbridge/limits/target_queue.hpp
+++ b/include/eelgrassbridge/limits/target_queue.hpp
@@ -22,6 +22,8 @@
 struct Waiting {
   Ticket ticket = 0;
   base::TimePoint deadline;
+  /// The deadline is for the start of the run.
+  bool to_start = false;
 };
 
 /// One client account's waiting requests, oldest first. Never empty in a
--- a/src/eelgrassbridge/limits/target_limiter.cpp
+++ b/src/eelgrassbridge/limits/target_limiter.cpp
@@ -30,11 +30,12 @@
 /// Whether a request that waits for `turns` others can still be run in time.
 bool CanMeet(const TargetLimiter& limiter,
              TimePoint deadline,
+             bool to_start,
              std::uint32_t turns,
              TimePoint now) {
   const double wait = limiter.run_time_us * turns / Bound(limiter);
-  return now + base::Duration{static_cast<std::int64_t>(wait +
-                                                        limiter.run_time_us)} <=
+  const double run = to_start ? 0 : limiter.run_time_us;
+  return now + base::Duration{static_cast<std::int64_t>(wait + run)} <=
          deadline;
 }
 
@@ -100,9 +101,10 @@
 }
 
 std::uint32_t Bound(const TargetLimiter& limiter) {
-  return std::max(1U,
-                  std::min({limiter.options.slots, limiter.options.connections,
-                            limiter.ramp.level}));
+  const std::uint32_t level =
+      limiter.options.ramped ? limiter.ramp.level : limiter.options.slots;
+  return std::max(1U, std::min({limiter.options.slots,
+                                limiter.options.connections, level}));
 }
 
 Admission Admit(TargetLimiter& limiter,
@@ -119,8 +121,8 @@
     return {Admission::State::kRun, limiter.next_ticket++, generation, {}};
   }
   Expire(limiter, now);
-  if (!CanMeet(limiter, request.deadline, TurnsBefore(limiter, request) + 1,
-               now)) {
+  if (!CanMeet(limiter, request.deadline, request.to_start,
+               TurnsBefore(limiter, request) + 1, now)) {
     return Refused(ErrorKind::kOverloaded);
   }
   if (limiter.queued >= limiter.options.queue_capacity &&
@@ -129,7 +131,7 @@
   }
   const Ticket ticket = limiter.next_ticket++;
   detail::Push(limiter.classes[static_cast<std::size_t>(request.priority)],
-               request.account, {ticket, request.deadline});
+               request.account, {ticket, request.deadline, request.to_start});
   ++limiter.queued;
   limiter.next_expiry = std::min(limiter.next_expiry, request.deadline);
   return {Admission::State::kQueued, ticket, 0, {}};
@@ -144,7 +146,7 @@
         [](const detail::ClassQueue& item) { return item.size > 0; });
     const detail::Waiting next = detail::PopNext(*queue);
     --limiter.queued;
-    if (CanMeet(limiter, next.deadline, 0, now)) {
+    if (CanMeet(limiter, next.deadline, next.to_start, 0, now)) {
       return Dispatch{next.ticket, std::nullopt, Occupy(limiter)};
     }
     RefuseQueued(limiter, next.ticket, ErrorKind::kDeadlineBeforeRun);
--- a/src/eelgrassbridge/limits/target_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -230,4 +230,39 @@
   CHECK(TryOpenConnection(limiter));
 }
 
+TEST_CASE("a request that only has to start in time is queued") {
+  // Guards against refusing a request that would get a slot within its wait,
+  // because the mean run is longer than that wait.
+  TargetLimiter limiter = Warm(9, 48);
+  limiter.run_time_us = 120'000;
+  for (int i = 0; i < 9; ++i) {
+    REQUIRE(AdmitOne(limiter, PriorityClass::kNormal, "a").state ==
+            State::kRun);
+  }
+  const AdmissionRequest request{PriorityClass::kNormal, "a",
+                                 kStart + milliseconds{80}, true};
+  CHECK(Admit(limiter, request, kStart).state == State::kQueued);
+  Finish(limiter, RunEnd::kCancelled, {}, limiter.ramp.generation);
+  const auto next = NextDispatch(limiter, kStart + milliseconds{70});
+  REQUIRE(next.has_value());
+  CHECK_FALSE(next->refusal.has_value());
+}
+
+TEST_CASE("without the ramp slow answers take no slot away") {
+  // Guards against a target that is given less than its slots because a noisy
+  // neighbour slows its answers down for a moment.
+  TargetLimiterOptions options;
+  options.slots = 9;
+  options.connections = 100;
+  options.ramped = false;
+  TargetLimiter limiter = MakeTargetLimiter(options);
+  for (int i = 0; i < 400; ++i) {
+    const Admission admission = AdmitOne(limiter, PriorityClass::kNormal, "a");
+    REQUIRE(admission.state == State::kRun);
+    Finish(limiter, RunEnd::kAnswered, milliseconds{i % 100 < 50 ? 50 : 400},
+           admission.generation);
+  }
+  CHECK(Bound(limiter) == 9);
+}
+
 }  // namespace eelgrassbridge::limits
