Let full targets give way to farther ones that answer sooner

Cause: a service whose requests are bound to one region fills the targets there, and calls of other targets to the same service queue behind them though targets of the other region are idle: the nearest tier was always taken. Change: a target that has as many requests as slots is compared with the next tier by expected time, with a factor for the distance. Home regions are a filter of the choice instead of a list of excluded targets, which cost a hash of each member's address at each attempt.

--- a/include/eelgrassbridge/routing/target_choice.hpp
+++ b/include/eelgrassbridge/routing/target_choice.hpp
@@ -33,6 +33,15 @@
   std::uint32_t draws = 6;
   /// Time constant with which a report loses its effect.
   base::Duration report_decay{base::milliseconds{2000}};
+  /// Whether a full target gives way to a farther one that answers sooner.
+  bool spill = false;
+  /// By locality: how many times sooner a farther target has to answer, since
+  /// bytes on long ways cost more and take from a narrow link.
+  std::array<double, kLocalityCount> distance_factor{1, 1.1, 1.4};
+  /// By locality: latency of a target that has not answered yet, if nearer ones
+  /// are full.
+  std::array<base::Duration, kLocalityCount> assumed_latency{
+      base::milliseconds{50}, base::milliseconds{50}, base::milliseconds{120}};
 };
 
 /// @brief A target as routing knows it from membership and the catalogue.
@@ -40,8 +49,12 @@
   /// The daemon beside the target.
   base::DaemonId id;
   Locality locality = Locality::kDataCentre;
-  /// Home regions, drain and take-out already applied.
+  /// Drain and take-out already applied.
   bool may_get_work = false;
+  /// Requests that it runs at once; zero: not known, and never full.
+  std::uint32_t slots = 0;
+  /// Number that stands for its region.
+  std::uint64_t region = 0;
 };
 
 /// @brief What an answer tells about its target.
@@ -90,13 +103,14 @@
 void SetMembers(TargetTable& table, std::span<const TargetMember> members);
 
 /// @brief The target for a new attempt, none if none may take it. `exclude`
-/// lists targets already tried.
+/// lists targets already tried; `regions` those that may serve, all if empty.
 std::optional<base::DaemonId> ChooseTarget(
     const TargetTable& table,
     std::uint64_t random,
     std::span<const base::DaemonId> exclude,
     base::TimePoint now,
-    Locality farthest = Locality::kOtherRegion);
+    Locality farthest = Locality::kOtherRegion,
+    std::span<const std::uint64_t> regions = {});
 
 /// @brief A request is sent to a target.
 void NoteSent(TargetTable& table, base::DaemonId target, base::TimePoint now);
--- a/src/eelgrassbridge/routing/target_choice.cpp
+++ b/src/eelgrassbridge/routing/target_choice.cpp
@@ -37,22 +37,67 @@
                   static_cast<double>(constant.count()));
 }
 
-/// Expected time of one more request; less is better.
+/// Requests that the target has, as far as this daemon knows.
+double LoadOf(const TargetTable& table,
+              const TargetState& state,
+              TimePoint now) {
+  const double heard =
+      state.peer_in_flight *
+      DecayOf(state.peer_heard_at, now, table.options.report_decay);
+  return std::max<double>(state.own_in_flight, heard);
+}
+
+double LatencyOf(const TargetTable& table,
+                 const TargetState& state,
+                 TimePoint now) {
+  const double latency = ScoreAt(state.latency, now, table.options.latency);
+  // A target that answers nothing gives no samples; its silence is one.
+  const double silence =
+      state.own_in_flight > 0
+          ? static_cast<double>((now - state.silent_since).count())
+          : 0;
+  return std::max(latency, silence);
+}
+
+double DistrustFactor(const TargetTable& table,
+                      const TargetState& state,
+                      TimePoint now) {
+  const double distrust = state.distrust * DecayOf(state.distrust_at, now,
+                                                   table.options.report_decay);
+  return 1 + kDistrustFactor * distrust;
+}
+
+/// Compares targets of one tier; less is better.
 double Cost(const TargetTable& table, const TargetState& state, TimePoint now) {
+  const double latency =
+      std::max(LatencyOf(table, state, now), kUnknownLatencyUs);
+  return (LoadOf(table, state, now) + 1) * latency *
+         DistrustFactor(table, state, now);
+}
+
+bool IsFull(const TargetTable& table, const TargetState& state, TimePoint now) {
+  return state.member.slots > 0 &&
+         LoadOf(table, state, now) >= state.member.slots;
+}
+
+/// Expected time until the answer, with the turns before a slot is free and the
+/// price of the distance; compares targets of several tiers.
+double ExpectedTime(const TargetTable& table,
+                    const TargetState& state,
+                    TimePoint now) {
   const ChoiceOptions& options = table.options;
-  double latency = ScoreAt(state.latency, now, options.latency);
-  if (state.own_in_flight > 0) {
-    // A target that answers nothing gives no samples; its silence is one.
-    latency = std::max(latency,
-                       static_cast<double>((now - state.silent_since).count()));
+  const auto locality = static_cast<std::size_t>(state.member.locality);
+  double latency = LatencyOf(table, state, now);
+  if (latency == 0) {
+    latency = static_cast<double>(options.assumed_latency[locality].count());
+  }
+  double turns = 1;
+  if (state.member.slots > 0) {
+    const double slots = state.member.slots;
+    turns += std::max(0.0, LoadOf(table, state, now) + 1 - slots) / slots;
   }
-  latency = std::max(latency, kUnknownLatencyUs);
-  const double heard = state.peer_in_flight *
-                       DecayOf(state.peer_heard_at, now, options.report_decay);
-  const double load = std::max<double>(state.own_in_flight, heard);
-  const double distrust =
-      state.distrust * DecayOf(state.distrust_at, now, options.report_decay);
-  return (load + 1) * latency * (1 + kDistrustFactor * distrust);
+  return latency * turns * options.distance_factor[locality] *
+         DistrustFactor(table, state, now);
 }
 
 struct Search {
@@ -60,11 +105,15 @@
   std::span<const base::DaemonId> exclude;
   TimePoint now;
   bool avoid;
+  std::span<const std::uint64_t> regions;
 
   bool MayTake(const TargetState& state) const {
     return !(this->avoid && this->now < state.avoid_until) &&
            std::find(this->exclude.begin(), this->exclude.end(),
-                     state.member.id) == this->exclude.end();
+                     state.member.id) == this->exclude.end() &&
+           (this->regions.empty() ||
+            std::find(this->regions.begin(), this->regions.end(),
+                      state.member.region) != this->regions.end());
   }
 };
 
@@ -101,6 +150,31 @@
   return best;
 }
 
+/// The nearest target, unless it is full and a farther one answers sooner.
+const TargetState* ChooseAcrossTiers(const Search& search,
+                                     std::uint64_t random,
+                                     Locality farthest) {
+  const TargetTable& table = search.table;
+  const TargetState* best = nullptr;
+  double best_time = 0;
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(farthest); ++i) {
+    const TargetState* const found =
+        ChooseInTier(search, table.tiers[i], random);
+    if (found == nullptr) {
+      continue;
+    }
+    const double time = ExpectedTime(table, *found, search.now);
+    if (best == nullptr || time < best_time) {
+      best = found;
+      best_time = time;
+    }
+    if (!table.options.spill || !IsFull(table, *found, search.now)) {
+      break;
+    }
+  }
+  return best;
+}
+
 TargetState* Find(TargetTable& table, base::DaemonId target) {
   const auto found = table.index.find(target);
   return found == table.index.end() ? nullptr : &table.targets[found->second];
@@ -136,15 +210,14 @@
     std::uint64_t random,
     std::span<const base::DaemonId> exclude,
     TimePoint now,
-    Locality farthest) {
+    Locality farthest,
+    std::span<const std::uint64_t> regions) {
   // The second pass takes targets that failed a moment ago; better than none.
   for (const bool avoid : {true, false}) {
-    const Search search{table, exclude, now, avoid};
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(farthest); ++i) {
-      if (const TargetState* const best =
-              ChooseInTier(search, table.tiers[i], random)) {
-        return best->member.id;
-      }
+    const Search search{table, exclude, now, avoid, regions};
+    if (const TargetState* const best =
+            ChooseAcrossTiers(search, random, farthest)) {
+      return best->member.id;
     }
   }
   return std::nullopt;
--- a/src/eelgrassbridge/routing/target_choice_test.cpp
+++ b/src/eelgrassbridge/routing/target_choice_test.cpp
@@ -137,4 +137,28 @@
   CHECK_FALSE(HedgeDelay(tracker, service, kind).has_value());
 }
 
+TEST_CASE("a full target gives way to a farther one that answers sooner") {
+  // Guards against calls that queue behind requests bound to their region
+  // while targets of the other region are idle.
+  TargetTable table = Table({{{1}, Locality::kRegion, true, 6, 1},
+                             {{2}, Locality::kOtherRegion, true, 6, 2}});
+  const auto answer = [&table](std::uint64_t target, int ms,
+                               std::uint32_t load) {
+    NoteSent(table, DaemonId{target}, kNow);
+    NoteAnswer(table, DaemonId{target},
+               {Kind::kAnswered, milliseconds{ms}, load}, kNow);
+  };
+  answer(1, 250, 11);
+  answer(2, 95, 2);
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{1, 1000}});
+  table.options.spill = true;
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{2, 1000}});
+  // Home regions bind also then.
+  const std::vector<std::uint64_t> homes{1};
+  CHECK(ChooseTarget(table, 7, {}, kNow, Locality::kOtherRegion, homes) ==
+        DaemonId{1});
+  answer(1, 20, 3);
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{1, 1000}});
+}
+
 }  // namespace eelgrassbridge::routing
