Spend fewer calls to the store, wait longer for short requests

A request waits for a slot for 150 ms at least, a failed run is repeated only within the objective, the last answer leaves 25 ms before the caller's deadline. A line request_turned_away tells why a target's daemon refused a request, and each line has the time since the start of the process.

--- a/include/eelgrassbridge/node/event_log.hpp
+++ b/include/eelgrassbridge/node/event_log.hpp
@@ -45,6 +45,7 @@
   kRequestFailed,
   kRequestRetried,
   kRequestRun,
+  kRequestTurnedAway,
   kCallerLeft,
   kLinesDropped,
 };
@@ -72,6 +73,9 @@
 struct EventLog {
   EventLogOptions options;
   std::string name;
+  /// Start of the process; the ages of what a line tells are worked out from
+  /// the time since then, because the time of day may jump.
+  base::TimePoint started_at = base::BootClock::now();
   std::string buffer;
   struct Budget {
     double lines = 0;
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -44,6 +44,10 @@
   std::map<base::DaemonId, std::string> address_of;
   /// The rows have been read once.
   bool known = false;
+  /// Members have changed since the choices were made. All rows of a page are
+  /// taken before the choices are made again, because each time costs as much
+  /// as there are members.
+  bool choices_stale = false;
 };
 
 /// @brief Ownership in one service, as last read.
@@ -94,6 +98,15 @@
   std::map<limits::Ticket, std::shared_ptr<SlotWaiter>> waiters;
 };
 
+/// @brief How far this daemon and others have read a table.
+struct TableProgress {
+  /// Version of the latest change that was taken in.
+  std::uint64_t taken = 0;
+  /// The latest one that another daemon has taken in, and when it said so.
+  std::uint64_t heard = 0;
+  base::TimePoint heard_at{};
+};
+
 /// @brief Connection to the store as seen from here.
 struct StoreView {
   explicit StoreView(asio::io_context& io) : changed(io) {}
@@ -101,8 +114,10 @@
   bool reachable = false;
   /// How often it has been lost.
   std::uint64_t losses = 0;
-  /// It has been lost, or a poll has ended.
+  /// It has been lost, a poll has ended, or another daemon knows more.
   http::Event changed;
+  TableProgress operator_rows;
+  TableProgress fleet_rows;
 };
 
 struct Node {
@@ -161,6 +176,10 @@
 /// key.
 bool OwnsRanges(const Node& node);
 
+/// @brief Version of the map of a divided service, for log lines; zero for
+/// none.
+std::int64_t RangesVersion(const Node& node, std::string_view service);
+
 /// @brief Whether the target may be given requests now, as far as this daemon
 /// knows.
 bool TargetTakesRequests(const Node& node);
@@ -169,6 +188,12 @@
 /// centres out of service.
 void RefreshChoices(Node& node);
 
+/// @brief The same, if members have changed since.
+void RefreshStaleChoices(Node& node);
+
+/// @brief The number that stands for a region in choices.
+std::uint64_t RegionNumber(std::string_view region);
+
 /// @brief The number that stands for a daemon in choices.
 base::DaemonId NumberOf(std::string_view address);
 
@@ -179,6 +204,9 @@
                const StoreState* state,
                base::TimePoint sent_at);
 
+/// @brief Notes the latest change of a table that another daemon knows.
+void NoteHeard(Node& node, TableProgress& table, std::uint64_t version);
+
 }  // namespace eelgrassbridge::node
 
 #endif  // EELGRASSBRIDGE_NODE_NODE_HPP
--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -137,6 +137,9 @@
 inline constexpr std::string_view kCauseHeader = "Eelgrassbridge-Cause";
 inline constexpr std::string_view kReachedHeader = "Eelgrassbridge-Reached";
 inline constexpr std::string_view kInFlightHeader = "Eelgrassbridge-In-Flight";
+/// "17;42": versions of the latest changes by the operator and of the fleet
+/// that the sender has taken in.
+inline constexpr std::string_view kSeenHeader = "Eelgrassbridge-Seen";
 inline constexpr std::string_view kOwnPrefix = "Eelgrassbridge-";
 
 /// @brief Removes all headers that only daemons may set.
--- a/include/eelgrassbridge/node/settings.hpp
+++ b/include/eelgrassbridge/node/settings.hpp
@@ -37,6 +37,9 @@
   std::string peers;
   std::string readiness;
   std::string reports;
+  /// Where to listen for other daemons, if they reach `peers` through a relay;
+  /// empty: at `peers`.
+  std::string peers_listen;
   /// The target beside this daemon.
   std::string target_address;
   std::string service;
--- a/include/eelgrassbridge/ranges/lease.hpp
+++ b/include/eelgrassbridge/ranges/lease.hpp
@@ -26,7 +26,9 @@
   /// The daemon's right ends this long before its row, for the drift of the
   /// clocks over one lease and the time of a grant on its way.
   base::Duration margin{base::milliseconds{300}};
-  base::Duration renew_interval{base::milliseconds{1000}};
+  /// Several renewals may fail within the length, and the right lasts for a
+  /// whole hold just before a renewal.
+  base::Duration renew_interval{base::milliseconds{1500}};
   /// Longest hold granted to a target. Shorter than the lease, so that the
   /// keys of a target that fell silent can move while its daemon lives.
   base::Duration hold{base::milliseconds{4000}};
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -26,6 +26,13 @@
 /// A request that waits for a slot longer than this part of its objective is
 /// better sent by its caller once more.
 constexpr double kWaitShare = 0.4;
+/// The least wait for a slot, even for a request with a short objective: a call
+/// of a target that is refused makes the work of its caller useless, and the
+/// queue of a full target moves within this time. No request waits for more
+/// than kWaitShare of its time left.
+constexpr base::Duration kLeastWait = base::milliseconds{150};
+/// The last answer must still reach the caller before its deadline.
+constexpr base::Duration kCallerMargin = base::milliseconds{25};
 /// Another attempt needs at least this much time.
 constexpr base::Duration kLeastTime = base::milliseconds{40};
 /// Between attempts for a key whose owner changes or cannot be reached.
@@ -50,6 +57,12 @@
       static_cast<std::int64_t>(static_cast<double>(time.count()) * share)};
 }
 
+base::Duration WaitFor(const RequestTerms& terms) {
+  const base::Duration left = terms.deadline - base::BootClock::now();
+  return std::max(PartOf(terms.objective, kWaitShare),
+                  std::min(kLeastWait, PartOf(left, kWaitShare)));
+}
+
 /// Where an attempt goes.
 struct Destination {
   std::string daemon;
@@ -70,31 +83,19 @@
   return Destination{entry->owner.daemon, entry->owner.target};
 }
 
-/// Members that may not or cannot take the request.
-std::vector<base::DaemonId> Excluded(const Node& node,
-                                     const Attempts& attempts) {
-  std::vector<base::DaemonId> exclude = attempts.tried;
-  if (attempts.route.home_regions.empty()) {
-    return exclude;
-  }
-  for (const auto& [address, member] : node.fleet.members) {
-    if (!catalogue::MayServe(attempts.route,
-                             RegionOf(node.settings, member.data_centre))) {
-      exclude.push_back(NumberOf(address));
-    }
-  }
-  return exclude;
-}
-
 std::optional<Destination> ChooseMember(Node& node, Attempts& attempts) {
   const RequestTerms& terms = attempts.request.terms;
   const auto table = node.fleet.targets.find(terms.service);
   if (table == node.fleet.targets.end()) {
     return std::nullopt;
   }
-  const auto chosen =
-      routing::ChooseTarget(table->second, node.random(),
-                            Excluded(node, attempts), base::BootClock::now());
+  std::vector<std::uint64_t> homes;
+  for (const std::string& region : attempts.route.home_regions) {
+    homes.push_back(RegionNumber(region));
+  }
+  const auto chosen = routing::ChooseTarget(
+      table->second, node.random(), attempts.tried, base::BootClock::now(),
+      routing::Locality::kOtherRegion, homes);
   if (!chosen) {
     return std::nullopt;
   }
@@ -155,7 +156,7 @@
   ++request.attempts;
   request.last_daemon = destination.daemon;
   request.terms.target = destination.target;
-  request.terms.wait = PartOf(request.terms.objective, kWaitShare);
+  request.terms.wait = WaitFor(request.terms);
   if (!request.terms.key) {
     attempts.tried.push_back(NumberOf(destination.daemon));
   }
@@ -198,7 +199,11 @@
   }
   switch (result.outcome) {
     case Outcome::kAnswered:
+      // An answer after the objective is worth little, and under load each
+      // repeat of a failed run takes the slot of another request.
       return IsIdempotent(request.terms) &&
+             base::BootClock::now() <
+                 request.arrived + request.terms.objective &&
              result.head.status >= kFirstServerError &&
              result.head.status != kGatewayTimeout && result.body_complete &&
              MayRepeat(node, attempts);
@@ -319,9 +324,9 @@
       http::ParseNumber(http::ValueOf(head.headers, names.time_left));
   if (left) {
     terms.deadline =
-        std::min(terms.deadline,
-                 request.arrived + base::Duration{base::milliseconds{std::min(
-                                       *left, std::uint64_t{INT32_MAX})}});
+        std::min(terms.deadline, request.arrived - kCallerMargin +
+                                     base::Duration{base::milliseconds{std::min(
+                                         *left, std::uint64_t{INT32_MAX})}});
   }
   const auto* const service = catalogue::FindService(routes, terms.service);
   if (service != nullptr && service->divided_by_key) {
--- a/src/eelgrassbridge/node/event_log.cpp
+++ b/src/eelgrassbridge/node/event_log.cpp
@@ -15,15 +15,20 @@
 namespace {
 
 constexpr std::array<std::string_view, kEventKindCount> kNames = {
-    "started",           "stopping",          "stopped",
-    "settings_reloaded", "settings_rejected", "store_lost",
-    "store_regained",    "routes_in_force",   "routes_rejected",
-    "row_rejected",      "data_centre_out",   "data_centre_back",
-    "member_changed",    "member_removed",    "target_started",
-    "target_leaving",    "report_rejected",   "lease_acquired",
-    "lease_lost",        "ranges_changed",    "ranges_planned",
-    "ranges_released",   "request_answered",  "request_refused",
-    "request_failed",    "request_retried",   "request_run",
+    "started",           "stopping",
+    "stopped",           "settings_reloaded",
+    "settings_rejected", "store_lost",
+    "store_regained",    "routes_in_force",
+    "routes_rejected",   "row_rejected",
+    "data_centre_out",   "data_centre_back",
+    "member_changed",    "member_removed",
+    "target_started",    "target_leaving",
+    "report_rejected",   "lease_acquired",
+    "lease_lost",        "ranges_changed",
+    "ranges_planned",    "ranges_released",
+    "request_answered",  "request_refused",
+    "request_failed",    "request_retried",
+    "request_run",       "request_turned_away",
     "caller_left",       "lines_dropped"};
 
 bool IsPlain(std::string_view text) {
@@ -74,12 +79,18 @@
   return true;
 }
 
+std::int64_t MillisecondsUp(const EventLog& log) {
+  return std::chrono::duration_cast<base::milliseconds>(base::BootClock::now() -
+                                                        log.started_at)
+      .count();
+}
+
 std::string FormatLine(const EventLog& log,
                        EventKind kind,
                        std::initializer_list<EventField> fields) {
   std::string line = fmt::format(
-      "{{\"time_ms\":{},\"event\":\"{}\",\"daemon\":", base::UnixMilliseconds(),
-      EventName(kind));
+      "{{\"time_ms\":{},\"up_ms\":{},\"event\":\"{}\",\"daemon\":",
+      base::UnixMilliseconds(), MillisecondsUp(log), EventName(kind));
   AppendText(line, log.name);
   for (const EventField& field : fields) {
     AppendField(line, field);
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -18,17 +18,21 @@
 using base::ErrorKind;
 
 /// Longest wait of a poll for the operator's changes. A poll that the store has
-/// lost is noticed after this time and a second; changes must be in force again
-/// soon after an outage, within the 4 s for which a calm store proves itself.
-constexpr std::chrono::milliseconds kOperatorPollTime{2500};
+/// lost is given up sooner: when another call fails, or when another daemon
+/// knows a later change.
+constexpr std::chrono::milliseconds kOperatorPollTime{8000};
+/// Time for the store to tell a change that another daemon has heard of before;
+/// a little more than the way between regions and back.
+constexpr base::Duration kHeardGrace = base::milliseconds{400};
 /// The poll for the fleet's rows may wait longer, since an outage that ends a
 /// poll for the operator's rows ends it, too.
 constexpr std::chrono::milliseconds kFleetPollTime{20000};
 /// Pause after a failed call; doubled up to the longest one.
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr std::chrono::milliseconds kLongestPause{800};
-/// Changes that follow each other closely are fetched together.
-constexpr std::chrono::milliseconds kFeedPause{80};
+/// Changes that follow each other closely, as when keys move, are fetched
+/// together: each call of each daemon costs.
+constexpr std::chrono::milliseconds kFeedPause{300};
 
 struct Backoff {
   std::chrono::milliseconds next = kFirstPause;
@@ -73,21 +77,47 @@
   http::Notify(node.store.changed);
 }
 
+const TableProgress& ProgressOf(const Node& node, std::string_view table) {
+  return table == node.port.operator_table ? node.store.operator_rows
+                                           : node.store.fleet_rows;
+}
+
+/// Waits until the poll has ended or is given up. False: it is given up.
+awaitable<bool> AwaitPage(Node& node,
+                          const FeedPosition& position,
+                          const PendingPoll& pending) {
+  const std::uint64_t losses = node.store.losses;
+  const base::TimePoint begun = base::BootClock::now();
+  while (!pending.page && node.store.losses == losses) {
+    // Another daemon may know a change that the poll should have told.
+    const TableProgress& table = ProgressOf(node, position.table);
+    if (table.heard <= position.after) {
+      co_await http::Wait(node.store.changed);
+      continue;
+    }
+    const base::TimePoint latest =
+        std::max(begun, table.heard_at) + kHeardGrace;
+    if (base::BootClock::now() >= latest) {
+      break;
+    }
+    co_await http::WaitUntil(node.store.changed, latest);
+  }
+  co_return pending.page.has_value();
+}
+
 /// A poll that is given up when the store is lost meanwhile: the store may have
 /// lost the poll, too. The answer says when the store answered, but not when it
 /// began to wait, so it tells nothing about the store's clock.
 awaitable<base::Result<RowPage>> Poll(Node& node, FeedPosition position) {
   const base::TimePoint sent_at = base::BootClock::now();
-  const std::uint64_t losses = node.store.losses;
   auto pending = std::make_shared<PendingPoll>();
-  asio::co_spawn(node.io, RunPoll(node, std::move(position), pending),
-                 asio::detached);
-  while (!pending->page && node.store.losses == losses) {
-    co_await http::Wait(node.store.changed);
-  }
-  if (!pending->page) {
-    co_return base::Fail(ErrorKind::kStoreUnavailable,
-                         "the store was lost during a poll");
+  asio::co_spawn(node.io, RunPoll(node, position, pending), asio::detached);
+  const bool ended = co_await AwaitPage(node, position, *pending);
+  if (!ended) {
+    co_return base::Fail(
+        ErrorKind::kStoreUnavailable,
+        "the poll was given up: the store was lost, or another "
+        "daemon knows a later change");
   }
   if (*pending->page) {
     NoteStore(node, true, {}, nullptr, sent_at);
@@ -155,6 +185,7 @@
   for (const StoredRow& row : removed) {
     TakeFleetRow(node, row);
   }
+  RefreshStaleChoices(node);
   co_return page.value().state.version;
 }
 
@@ -220,6 +251,7 @@
     for (const StoredRow& row : page.value().rows) {
       take(node, row);
     }
+    RefreshStaleChoices(node);
     position.after = std::max(position.after, page.value().state.version);
     co_await after_page();
   }
--- a/src/eelgrassbridge/node/final_answer.cpp
+++ b/src/eelgrassbridge/node/final_answer.cpp
@@ -30,10 +30,6 @@
               std::string_view cause,
               int status) {
   const base::Duration took = base::BootClock::now() - request.arrived;
-  const auto& ranges = node.ranges;
-  const auto found = ranges.find(request.terms.service);
-  const std::uint64_t ranges_version =
-      found == ranges.end() ? 0 : found->second.version;
   Log(node.log, kind,
       {{"request", request.terms.id},
        {"route", request.route},
@@ -46,7 +42,7 @@
        {"left_ms",
         MillisecondsLeft(request.terms.deadline, base::BootClock::now())},
        {"routes_version", static_cast<std::int64_t>(request.routes_version)},
-       {"ranges_version", static_cast<std::int64_t>(ranges_version)}});
+       {"ranges_version", RangesVersion(node, request.terms.service)}});
 }
 
 http::Headers OwnHeaders(const Node& node,
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -116,6 +116,7 @@
   for (const StoredRow& row : page.value().rows) {
     TakeFleetRow(node, row);
   }
+  RefreshStaleChoices(node);
   co_return true;
 }
 
@@ -201,11 +202,13 @@
     } else if (result.value().done) {
       TakeFleetRow(node, {name, EncodeMember(member),
                           result.value().state.version, false});
+      RefreshStaleChoices(node);
     } else {
       const StoredRow present = PresentRow(result.value(), name);
       if (present.version > 0) {
         TakeFleetRow(node, present);
       }
+      RefreshStaleChoices(node);
       node.fleet.versions[member.address] = present.version;
     }
   }
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -29,11 +29,9 @@
   options.slots = kInitialSlots;
   options.connections = kInitialConnections;
   options.queue_capacity = kQueueCapacity;
-  limits::TargetLimiter limiter = limits::MakeTargetLimiter(options);
-  // The target tells how long it is cold, and the pacer keeps to that; the ramp
-  // only serves to give way to refusals.
-  limiter.ramp.level = limiter.ramp.capacity;
-  return limiter;
+  // The target tells its slots and how long it is cold.
+  options.ramped = false;
+  return limits::MakeTargetLimiter(options);
 }
 
 limits::ServiceRetryOptions RetryOptions(const Bounds& bounds) {
@@ -95,11 +93,24 @@
   return service != nullptr && service->divided_by_key;
 }
 
+std::int64_t RangesVersion(const Node& node, std::string_view service) {
+  const auto found = node.ranges.find(service);
+  return found == node.ranges.end()
+             ? 0
+             : static_cast<std::int64_t>(found->second.version);
+}
+
 bool TargetTakesRequests(const Node& node) {
   return IsServing(node.target) &&
          !node.data_centres_out.contains(node.settings.data_centre);
 }
 
+void RefreshStaleChoices(Node& node) {
+  if (node.fleet.choices_stale) {
+    RefreshChoices(node);
+  }
+}
+
 void RefreshChoices(Node& node) {
   std::map<std::string, std::vector<routing::TargetMember>> by_service;
   node.fleet.address_of.clear();
@@ -109,18 +120,26 @@
     const base::DaemonId number = NumberOf(address);
     node.fleet.address_of[number] = address;
     by_service[member.service].push_back(
-        {number, LocalityOf(node, member), may_get_work});
+        {number, LocalityOf(node, member), may_get_work, member.slots,
+         RegionNumber(RegionOf(node.settings, member.data_centre))});
   }
+  node.fleet.choices_stale = false;
   for (auto& [service, table] : node.fleet.targets) {
     if (!by_service.contains(service)) {
       routing::SetMembers(table, {});
     }
   }
   for (const auto& [service, members] : by_service) {
-    routing::SetMembers(node.fleet.targets[service], members);
+    routing::TargetTable& table = node.fleet.targets[service];
+    table.options.spill = true;
+    routing::SetMembers(table, members);
   }
 }
 
+std::uint64_t RegionNumber(std::string_view region) {
+  return base::Hash64(region);
+}
+
 base::DaemonId NumberOf(std::string_view address) {
   return base::DaemonId{base::Hash64(address)};
 }
@@ -145,4 +164,13 @@
       {{"cause", cause}});
 }
 
+void NoteHeard(Node& node, TableProgress& table, std::uint64_t version) {
+  if (version <= table.heard) {
+    return;
+  }
+  table.heard = version;
+  table.heard_at = base::BootClock::now();
+  http::Notify(node.store.changed);
+}
+
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -14,6 +14,24 @@
 using base::ErrorKind;
 using base::Outcome;
 
+void AddSeen(const Node& node, http::Headers& headers) {
+  headers.push_back({std::string(kSeenHeader),
+                     fmt::format("{};{}", node.store.operator_rows.taken,
+                                 node.store.fleet_rows.taken)});
+}
+
+void TakeSeen(Node& node, const http::Headers& headers) {
+  const std::string_view seen = http::ValueOf(headers, kSeenHeader);
+  const auto middle = seen.find(';');
+  if (middle == std::string_view::npos) {
+    return;
+  }
+  const auto by_operator = http::ParseNumber(seen.substr(0, middle));
+  const auto by_fleet = http::ParseNumber(seen.substr(middle + 1));
+  NoteHeard(node, node.store.operator_rows, by_operator.value_or(0));
+  NoteHeard(node, node.store.fleet_rows, by_fleet.value_or(0));
+}
+
 http::Headers HeadersForPeer(const Node& node,
                              const RequestTerms& terms,
                              const Message& message) {
@@ -26,6 +44,7 @@
   headers.push_back({std::string(kCallerHeader), terms.caller_service});
   headers.push_back({std::string(kTargetHeader), terms.target});
   headers.push_back({std::string(kTermsHeader), EncodeTerms(terms)});
+  AddSeen(node, headers);
   return headers;
 }
 
@@ -125,6 +144,7 @@
   }
   headers.push_back(
       {std::string(kInFlightHeader), fmt::format("{}", InFlight(node))});
+  AddSeen(node, headers);
   return headers;
 }
 
@@ -220,6 +240,7 @@
   RunResult result =
       co_await Transmit(node, message, std::move(transmission), cancellation);
   ReadMeaning(result);
+  TakeSeen(node, result.head.headers);
   const base::TimePoint now = base::BootClock::now();
   routing::NoteAnswer(node.fleet.targets[terms.service], number,
                       ReportOf(result, now - sent_at), now);
@@ -234,6 +255,7 @@
     co_await http::Respond(exchange, kBadRequest, {}, {});
     co_return;
   }
+  TakeSeen(node, exchange.head.headers);
   RequestWatch watch(node, exchange, terms.value().deadline);
   Message message;
   message.method = exchange.head.method;
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -19,8 +19,10 @@
 /// noticed without a plan by each daemon.
 constexpr base::Duration kPlanInterval = base::milliseconds{1000};
 constexpr std::size_t kPlanners = 3;
-/// Those behind the first ones look only for the loss of all of them.
-constexpr base::Duration kSparePlanInterval = base::milliseconds{6000};
+/// Those behind the first ones look only for the loss of all of them; each one
+/// more seldom the more there are, so that together they look once in this
+/// time.
+constexpr base::Duration kSparePlanInterval = base::milliseconds{2000};
 /// Keys move for load at most this often, so that the effect of a move is
 /// seen before the next one.
 constexpr base::Duration kBalanceInterval = base::milliseconds{3000};
@@ -150,7 +152,7 @@
   }
   co_return rank < kPlanners
       ? kPlanInterval* static_cast<std::int64_t>(rank + 1)
-      : kSparePlanInterval;
+      : kSparePlanInterval* static_cast<std::int64_t>(rows.live.size());
 }
 
 /// The target has started again: its ranges go to the new life.
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -1,5 +1,7 @@
 // What the rows of the operator and of the fleet change in the node. Rows that
 // cannot be read, and older versions, change nothing.
+#include <algorithm>
+
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
@@ -50,7 +52,7 @@
   if (row.removed) {
     node.fleet.members.erase(address);
     Log(node.log, EventKind::kMemberRemoved, {{"address", address}});
-    RefreshChoices(node);
+    node.fleet.choices_stale = true;
     return;
   }
   auto member = DecodeMember(row.value);
@@ -68,7 +70,7 @@
        {"serving", std::int64_t{member.value().serving}},
        {"row_version", static_cast<std::int64_t>(row.version)}});
   node.fleet.members[address] = std::move(member.value());
-  RefreshChoices(node);
+  node.fleet.choices_stale = true;
 }
 
 void TakeMap(Node& node, const StoredRow& row) {
@@ -115,6 +117,8 @@
 
 void TakeOperatorRow(Node& node, const StoredRow& row) {
   const OperatorRow meaning = node.port.operator_row(row.name);
+  std::uint64_t& taken = node.store.operator_rows.taken;
+  taken = std::max(taken, row.version);
   switch (meaning.kind) {
     case OperatorRow::Kind::kRoutes:
       if (!row.removed) {
@@ -130,6 +134,8 @@
 }
 
 void TakeFleetRow(Node& node, const StoredRow& row) {
+  std::uint64_t& taken = node.store.fleet_rows.taken;
+  taken = std::max(taken, row.version);
   if (row.name.key == kMapKey) {
     TakeMap(node, row);
   } else if (row.name.key.starts_with(kMemberPrefix)) {
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -141,7 +141,10 @@
   const NodeSettings& settings = node.settings;
   StartServer(node, node.readiness_server, settings.readiness, HandleReadiness);
   StartServer(node, node.reports_server, settings.reports, HandleTargetCall);
-  StartServer(node, node.peers_server, settings.peers, HandlePeer);
+  StartServer(
+      node, node.peers_server,
+      settings.peers_listen.empty() ? settings.peers : settings.peers_listen,
+      HandlePeer);
   StartServer(node, node.callers_server, settings.callers, HandleCaller);
 }
 
@@ -152,6 +155,7 @@
   Log(node.log, EventKind::kStarted,
       {{"data_centre", node.settings.data_centre},
        {"service", node.settings.service},
+       {"address", node.settings.peers},
        {"process", node.process}});
   for (auto* part : {FollowOperator, FollowFleet, PublishMember, KeepLease,
                      PlanRanges, HandOverRanges, FlushLog}) {
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -75,6 +75,12 @@
   ReadSeconds(reader, "longest_hold_seconds", bounds.longest_hold);
 }
 
+void ReadOptionalAddress(Reader& reader, const char* name, std::string& value) {
+  if (reader.root[name].IsDefined()) {
+    ReadAddress(reader, name, value);
+  }
+}
+
 void ReadRegions(Reader& reader, NodeSettings& settings) {
   const YAML::Node regions = reader.root["data_centres"];
   if (!regions.IsMap()) {
@@ -96,6 +102,7 @@
   ReadRegions(reader, settings);
   ReadAddress(reader, "callers", settings.callers);
   ReadAddress(reader, "peers", settings.peers);
+  ReadOptionalAddress(reader, "peers_listen", settings.peers_listen);
   ReadAddress(reader, "readiness", settings.readiness);
   ReadAddress(reader, "reports", settings.reports);
   ReadAddress(reader, "target_address", settings.target_address);
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -163,7 +163,7 @@
   }
   const limits::Admission admission = limits::Admit(
       node.admission.limiter,
-      {ClassOf(terms.priority), {}, may_wait ? latest : terms.deadline},
+      {ClassOf(terms.priority), {}, may_wait ? latest : terms.deadline, true},
       base::BootClock::now());
   DispatchWaiters(node);
   switch (admission.state) {
@@ -219,34 +219,97 @@
   }
 }
 
-}  // namespace
-
-awaitable<RunResult> RunOnTarget(Node& node,
-                                 const RequestTerms& terms,
-                                 const Message& message,
-                                 CancellationPointer cancellation) {
+/// All that comes before a run: the state of the target, its hold of the key,
+/// and a slot.
+awaitable<base::Result<SlotPointer>> AdmitToTarget(
+    Node& node,
+    const RequestTerms& terms,
+    CancellationPointer cancellation) {
   const TimePoint latest = LatestStart(terms, base::BootClock::now());
-  if (terms.key) {
-    NoteArrival(node.demand, *terms.key, base::BootClock::now());
-  }
   if (const auto reason = ReasonAgainst(node, terms)) {
-    co_return NotRun(*reason, NotRunProof::NeverSent());
+    co_return base::Fail(*reason, {});
   }
   if (terms.key) {
     const auto reason = co_await AwaitKey(node, terms, latest, *cancellation);
     if (reason) {
-      co_return NotRun(*reason, NotRunProof::NeverSent());
+      co_return base::Fail(*reason, {});
     }
   }
   auto acquired = co_await AcquireSlot(node, terms, latest, cancellation);
-  if (!acquired) {
-    co_return NotRun(acquired.error().kind, NotRunProof::NeverSent());
-  }
-  const SlotPointer slot = std::move(acquired.value());
   // The target may have begun to leave while the request waited.
-  if (const auto reason = ReasonAgainst(node, terms)) {
-    co_return NotRun(*reason, NotRunProof::NeverSent());
+  const auto reason = ReasonAgainst(node, terms);
+  if (acquired && reason) {
+    co_return base::Fail(*reason, {});
+  }
+  co_return std::move(acquired);
+}
+
+double MillisecondsSince(TimePoint begin) {
+  return std::chrono::duration<double, std::milli>(base::BootClock::now() -
+                                                   begin)
+      .count();
+}
+
+void LogTurnedAway(Node& node,
+                   const RequestTerms& terms,
+                   ErrorKind cause,
+                   TimePoint arrived) {
+  const TimePoint now = base::BootClock::now();
+  const limits::TargetLimiter& limiter = node.admission.limiter;
+  const auto cold =
+      std::max(base::Duration{0}, node.admission.cold.cold_until - now);
+  Log(node.log, EventKind::kRequestTurnedAway,
+      {{"request", terms.id},
+       {"service", terms.service},
+       {"target", node.target.id},
+       {"cause", base::ErrorName(cause)},
+       {"priority", std::int64_t{terms.priority}},
+       {"waited_ms", MillisecondsSince(arrived)},
+       {"in_flight", std::int64_t{limiter.in_flight}},
+       {"queued", std::int64_t{limiter.queued}},
+       {"slots", std::int64_t{limits::Bound(limiter)}},
+       {"cold_ms", cold.count() / 1000},
+       {"lease_held", std::int64_t{node.lease.held}},
+       {"ranges_version", RangesVersion(node, terms.service)},
+       {"report_sequence", static_cast<std::int64_t>(node.target.sequence)}});
+}
+
+void LogRun(Node& node,
+            const RequestTerms& terms,
+            const RunResult& result,
+            base::Duration waited) {
+  Log(node.log, EventKind::kRequestRun,
+      {{"request", terms.id},
+       {"service", terms.service},
+       {"target", node.target.id},
+       {"outcome", base::OutcomeName(result.outcome)},
+       {"cause", result.outcome == base::Outcome::kAnswered
+                     ? std::string_view{}
+                     : base::ErrorName(result.cause)},
+       {"status", std::int64_t{result.head.status}},
+       {"waited_ms", std::chrono::duration<double, std::milli>(waited).count()},
+       {"in_flight", std::int64_t{InFlight(node)}},
+       {"ranges_version", RangesVersion(node, terms.service)},
+       {"report_sequence", static_cast<std::int64_t>(node.target.sequence)}});
+}
+
+}  // namespace
+
+awaitable<RunResult> RunOnTarget(Node& node,
+                                 const RequestTerms& terms,
+                                 const Message& message,
+                                 CancellationPointer cancellation) {
+  const TimePoint arrived = base::BootClock::now();
+  if (terms.key) {
+    NoteArrival(node.demand, *terms.key, arrived);
+  }
+  auto admitted = co_await AdmitToTarget(node, terms, cancellation);
+  if (!admitted) {
+    const ErrorKind cause = admitted.error().kind;
+    LogTurnedAway(node, terms, cause, arrived);
+    co_return NotRun(cause, NotRunProof::NeverSent());
   }
+  const SlotPointer slot = std::move(admitted.value());
   const TimePoint sent_at = base::BootClock::now();
   Transmission transmission;
   transmission.pool = &node.targets;
@@ -263,18 +326,7 @@
   if (!result.body_complete) {
     result.slot = slot;
   }
-  Log(node.log, EventKind::kRequestRun,
-      {{"request", terms.id},
-       {"target", node.target.id},
-       {"outcome", base::OutcomeName(result.outcome)},
-       {"cause", result.outcome == base::Outcome::kAnswered
-                     ? std::string_view{}
-                     : base::ErrorName(result.cause)},
-       {"status", std::int64_t{result.head.status}},
-       {"waited_ms", (sent_at - latest).count() / 1000.0 +
-                         (latest - slot->started).count() / 1000.0},
-       {"in_flight", std::int64_t{InFlight(node)}},
-       {"report_sequence", static_cast<std::int64_t>(node.target.sequence)}});
+  LogRun(node, terms, result, sent_at - arrived);
   co_return result;
 }
 
@@ -293,14 +345,9 @@
   }
   node.admission.cold.requests_per_second = service->cold_requests_per_second;
   if (node.target.slots > 0) {
-    limits::TargetLimiter& limiter = node.admission.limiter;
-    const std::uint32_t before = limiter.ramp.capacity;
     limits::SetTargetBounds(
-        limiter, node.target.slots,
+        node.admission.limiter, node.target.slots,
         std::max(node.target.slots, service->max_connections));
-    if (limiter.ramp.capacity > before) {
-      limiter.ramp.level = limiter.ramp.capacity;
-    }
   }
   DispatchWaiters(node);
 }
