Explain a request from the logs of nodes

eelgrassbridge explain REQUEST_ID FILE... prints the steps of a request in order of causes, what each process believed at each step and how old that was, and which lines are missing. Clocks of several VMs are not compared: the entry's lines order the attempts, ages come from the time since the start of the process.

--- a/include/eelgrassbridge/cli/command.hpp
+++ b/include/eelgrassbridge/cli/command.hpp
@@ -30,7 +30,8 @@
   std::string_view name;
   std::string_view summary;
   /// Names of the positional arguments, which are options of cxxopts too;
-  /// a leading '?' marks one that may be left out.
+  /// a leading '?' marks one that may be left out, and "..." at the end of the
+  /// last one that it takes all that follow.
   std::vector<std::string> positional;
   bool talks_to_daemon = false;
   void (*add_options)(cxxopts::Options& options) = nullptr;
@@ -56,6 +57,7 @@
 // The commands, in the files named after them.
 std::vector<Command> LocalCommands();
 std::vector<Command> NodeCommands();
+std::vector<Command> ExplainCommands();
 std::vector<Command> CatalogueCommands();
 std::vector<Command> TakeOutCommands();
 std::vector<Command> StatusCommands();
--- a/src/eelgrassbridge/cli/all_commands.cpp
+++ b/src/eelgrassbridge/cli/all_commands.cpp
@@ -10,9 +10,9 @@
 
 std::vector<Command> MakeCommands() {
   std::vector<Command> all;
-  for (auto* group :
-       {LocalCommands, NodeCommands, CatalogueCommands, TakeOutCommands,
-        StatusCommands, ReportCommands, KeysCommands, CompletionCommands}) {
+  for (auto* group : {LocalCommands, NodeCommands, ExplainCommands,
+                      CatalogueCommands, TakeOutCommands, StatusCommands,
+                      ReportCommands, KeysCommands, CompletionCommands}) {
     std::ranges::copy(group(), std::back_inserter(all));
   }
   return all;
--- a/src/eelgrassbridge/cli/node_only/all_commands.cpp
+++ b/src/eelgrassbridge/cli/node_only/all_commands.cpp
@@ -1,11 +1,24 @@
 // The commands of a build for the users' platform, which leaves out what only
 // the product's own site needs.
+#include <algorithm>
+#include <iterator>
+
 #include "eelgrassbridge/cli/command.hpp"
 
 namespace eelgrassbridge::cli {
 
+namespace {
+
+std::vector<Command> MakeCommands() {
+  std::vector<Command> commands = NodeCommands();
+  std::ranges::copy(ExplainCommands(), std::back_inserter(commands));
+  return commands;
+}
+
+}  // namespace
+
 std::span<const Command> AllCommands() {
-  static const std::vector<Command> commands = NodeCommands();
+  static const std::vector<Command> commands = MakeCommands();
   return commands;
 }
 
--- a/src/eelgrassbridge/cli/run.cpp
+++ b/src/eelgrassbridge/cli/run.cpp
@@ -54,13 +54,26 @@
   return positional.starts_with('?');
 }
 
+constexpr std::string_view kListMark = "...";
+
+bool IsList(std::string_view positional) {
+  return positional.ends_with(kListMark);
+}
+
+/// Name of the option that holds a positional argument.
+std::string OptionName(std::string_view positional) {
+  positional.remove_prefix(IsOptional(positional) ? 1 : 0);
+  positional.remove_suffix(IsList(positional) ? kListMark.size() : 0);
+  return std::string(positional);
+}
+
 ExitCode CheckPositional(const Command& command,
                          const cxxopts::ParseResult& parsed,
                          std::ostream& err) {
   for (const std::string& name : command.positional) {
-    if (!IsOptional(name) && parsed.count(name) == 0) {
+    if (!IsOptional(name) && parsed.count(OptionName(name)) == 0) {
       return Misuse(err, fmt::format("{}: {} is missing; see --help",
-                                     command.name, name));
+                                     command.name, OptionName(name)));
     }
   }
   if (!parsed.unmatched().empty()) {
@@ -112,11 +125,16 @@
   std::string shown;
   std::vector<std::string> names;
   for (const std::string& positional : command.positional) {
-    const bool is_optional = IsOptional(positional);
-    const std::string name = positional.substr(is_optional ? 1 : 0);
+    const std::string name = OptionName(positional);
     names.push_back(name);
-    shown += is_optional ? fmt::format(" [{}]", name) : " " + name;
-    options.add_options("arguments")(name, "", cxxopts::value<std::string>());
+    shown += IsOptional(positional) ? fmt::format(" [{}]", name)
+                                    : " " + std::string(positional);
+    if (IsList(positional)) {
+      options.add_options("arguments")(
+          name, "", cxxopts::value<std::vector<std::string>>());
+    } else {
+      options.add_options("arguments")(name, "", cxxopts::value<std::string>());
+    }
   }
   options.custom_help("[OPTION...]" + shown);
   options.positional_help("");
--- /dev/null
+++ b/src/eelgrassbridge/explain/conclusions.cpp
@@ -0,0 +1,94 @@
+// Sentences for the causes that end a request.
+#include "eelgrassbridge/explain/conclusions.hpp"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "eelgrassbridge/node/event_log.hpp"
+
+namespace eelgrassbridge::explain {
+
+namespace {
+
+struct Conclusion {
+  std::string_view cause;
+  std::string_view text;
+};
+
+constexpr std::array kConclusions{
+    Conclusion{"overloaded",
+               "Not run: no target that was asked had a free slot in time. "
+               "Compare in_flight and slots of the steps; a cold target takes "
+               "only the rate that the routes state."},
+    Conclusion{"target_refused",
+               "Not run: the target itself refused. Compare in_flight with its "
+               "slots, and look for a new life of it."},
+    Conclusion{"no_owner",
+               "Not run: the key had no owner that the entry knew of. Look for "
+               "the end of the last owner's lease and for ranges_planned."},
+    Conclusion{"not_owner",
+               "Not run: the daemon that was asked could not let its target "
+               "hold the key. Its lease, or the version of its ranges, tells "
+               "why."},
+    Conclusion{"no_target",
+               "Not run: no member of the service might take the request. "
+               "Members, home regions and data centres out of service decide."},
+    Conclusion{"not_ready",
+               "Not run: the entry had not read the routes and members yet."},
+    Conclusion{"draining", "Not run: a daemon or target was about to leave."},
+    Conclusion{"peer_unreachable",
+               "Not run: no connection to the daemon that was asked. Look for "
+               "its end, or for a cut between the VMs."},
+    Conclusion{"answer_cut",
+               "May have run: the connection ended before the whole answer."},
+    Conclusion{"peer_lost",
+               "May have run: the daemon that was asked was lost meanwhile."},
+    Conclusion{"target_lost", "May have run: the target was lost meanwhile."},
+    Conclusion{"target_timeout",
+               "May have run: the time of the caller or of the route was up."},
+    Conclusion{"peer_timeout",
+               "May have run: the time for the daemon's answer was up."},
+    Conclusion{"unknown_service",
+               "Rejected: no route of the version in force matches."},
+};
+
+std::string_view TextFor(std::string_view cause) {
+  const auto* const found =
+      std::ranges::find(kConclusions, cause, &Conclusion::cause);
+  return found == kConclusions.end() ? std::string_view{} : found->text;
+}
+
+/// Whether a target's daemon tells that the target ran the request.
+bool HasRun(const Explanation& explanation) {
+  return std::ranges::any_of(explanation.steps, [](const Step& step) {
+    return step.line.event == node::EventName(node::EventKind::kRequestRun) &&
+           TextOf(step.line, "outcome") != "not_run";
+  });
+}
+
+}  // namespace
+
+std::string ConclusionOf(const Explanation& explanation) {
+  if (explanation.steps.empty()) {
+    return "Nothing is known of the request.";
+  }
+  const Step& last = explanation.steps.back();
+  const std::string cause = TextOf(last.line, "cause");
+  if (last.line.event == node::EventName(node::EventKind::kRequestAnswered)) {
+    return "Answered with status " + TextOf(last.line, "status") + ".";
+  }
+  if (last.line.event == node::EventName(node::EventKind::kCallerLeft)) {
+    return "The caller closed its connection before the answer.";
+  }
+  std::string text(TextFor(cause));
+  if (text.empty()) {
+    text = "The cause is " + (cause.empty() ? "not told" : cause) + ".";
+  }
+  if (text.starts_with("May have run") && HasRun(explanation)) {
+    text += " A target did run it.";
+  }
+  return text;
+}
+
+}  // namespace eelgrassbridge::explain
