Add a randomized soak of real daemons under faults from outside

Daemons are processes of their own; a loopback proxy stands in each of their connections to the store, the target and other daemons. Faults are drawn from a seed: signals, links, the store, targets and the operator's changes, alone and overlapping. Promises are checked from what callers and targets see.

--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -46,7 +46,10 @@
 
 awaitable<void> AnswerRun(TargetStandin& target, http::Exchange& exchange) {
   http::Headers headers = AnswerHeaders(target, exchange);
-  headers.push_back({"Server-Signature", target.id});
+  headers.push_back(
+      {"Server-Signature",
+       target.id + "/" +
+           std::string(http::ValueOf(exchange.head.headers, "Request-Id"))});
   const std::string body = "done by " + target.id;
   switch (target.trouble) {
     case TargetTrouble::kFails:
@@ -72,7 +75,30 @@
   }
 }
 
+void NoteRun(TargetStandin& target, const http::RequestHead& head) {
+  TargetRun run{std::string(http::ValueOf(head.headers, "Request-Id")),
+                head.method,
+                head.target,
+                std::string(http::ValueOf(head.headers, "Caller-Service")),
+                {}};
+  const auto key = http::ParseNumber(http::ValueOf(head.headers, "Shard-Key"));
+  if (key) {
+    run.key = static_cast<std::uint32_t>(*key);
+  }
+  ++target.runs[run.request];
+  target.last_caller_service = run.caller_service;
+  ++target.running;
+  target.most_running = std::max(target.most_running, target.running);
+  if (target.on_run) {
+    target.on_run(target, run);
+  }
+}
+
 awaitable<void> HandleRequest(TargetStandin& target, http::Exchange& exchange) {
+  if (target.down) {
+    http::Abort(exchange);
+    co_return;
+  }
   if (IsMisdirected(target, exchange.head)) {
     co_await RefuseRun(target, exchange, kMisdirected);
     co_return;
@@ -83,11 +109,8 @@
     co_return;
   }
   const std::string id(http::ValueOf(exchange.head.headers, "Request-Id"));
-  target.last_caller_service =
-      http::ValueOf(exchange.head.headers, "Caller-Service");
-  ++target.runs[id];
-  ++target.running;
-  target.most_running = std::max(target.most_running, target.running);
+  const std::uint64_t life = target.life;
+  NoteRun(target, exchange.head);
   std::string body;
   http::BodyRead read = http::BodyRead::kMore;
   while (read == http::BodyRead::kMore) {
@@ -105,6 +128,10 @@
     co_await http::WaitUntil(event, end);
   }
   exchange.connection->on_caller_left = nullptr;
+  if (life != target.life) {
+    http::Abort(exchange);
+    co_return;
+  }
   --target.running;
   target.cancelled += left ? 1 : 0;
   if (!left) {
@@ -162,14 +189,21 @@
     }
   }
   target.holds = std::move(next);
-  target.held_until = sent_at + base::Duration{static_cast<std::int64_t>(
-                                    answer.at("hold_s").get<double>() * 1e6)};
+  const double seconds =
+      answer.at("hold_s").get<double>() * target.hold_stretch;
+  target.held_until =
+      sent_at + base::Duration{static_cast<std::int64_t>(seconds * 1e6)};
+  if (target.on_holds) {
+    target.on_holds(target);
+  }
   return any_released;
 }
 
 awaitable<void> ReportLoop(TargetStandin& target) {
-  while (target.reporting) {
+  const std::uint64_t life = target.life;
+  while (target.reporting && life == target.life) {
     const base::TimePoint sent_at = base::BootClock::now();
+    const bool leaving = target.leaving;
     http::ShortRequest request;
     request.method = "POST";
     request.target = "/api/rpc?call=instances.heartbeat&of=" + target.id;
@@ -179,7 +213,13 @@
     const auto answer =
         co_await http::Call(target.pool, *endpoint, std::move(request));
     bool again = false;
+    if (life != target.life) {
+      co_return;
+    }
     if (answer && answer.value().head.status == kOk) {
+      if (leaving && target.leaving_acknowledged_at == base::TimePoint{}) {
+        target.leaving_acknowledged_at = base::BootClock::now();
+      }
       target.released.clear();
       again = TakeAnswer(target, json::parse(answer.value().body), sent_at);
     }
@@ -212,6 +252,26 @@
   asio::co_spawn(target.server.io, ReportLoop(target), asio::detached);
 }
 
+void Crash(TargetStandin& target) {
+  target.down = true;
+  ++target.life;
+  target.running = 0;
+  target.holds.clear();
+  target.released.clear();
+  target.held_until = {};
+}
+
+void StartAgain(TargetStandin& target, std::string id) {
+  Crash(target);
+  target.down = false;
+  target.id = std::move(id);
+  target.born = std::max(target.born + 1, base::UnixMilliseconds());
+  target.sequence = 0;
+  target.leaving = false;
+  target.leaving_acknowledged_at = {};
+  StartReports(target);
+}
+
 bool Holds(const TargetStandin& target, std::uint32_t key) {
   return base::BootClock::now() < target.held_until &&
          std::ranges::any_of(target.holds, [key](const auto& hold) {
--- a/standins/platform/target_standin.hpp
+++ b/standins/platform/target_standin.hpp
@@ -6,7 +6,9 @@
 #include <asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,15 @@
   kExtraAnswer,
 };
 
+/// @brief A request that a target begins to run.
+struct TargetRun {
+  std::string request;
+  std::string method;
+  std::string path;
+  std::string caller_service;
+  std::optional<std::uint32_t> key;
+};
+
 struct TargetStandin {
   TargetStandin(asio::io_context& io, std::string target_id);
 
@@ -67,6 +78,17 @@
   std::uint32_t running = 0;
   std::uint32_t most_running = 0;
   std::uint64_t cancelled = 0;
+  /// Number of the present life; what runs in an earlier one has no answer.
+  std::uint64_t life = 0;
+  /// No life: connections are closed at once.
+  bool down = false;
+  /// How much longer than told its clock lets a hold last.
+  double hold_stretch = 1;
+  /// Told of each request that begins to run, and of each change of holds.
+  std::function<void(const TargetStandin&, const TargetRun&)> on_run;
+  std::function<void(const TargetStandin&)> on_holds;
+  /// A report that said that it leaves, or its departure, was acknowledged.
+  base::TimePoint leaving_acknowledged_at{};
 };
 
 /// @brief Listens on a free loopback port; sets the address.
@@ -75,6 +97,12 @@
 /// @brief Begins to report itself. Ends when `reporting` is unset.
 void StartReports(TargetStandin& target);
 
+/// @brief Ends the present life: its runs, holds and reports.
+void Crash(TargetStandin& target);
+
+/// @brief Begins a new life, under the same id or another one.
+void StartAgain(TargetStandin& target, std::string id);
+
 /// @brief Whether it holds the key now.
 bool Holds(const TargetStandin& target, std::uint32_t key);
 
--- /dev/null
+++ b/tests/soak/callers.hpp
@@ -0,0 +1,42 @@
+// Callers that keep their connections, and probes of the routes in force.
+#ifndef EELGRASSBRIDGE_TESTS_SOAK_CALLERS_HPP
+#define EELGRASSBRIDGE_TESTS_SOAK_CALLERS_HPP
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "checker.hpp"
+#include "eelgrassbridge/http/client.hpp"
+
+namespace eelgrassbridge::soak {
+
+struct CallerOptions {
+  int callers_for_each_place = 4;
+  std::chrono::milliseconds pause{40};
+};
+
+struct Callers {
+  Callers(Checker& used_checker, std::uint64_t seed, CallerOptions settings)
+      : checker(used_checker), options(settings), random(seed) {}
+
+  Checker& checker;
+  CallerOptions options;
+  std::mt19937_64 random;
+  std::uint64_t next_id = 1;
+  bool running = true;
+  std::uint32_t active = 0;
+};
+
+/// @brief Starts all callers and probes.
+void Start(Callers& callers);
+
+/// @brief Waits until each daemon serves each service again, at most for the
+/// time that is promised; a violation otherwise.
+asio::awaitable<void> AwaitRecovery(Callers& callers);
+
+}  // namespace eelgrassbridge::soak
+
+#endif  // EELGRASSBRIDGE_TESTS_SOAK_CALLERS_HPP
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,117 @@
+// Randomized soak: real daemons as processes, faults from outside, and the
+// promises checked while it runs. One line of JSON for each seed.
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "callers.hpp"
+#include "checker.hpp"
+#include "faults.hpp"
+#include "fleet.hpp"
+
+namespace eelgrassbridge::soak {
+namespace {
+
+/// From the start of the daemons to the first fault.
+constexpr std::chrono::seconds kStartTime{8};
+/// Requests in flight end within their deadline and a second.
+constexpr std::chrono::seconds kEndTime{4};
+
+struct Run {
+  Run(asio::io_context& io, FleetOptions options, std::uint64_t seed)
+      : fleet(io, std::move(options)),
+        checker(fleet),
+        callers(checker, seed, {}),
+        faults(checker, seed) {}
+
+  Fleet fleet;
+  Checker checker;
+  Callers callers;
+  Faults faults;
+};
+
+asio::awaitable<void> Play(Run& run, std::chrono::seconds time) {
+  asio::io_context& io = run.fleet.io;
+  run.checker.calm.undisturbed_since = base::BootClock::now() + kStartTime;
+  Watch(run.checker);
+  co_await http::Sleep(io, kStartTime);
+  Start(run.callers);
+  co_await RunFaults(run.faults, time);
+  co_await AwaitRecovery(run.callers);
+  run.callers.running = false;
+  co_await http::Sleep(io, kEndTime);
+  CheckRequests(run.checker);
+  io.stop();
+}
+
+nlohmann::json ReportOf(const Run& run, std::uint64_t seed) {
+  return {{"seed", seed},
+          {"answered", run.checker.answered},
+          {"refused", run.checker.refused},
+          {"failed", run.checker.failed},
+          {"violations", run.checker.violations},
+          {"faults", run.faults.history}};
+}
+
+/// Plays one seed. Returns whether every promise was kept.
+bool PlaySeed(const std::string& program,
+              const std::string& folder,
+              std::uint64_t seed,
+              std::chrono::seconds time) {
+  // Frames of coroutines refer to the run until the process ends, so neither
+  // the loop nor the run is destroyed; the daemons are stopped by hand.
+  auto* const io = new asio::io_context(1);
+  auto* const run =
+      new Run(*io, {program, folder + "/seed-" + std::to_string(seed)}, seed);
+  asio::co_spawn(*io, Play(*run, time), asio::detached);
+  io->run();
+  for (const auto& place : run->fleet.places) {
+    bench::Signal(place->process, SIGCONT);
+    bench::Stop(place->process, SIGKILL);
+  }
+  std::cout << ReportOf(*run, seed).dump() << std::endl;
+  return run->checker.violations.empty();
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("soak", "Plays random faults on real daemons");
+  options.add_options()("seed", "First seed",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "count", "Number of seeds",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "Time of faults for each seed",
+      cxxopts::value<int>()->default_value("20"))(
+      "program", "The built eelgrassbridge",
+      cxxopts::value<std::string>()->default_value("build/bin/eelgrassbridge"))(
+      "folder", "Where settings and logs go",
+      cxxopts::value<std::string>()->default_value("build/soak"))("h,help",
+                                                                  "Help");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  const auto first = parsed["seed"].as<std::uint64_t>();
+  const auto count = parsed["count"].as<std::uint64_t>();
+  bool kept = true;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    kept = PlaySeed(parsed["program"].as<std::string>(),
+                    parsed["folder"].as<std::string>(), seed,
+                    std::chrono::seconds{parsed["seconds"].as<int>()}) &&
+           kept;
+  }
+  return kept ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::soak
+
+int main(int argc, char** argv) {
+  return eelgrassbridge::soak::Main(argc, argv);
+}
