Leave room in the repeat budget for calls of repeated runs

Each service kept to half of the bound, but a repeated run of records-desk makes up to two calls, which count as repeats at booking-desk, and each daemon could save five repeats beside. Ruled out: repeats by the callers (each has its own id). Change: 0.35 of the ratio and 0.3 of the constant part are spent, and what a daemon saves is bounded by twice its share of the constant part.

--- a/include/eelgrassbridge/limits/service_retry_budget.hpp
+++ b/include/eelgrassbridge/limits/service_retry_budget.hpp
@@ -16,14 +16,15 @@
 namespace eelgrassbridge::limits {
 
 struct ServiceRetryOptions {
-  /// Repeats earned by each request; below the bound, because the window of
-  /// the bound slides and the traffic may fall meanwhile.
-  double earned_per_request = 0.1;
+  /// Repeats earned by each request; far below the bound, because the window of
+  /// the bound slides, the traffic may fall meanwhile, and each call that a
+  /// repeated run makes of another service counts as a repeat there.
+  double earned_per_request = 0.07;
   /// Repeats a window that need no requests, over all daemons.
   double extra = 0;
   /// Share of `extra` that is spent; the rest is a margin for requests that
   /// a target counts as repeats though this daemon does not.
-  double extra_used = 0.4;
+  double extra_used = 0.3;
   base::Duration window{base::seconds{10}};
 };
 
--- a/src/eelgrassbridge/limits/service_retry_budget.cpp
+++ b/src/eelgrassbridge/limits/service_retry_budget.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Repeats that can be saved up from requests, which bounds a burst of repeats
-/// after a long calm.
-constexpr double kMostEarned = 5;
+/// Repeats that a daemon can save up, as a multiple of its share of the constant
+/// part, but at least one. It bounds a burst of all daemons after a long calm.
+constexpr double kMostSavedShares = 2;
 
 ServiceRetryBudget::Saved& Refill(ServiceRetryBudget& budget,
                                   std::string_view service,
@@ -28,8 +28,8 @@
   ServiceRetryBudget::Saved& saved = found->second;
   const double windows = static_cast<double>((now - saved.updated_at).count()) /
                          static_cast<double>(options.window.count());
-  saved.repeats =
-      std::min(saved.repeats + constant * windows, constant + kMostEarned);
+  const double most = std::max(1.0, constant * kMostSavedShares);
+  saved.repeats = std::min(saved.repeats + constant * windows, most);
   saved.updated_at = now;
   return saved;
 }
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -16,6 +16,9 @@
 /// Requests that wait for the target; beyond it they are refused at once.
 constexpr std::uint32_t kQueueCapacity = 48;
 
+/// Share of the ratio of repeats that is spent; see ServiceRetryOptions.
+constexpr double kEarnedShare = 0.35;
+
 http::PoolOptions TargetPoolOptions() {
   http::PoolOptions options;
   // The target is on the same VM: only a target that is gone or overloaded
@@ -36,7 +39,7 @@
 
 limits::ServiceRetryOptions RetryOptions(const Bounds& bounds) {
   limits::ServiceRetryOptions options;
-  options.earned_per_request = bounds.retry_ratio / 2;
+  options.earned_per_request = bounds.retry_ratio * kEarnedShare;
   options.extra = bounds.retry_extra;
   options.window = bounds.retry_window;
   return options;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -19,10 +19,17 @@
 /// Targets' clocks may run this much slow.
 constexpr double kSlowClock = 1.02;
 
-std::string FreeAddress(asio::io_context& io) {
-  asio::ip::tcp::acceptor probe(
-      io, {asio::ip::make_address("127.0.0.1"), std::uint16_t{0}});
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+// Ports of a daemon. Each place has a loopback address of its own, so no other
+// program is given one of them meanwhile.
+constexpr int kPeersPort = 8300;
+constexpr int kReadinessPort = 8302;
+constexpr int kCallersPort = 8304;
+constexpr int kReportsPort = 8306;
+
+std::string AddressOf(const Fleet& fleet, int number, int port) {
+  const std::uint64_t network = fleet.options.network;
+  return fmt::format("127.{}.{}.{}:{}", 1 + network / 256 % 250, network % 256,
+                     number + 1, port);
 }
 
 asio::ip::tcp::endpoint EndpointOf(const std::string& address) {
@@ -57,20 +64,21 @@
   target.service = service;
   target.divided = service == kDivided;
   target.hold_stretch = kSlowClock;
-  target.reports = FreeAddress(fleet.io);
+  target.reports = AddressOf(fleet, number, kReportsPort);
   Start(target);
   Start(place->to_target, EndpointOf(target.address));
   // The target announces the address at which its daemon reaches it.
   target.address = place->to_target.address;
   Start(place->to_store, fleet.store.server.acceptor->local_endpoint());
-  const std::string peers_listen = FreeAddress(fleet.io);
+  const std::string peers_listen = AddressOf(fleet, number, kPeersPort);
   Start(place->to_daemon, EndpointOf(peers_listen));
-  place->callers = FreeAddress(fleet.io);
+  place->callers = AddressOf(fleet, number, kCallersPort);
   place->settings_file =
       fmt::format("{}/{}.yaml", fleet.options.folder, place->name);
   place->log_file = fmt::format("{}/{}.log", fleet.options.folder, place->name);
   std::ofstream(place->settings_file)
-      << SettingsText(*place, peers_listen, FreeAddress(fleet.io));
+      << SettingsText(*place, peers_listen,
+                      AddressOf(fleet, number, kReadinessPort));
   fleet.places.push_back(std::move(place));
 }
 
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -41,6 +41,8 @@
   std::string program;
   /// Settings and logs go here.
   std::string folder;
+  /// Number of the loopback network that the daemons listen in.
+  std::uint64_t network = 0;
   int divided_places = 3;
   int other_places = 2;
 };
