Order waiting requests by their latest start, and send bodies only when taken

Requests for a key were sent to their full owner up to five times (23,984 refusals), and each attempt waited anew (1.5 s at most for an objective of 0.6 s). Bodies up to 64 KB went to each daemon that refused them, over a link between regions that was full. Ruled out: processor time (0.02 of a core). Change: a request that has to start sooner goes first within its priority; all attempts together wait once; a full owner's refusal is final; a run that cannot end in time is not begun; bodies above 4 KB wait until the other daemon takes the request, and a refusal then ends the connection, which was told too late before; uploads leave their region only if no target of it is left.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -34,6 +34,8 @@
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
   std::uint64_t invalid = 0;
+  /// Bytes of bodies, without their framing.
+  std::uint64_t body_bytes = 0;
   std::uint32_t open = 0;
 };
 
@@ -63,6 +65,8 @@
 /// finished ends the connection, so a cut response never looks complete.
 struct Exchange {
   std::shared_ptr<ServerConnection> connection;
+  /// Of the server, which outlives its exchanges.
+  ServerCounts* counts = nullptr;
   RequestHead head;
   std::uint64_t max_body_bytes = 0;
   std::uint64_t body_received = 0;
--- a/include/eelgrassbridge/limits/target_queue.hpp
+++ b/include/eelgrassbridge/limits/target_queue.hpp
@@ -26,8 +26,8 @@
   bool to_start = false;
 };
 
-/// One client account's waiting requests, oldest first. Never empty in a
-/// ClassQueue.
+/// One client account's waiting requests: oldest first, but before those that
+/// may start later. Never empty in a ClassQueue.
 struct AccountQueue {
   std::string account;
   std::deque<Waiting> waiting;
@@ -48,6 +48,11 @@
 /// Number of waiting requests of one account.
 std::size_t WaitingOf(const ClassQueue& queue, std::string_view account);
 
+/// Number of those that stand before one with the given latest start.
+std::size_t WaitingBefore(const ClassQueue& queue,
+                          std::string_view account,
+                          base::TimePoint latest_start);
+
 /// Takes the newest request of the account with the longest queue, if that
 /// one is longer than `least`.
 std::optional<Ticket> TakeFromLongest(ClassQueue& queue, std::size_t least);
--- a/include/eelgrassbridge/routing/target_choice.hpp
+++ b/include/eelgrassbridge/routing/target_choice.hpp
@@ -37,7 +37,7 @@
   bool spill = false;
   /// By locality: how many times sooner a farther target has to answer, since
   /// bytes on long ways cost more and take from a narrow link.
-  std::array<double, kLocalityCount> distance_factor{1, 1.1, 1.4};
+  std::array<double, kLocalityCount> distance_factor{1, 1.1, 1.6};
   /// By locality: latency of a target that has not answered yet, if nearer ones
   /// are full.
   std::array<base::Duration, kLocalityCount> assumed_latency{
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -142,6 +142,12 @@
   co_return !error;
 }
 
+/// A caller that was not told to continue may send the body or leave it out, so
+/// the response that it gets instead is the last one on its connection.
+void CloseIfBodyIsOpen(Exchange& exchange) {
+  exchange.close_after = exchange.close_after || exchange.continue_expected;
+}
+
 /// Reads and drops the rest of a body, so that the connection can be used
 /// again and the caller gets the response before a reset.
 awaitable<void> DiscardBody(Exchange& exchange) {
@@ -149,7 +155,6 @@
     co_return;
   }
   if (exchange.continue_expected) {
-    exchange.close_after = true;
     co_return;
   }
   CloseAfter(*exchange.connection, kDiscardTime, exchange.connection);
@@ -171,10 +176,10 @@
   co_await WriteAll(*connection, {asio::buffer(text), asio::const_buffer{}});
 }
 
-Exchange MakeExchange(const Server& server,
-                      const ConnectionPointer& connection) {
+Exchange MakeExchange(Server& server, const ConnectionPointer& connection) {
   Exchange exchange;
   exchange.connection = connection;
+  exchange.counts = &server.counts;
   exchange.head = TakeRequestHead(connection->parser);
   exchange.max_body_bytes = server.limits.max_body_bytes;
   exchange.continue_expected =
@@ -293,6 +298,7 @@
     co_return BodyRead::kCallerLeft;
   }
   exchange.body_received += connection.parser.body.size();
+  exchange.counts->body_bytes += connection.parser.body.size();
   body += connection.parser.body;
   connection.parser.body.clear();
   if (exchange.body_received > exchange.max_body_bytes) {
@@ -317,6 +323,7 @@
                         Headers headers,
                         std::string_view body) {
   exchange.response_started = true;
+  CloseIfBodyIsOpen(exchange);
   const std::string head =
       ResponseText(status, headers, {Framing::Kind::kLength, body.size()},
                    !exchange.close_after);
@@ -331,6 +338,7 @@
                               Headers headers,
                               std::optional<std::uint64_t> length) {
   exchange.response_started = true;
+  CloseIfBodyIsOpen(exchange);
   exchange.response_chunked = !length;
   const Framing framing = length ? Framing{Framing::Kind::kLength, *length}
                                  : Framing{Framing::Kind::kChunked, 0};
--- a/src/eelgrassbridge/http/server_test.cpp
+++ b/src/eelgrassbridge/http/server_test.cpp
@@ -142,5 +142,20 @@
   CHECK(client.ReadUntil("/wait:ok").find("200 OK") != std::string::npos);
 }
 
+TEST_CASE("a response instead of 100 Continue ends the connection") {
+  // Guards against a second request on a connection whose first body may still
+  // come: it would be read as that request.
+  TestServer server([](Exchange& exchange) -> asio::awaitable<void> {
+    co_await Respond(exchange, 503, {}, {});
+  });
+  PlainClient client(server.port);
+  client.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+      "Expect: 100-continue\r\n\r\n");
+  const std::string all = client.ReadAll();
+  CHECK(all.find("503") != std::string::npos);
+  CHECK(all.find("Connection: close") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::http
--- a/src/eelgrassbridge/limits/service_retry_budget.cpp
+++ b/src/eelgrassbridge/limits/service_retry_budget.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Repeats that a daemon can save up, as a multiple of its share of the constant
-/// part, but at least one. It bounds a burst of all daemons after a long calm.
+/// Repeats that a daemon can save up, as a multiple of its share of the
+/// constant part, but at least one. It bounds a burst of all daemons after a
+/// long calm.
 constexpr double kMostSavedShares = 2;
 
 ServiceRetryBudget::Saved& Refill(ServiceRetryBudget& budget,
--- a/src/eelgrassbridge/limits/target_limiter.cpp
+++ b/src/eelgrassbridge/limits/target_limiter.cpp
@@ -85,8 +85,11 @@
     turns += limiter.classes[i].size;
   }
   const detail::ClassQueue& queue = limiter.classes[own];
-  const auto rounds =
-      static_cast<std::uint32_t>(detail::WaitingOf(queue, request.account)) + 1;
+  const std::size_t rounds_before =
+      request.to_start
+          ? detail::WaitingBefore(queue, request.account, request.deadline)
+          : detail::WaitingOf(queue, request.account) + 1;
+  const auto rounds = static_cast<std::uint32_t>(rounds_before);
   const auto accounts = static_cast<std::uint32_t>(queue.turns.size());
   return turns + std::min(queue.size, rounds * accounts);
 }
--- a/src/eelgrassbridge/limits/target_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -248,6 +248,29 @@
   CHECK_FALSE(next->refusal.has_value());
 }
 
+TEST_CASE("a request that has to start sooner goes first") {
+  // Guards against calls of a target that are refused because requests which
+  // can wait longer stand before them.
+  TargetLimiter limiter = Warm(1, 48);
+  limiter.run_time_us = 50'000;
+  REQUIRE(AdmitOne(limiter, PriorityClass::kNormal, "").state == State::kRun);
+  const auto queue = [&limiter](int wait_ms) {
+    return Admit(
+        limiter,
+        {PriorityClass::kNormal, "", kStart + milliseconds{wait_ms}, true},
+        kStart);
+  };
+  const Admission long_wait = queue(240);
+  const Admission longer_wait = queue(300);
+  const Admission short_wait = queue(60);
+  CHECK(long_wait.state == State::kQueued);
+  CHECK(longer_wait.state == State::kQueued);
+  REQUIRE(short_wait.state == State::kQueued);
+  CHECK(NextAfterFinish(limiter) == short_wait.ticket);
+  CHECK(NextAfterFinish(limiter) == long_wait.ticket);
+  CHECK(NextAfterFinish(limiter) == longer_wait.ticket);
+}
+
 TEST_CASE("without the ramp slow answers take no slot away") {
   // Guards against a target that is given less than its slots because a noisy
   // neighbour slows its answers down for a moment.
--- a/src/eelgrassbridge/limits/target_queue.cpp
+++ b/src/eelgrassbridge/limits/target_queue.cpp
@@ -21,7 +21,12 @@
       found != queue.turns.end()
           ? *found
           : queue.turns.emplace_back(AccountQueue{std::string(account), {}});
-  own.waiting.push_back(waiting);
+  // A request that has to start sooner goes before those that can wait longer.
+  const auto place =
+      waiting.to_start ? std::ranges::upper_bound(own.waiting, waiting.deadline,
+                                                  {}, &Waiting::deadline)
+                       : own.waiting.end();
+  own.waiting.insert(place, waiting);
   ++queue.size;
 }
 
@@ -44,6 +49,21 @@
   return found == queue.turns.end() ? 0 : found->waiting.size();
 }
 
+std::size_t WaitingBefore(const ClassQueue& queue,
+                          std::string_view account,
+                          base::TimePoint latest_start) {
+  const auto found = std::find_if(
+      queue.turns.begin(), queue.turns.end(),
+      [&](const AccountQueue& item) { return item.account == account; });
+  if (found == queue.turns.end()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::ranges::count_if(
+      found->waiting, [latest_start](const Waiting& waiting) {
+        return waiting.deadline <= latest_start;
+      }));
+}
+
 std::optional<Ticket> TakeFromLongest(ClassQueue& queue, std::size_t least) {
   const auto longest =
       std::max_element(queue.turns.begin(), queue.turns.end(),
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -29,7 +29,7 @@
 /// The least wait for a slot, even for a request with a short objective: a call
 /// of a target that is refused makes the work of its caller useless, and the
 /// queue of a full target moves within this time. No request waits for more
-/// than kWaitShare of its time left.
+/// than kWaitShare of its time.
 constexpr base::Duration kLeastWait = base::milliseconds{150};
 /// The last answer must still reach the caller before its deadline.
 constexpr base::Duration kCallerMargin = base::milliseconds{25};
@@ -57,10 +57,16 @@
       static_cast<std::int64_t>(static_cast<double>(time.count()) * share)};
 }
 
-base::Duration WaitFor(const RequestTerms& terms) {
-  const base::Duration left = terms.deadline - base::BootClock::now();
-  return std::max(PartOf(terms.objective, kWaitShare),
-                  std::min(kLeastWait, PartOf(left, kWaitShare)));
+/// How long a request may wait for a slot from now on: what its earlier
+/// attempts have left of its whole wait.
+base::Duration WaitFor(const EntryRequest& request) {
+  const RequestTerms& terms = request.terms;
+  const base::Duration time = terms.deadline - request.arrived;
+  const base::Duration whole =
+      std::max(PartOf(terms.objective, kWaitShare),
+               std::min(kLeastWait, PartOf(time, kWaitShare)));
+  const base::Duration passed = base::BootClock::now() - request.arrived;
+  return std::max(base::Duration{0}, whole - passed);
 }
 
 /// Where an attempt goes.
@@ -93,9 +99,19 @@
   for (const std::string& region : attempts.route.home_regions) {
     homes.push_back(RegionNumber(region));
   }
-  const auto chosen = routing::ChooseTarget(
-      table->second, node.random(), attempts.tried, base::BootClock::now(),
-      routing::Locality::kOtherRegion, homes);
+  // Long bodies would fill the link between regions, which all requests share,
+  // so they leave their region only if no target of it is left.
+  const bool stays = terms.request_class == catalogue::RequestClass::kUpload;
+  std::optional<base::DaemonId> chosen;
+  for (const auto farthest :
+       {stays ? routing::Locality::kRegion : routing::Locality::kOtherRegion,
+        routing::Locality::kOtherRegion}) {
+    if (!chosen) {
+      chosen =
+          routing::ChooseTarget(table->second, node.random(), attempts.tried,
+                                base::BootClock::now(), farthest, homes);
+    }
+  }
   if (!chosen) {
     return std::nullopt;
   }
@@ -156,7 +172,7 @@
   ++request.attempts;
   request.last_daemon = destination.daemon;
   request.terms.target = destination.target;
-  request.terms.wait = WaitFor(request.terms);
+  request.terms.wait = WaitFor(request);
   if (!request.terms.key) {
     attempts.tried.push_back(NumberOf(destination.daemon));
   }
@@ -208,6 +224,10 @@
              result.head.status != kGatewayTimeout && result.body_complete &&
              MayRepeat(node, attempts);
     case Outcome::kNotRun:
+      // The owner of a key has no slot in time, and no other may run it.
+      if (request.terms.key && result.cause == ErrorKind::kOverloaded) {
+        return false;
+      }
       return !ended && (!result.reached_target || MayRepeat(node, attempts));
     case Outcome::kUnknown:
       return !ended && IsIdempotent(request.terms) && MayRepeat(node, attempts);
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -19,6 +19,10 @@
 /// Share of the ratio of repeats that is spent; see ServiceRetryOptions.
 constexpr double kEarnedShare = 0.35;
 
+/// Time constant of the load that an answer tells. Each of many daemons hears
+/// of a target about once a second only.
+constexpr base::Duration kLoadDecay = base::milliseconds{4000};
+
 http::PoolOptions TargetPoolOptions() {
   http::PoolOptions options;
   // The target is on the same VM: only a target that is gone or overloaded
@@ -135,6 +139,7 @@
   for (const auto& [service, members] : by_service) {
     routing::TargetTable& table = node.fleet.targets[service];
     table.options.spill = true;
+    table.options.report_decay = kLoadDecay;
     routing::SetMembers(table, members);
   }
 }
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -19,8 +19,14 @@
 /// The target's own answer at its deadline still reaches the caller in time.
 constexpr base::Duration kDeadlineMargin = base::milliseconds{10};
 
-TimePoint LatestStart(const RequestTerms& terms, TimePoint now) {
-  return std::min(terms.deadline - kDeadlineMargin, now + terms.wait);
+/// A run that begins with less time than the mean run takes would be useless.
+TimePoint LatestStart(const Node& node,
+                      const RequestTerms& terms,
+                      TimePoint now) {
+  const auto run = base::Duration{
+      static_cast<std::int64_t>(node.admission.limiter.run_time_us)};
+  return std::min(terms.deadline - std::max(kDeadlineMargin, run),
+                  now + terms.wait);
 }
 
 /// Refused before anything else: the target is not there, leaves, is another
@@ -225,7 +231,7 @@
     Node& node,
     const RequestTerms& terms,
     CancellationPointer cancellation) {
-  const TimePoint latest = LatestStart(terms, base::BootClock::now());
+  const TimePoint latest = LatestStart(node, terms, base::BootClock::now());
   if (const auto reason = ReasonAgainst(node, terms)) {
     co_return base::Fail(*reason, {});
   }
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -16,6 +16,9 @@
 /// one that is cut can still be replaced.
 constexpr std::size_t kMaxWholeAnswer = std::size_t{128} * 1024;
 constexpr int kContinueStatus = 100;
+/// Longer bodies are sent to another daemon only when it takes the request: a
+/// refusal would cost their bytes on links that all requests share.
+constexpr std::size_t kMostEagerBody = std::size_t{4} * 1024;
 
 http::Framing FramingOf(const Message& message) {
   if (!message.has_body) {
@@ -30,6 +33,12 @@
   return {http::Framing::Kind::kChunked, 0};
 }
 
+/// Whether the body waits until the server takes the request.
+bool AwaitsContinue(const Message& message, const Transmission& transmission) {
+  return transmission.await_continue &&
+         (message.rest != nullptr || message.body.size() > kMostEagerBody);
+}
+
 /// Passes the rest of a caller's body on. Once the server has answered, the
 /// rest is only read, so that the caller's connection stays usable.
 awaitable<void> PumpBody(std::shared_ptr<BodyPump> pump,
@@ -111,7 +120,7 @@
                             const Transmission& transmission) {
   const http::Framing framing = FramingOf(message);
   http::Headers headers = transmission.headers;
-  const bool expect = message.rest != nullptr && transmission.await_continue;
+  const bool expect = AwaitsContinue(message, transmission);
   if (expect) {
     headers.push_back({"Expect", "100-continue"});
   }
@@ -160,7 +169,7 @@
   } else {
     sent = co_await http::Send(connection, message.body);
   }
-  if (sent) {
+  if (sent && message.rest != nullptr) {
     StartPump(node, result, message, chunked);
   }
   co_return sent;
@@ -220,12 +229,10 @@
   const bool no_body = message.method == "HEAD";
   Answer answer;
   bool sent = co_await SendMessage(*result.connection, message, transmission);
-  if (sent && message.rest != nullptr) {
-    if (transmission.await_continue) {
-      sent = co_await SendAfterContinue(node, result, message, answer, chunked);
-    } else {
-      StartPump(node, result, message, chunked);
-    }
+  if (sent && AwaitsContinue(message, transmission)) {
+    sent = co_await SendAfterContinue(node, result, message, answer, chunked);
+  } else if (sent && message.rest != nullptr) {
+    StartPump(node, result, message, chunked);
   }
   // A server that answers before it has read the body may have stopped reading,
   // so a failed write does not mean that there is no answer.
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -76,9 +76,8 @@
   place->settings_file =
       fmt::format("{}/{}.yaml", fleet.options.folder, place->name);
   place->log_file = fmt::format("{}/{}.log", fleet.options.folder, place->name);
-  std::ofstream(place->settings_file)
-      << SettingsText(*place, peers_listen,
-                      AddressOf(fleet, number, kReadinessPort));
+  std::ofstream(place->settings_file) << SettingsText(
+      *place, peers_listen, AddressOf(fleet, number, kReadinessPort));
   fleet.places.push_back(std::move(place));
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -67,8 +67,8 @@
   // Frames of coroutines refer to the run until the process ends, so neither
   // the loop nor the run is destroyed; the daemons are stopped by hand.
   auto* const io = new asio::io_context(1);
-  auto* const run =
-      new Run(*io, {program, folder + "/seed-" + std::to_string(seed), seed}, seed);
+  auto* const run = new Run(
+      *io, {program, folder + "/seed-" + std::to_string(seed), seed}, seed);
   asio::co_spawn(*io, Play(*run, time), asio::detached);
   io->run();
   for (const auto& place : run->fleet.places) {
