--- a/src/eelgrassbridge/explain/explanation_text.cpp
+++ b/src/eelgrassbridge/explain/explanation_text.cpp
@@ -18,9 +18,9 @@
 std::string FieldsText(const LogLine& line) {
   std::string text;
   for (const auto& [name, value] : line.fields.items()) {
-    if (!IsHeading(name) && value != "") {
-      text += fmt::format("{}{} {}", text.empty() ? "" : ", ", name,
-                          TextOf(line, name));
+    const std::string shown = TextOf(line, name);
+    if (!IsHeading(name) && !shown.empty()) {
+      text += fmt::format("{}{} {}", text.empty() ? "" : ", ", name, shown);
     }
   }
   return text;
