--- /dev/null
+++ b/src/eelgrassbridge/node/destination.cpp
@@ -0,0 +1,93 @@
+// Owners of keys, and the choice among members within home regions.
+#include "eelgrassbridge/node/destination.hpp"
+
+#include <vector>
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using catalogue::Route;
+
+std::optional<Destination> OwnerOfKey(const Node& node,
+                                      const RequestTerms& terms) {
+  const auto found = node.ranges.find(terms.service);
+  if (found == node.ranges.end()) {
+    return std::nullopt;
+  }
+  const auto* const entry = ranges::FindEntry(found->second.map, *terms.key);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  return Destination{entry->owner.daemon, entry->owner.target};
+}
+
+/// Long bodies would fill the link between regions, which all requests share,
+/// so they leave their region only if no target of it is left.
+std::optional<base::DaemonId> ChooseTarget(
+    Node& node,
+    const routing::TargetTable& table,
+    const RequestTerms& terms,
+    std::span<const base::DaemonId> tried,
+    std::span<const std::uint64_t> homes) {
+  using routing::Locality;
+  const base::TimePoint now = base::BootClock::now();
+  std::optional<base::DaemonId> chosen;
+  if (terms.request_class == catalogue::RequestClass::kUpload) {
+    chosen = routing::ChooseTarget(table, node.random(), tried, now,
+                                   Locality::kRegion, homes);
+  }
+  if (!chosen) {
+    chosen = routing::ChooseTarget(table, node.random(), tried, now,
+                                   Locality::kOtherRegion, homes);
+  }
+  return chosen;
+}
+
+std::optional<Destination> ChooseMember(Node& node,
+                                        const Route& route,
+                                        const RequestTerms& terms,
+                                        std::span<const base::DaemonId> tried) {
+  const auto table = node.fleet.targets.find(terms.service);
+  if (table == node.fleet.targets.end()) {
+    return std::nullopt;
+  }
+  std::vector<std::uint64_t> homes;
+  for (const std::string& region : route.home_regions) {
+    homes.push_back(RegionNumber(region));
+  }
+  const auto chosen = ChooseTarget(node, table->second, terms, tried, homes);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  const std::string& address = node.fleet.address_of.at(*chosen);
+  return Destination{address, node.fleet.members.at(address).target};
+}
+
+/// Home regions bind also the owner of a key.
+bool MayGoTo(const Node& node,
+             const Route& route,
+             const Destination& destination) {
+  const auto found = node.fleet.members.find(destination.daemon);
+  return route.home_regions.empty() ||
+         (found != node.fleet.members.end() &&
+          catalogue::MayServe(
+              route, RegionOf(node.settings, found->second.data_centre)));
+}
+
+}  // namespace
+
+std::optional<Destination> ChooseDestination(
+    Node& node,
+    const Route& route,
+    const RequestTerms& terms,
+    std::span<const base::DaemonId> tried) {
+  auto chosen = terms.key ? OwnerOfKey(node, terms)
+                          : ChooseMember(node, route, terms, tried);
+  if (!chosen || !MayGoTo(node, route, *chosen)) {
+    return std::nullopt;
+  }
+  return chosen;
+}
+
+}  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "eelgrassbridge/node/destination.hpp"
 #include "eelgrassbridge/node/final_answer.hpp"
 #include "eelgrassbridge/node/peer_call.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
@@ -69,76 +70,6 @@
   return std::max(base::Duration{0}, whole - passed);
 }
 
-/// Where an attempt goes.
-struct Destination {
-  std::string daemon;
-  std::string target;
-};
-
-std::optional<Destination> OwnerOfKey(const Node& node,
-                                      const Attempts& attempts) {
-  const RequestTerms& terms = attempts.request.terms;
-  const auto found = node.ranges.find(terms.service);
-  if (found == node.ranges.end()) {
-    return std::nullopt;
-  }
-  const auto* const entry = ranges::FindEntry(found->second.map, *terms.key);
-  if (entry == nullptr) {
-    return std::nullopt;
-  }
-  return Destination{entry->owner.daemon, entry->owner.target};
-}
-
-std::optional<Destination> ChooseMember(Node& node, Attempts& attempts) {
-  const RequestTerms& terms = attempts.request.terms;
-  const auto table = node.fleet.targets.find(terms.service);
-  if (table == node.fleet.targets.end()) {
-    return std::nullopt;
-  }
-  std::vector<std::uint64_t> homes;
-  for (const std::string& region : attempts.route.home_regions) {
-    homes.push_back(RegionNumber(region));
-  }
-  // Long bodies would fill the link between regions, which all requests share,
-  // so they leave their region only if no target of it is left.
-  const bool stays = terms.request_class == catalogue::RequestClass::kUpload;
-  std::optional<base::DaemonId> chosen;
-  for (const auto farthest :
-       {stays ? routing::Locality::kRegion : routing::Locality::kOtherRegion,
-        routing::Locality::kOtherRegion}) {
-    if (!chosen) {
-      chosen =
-          routing::ChooseTarget(table->second, node.random(), attempts.tried,
-                                base::BootClock::now(), farthest, homes);
-    }
-  }
-  if (!chosen) {
-    return std::nullopt;
-  }
-  const std::string& address = node.fleet.address_of.at(*chosen);
-  return Destination{address, node.fleet.members.at(address).target};
-}
-
-/// Home regions bind also the owner of a key.
-bool MayGoTo(const Node& node,
-             const Route& route,
-             const Destination& destination) {
-  const auto found = node.fleet.members.find(destination.daemon);
-  return route.home_regions.empty() ||
-         (found != node.fleet.members.end() &&
-          catalogue::MayServe(
-              route, RegionOf(node.settings, found->second.data_centre)));
-}
-
-std::optional<Destination> ChooseDestination(Node& node, Attempts& attempts) {
-  auto chosen = attempts.request.terms.key ? OwnerOfKey(node, attempts)
-                                           : ChooseMember(node, attempts);
-  if (!chosen || !MayGoTo(node, attempts.route, *chosen)) {
-    return std::nullopt;
-  }
-  return chosen;
-}
-
 awaitable<RunResult> RunHere(Node& node,
                              const RequestTerms& terms,
                              const Message& message,
@@ -270,7 +201,8 @@
                                  CancellationPointer cancellation) {
   std::optional<RunResult> last;
   while (true) {
-    const auto destination = ChooseDestination(node, attempts);
+    const auto destination = ChooseDestination(
+        node, attempts.route, attempts.request.terms, attempts.tried);
     if (!destination && last) {
       // Nobody else may take it, so the last attempt tells the cause.
       co_return std::move(*last);
