--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -27,8 +27,8 @@
       catalogue::RequestClass::kNonIdempotent;
   std::uint32_t priority = 0;
   base::Duration objective{};
-  /// Longest time that it may wait for a slot of the target; zero while
-  /// another target may have one free.
+  /// Longest time that it may wait for a slot of the target; zero: only a free
+  /// slot will do, because earlier attempts have used the whole wait.
   base::Duration wait{};
   /// Key of a divided service.
   std::optional<std::uint32_t> key;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -225,6 +225,7 @@
 }
 
 using FaultKind = awaitable<void> (*)(Faults&);
+/// Links stand twice, since each place has three of them.
 constexpr std::array<FaultKind, 11> kKinds = {
     Kill,       Freeze,      Terminate,   Reload,        SpoilLink,   SpoilLink,
     SpoilStore, CrashTarget, SpoilTarget, ReplaceTarget, ChangeRoutes};
