Close a connection to a target after a refusal

Possible here: a request for a key that its owner refuses is sent to the same owner again under the same id, on the same connection, and a copy of the first refusal then carries the id that the retry expects. Copies for other ids are skipped already.

Test, before: 503 for an idempotent and a non-idempotent request that the target had run, both. After: 200 for both, one run each.

--- a/include/eelgrassbridge/node/transmit.hpp
+++ b/include/eelgrassbridge/node/transmit.hpp
@@ -35,14 +35,15 @@
 
 /// @brief Reads the next part of an incomplete answer into `body`. Returns
 /// false if the connection ended before the answer was complete.
-asio::awaitable<bool> ReadMoreBody(RunResult& result);
+asio::awaitable<bool> ReadMoreBody(const Node& node, RunResult& result);
 
 /// @brief Waits until the caller's body is no longer read for this result.
 asio::awaitable<void> AwaitBodyPump(RunResult& result);
 
 /// @brief Sends the answer in the result to the caller, with the given headers.
 /// Returns false if it could not be sent completely.
-asio::awaitable<bool> RelayAnswer(http::Exchange& exchange,
+asio::awaitable<bool> RelayAnswer(const Node& node,
+                                  http::Exchange& exchange,
                                   http::Headers headers,
                                   RunResult& result);
 
--- a/src/eelgrassbridge/node/final_answer.cpp
+++ b/src/eelgrassbridge/node/final_answer.cpp
@@ -119,7 +119,7 @@
   RemoveInternalHeaders(headers);
   const int status = result.head.status;
   const bool complete =
-      co_await RelayAnswer(exchange, std::move(headers), result);
+      co_await RelayAnswer(node, exchange, std::move(headers), result);
   LogFinal(node,
            complete ? EventKind::kRequestAnswered : EventKind::kCallerLeft,
            request, {}, status);
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -163,7 +163,7 @@
   http::Headers headers = OutcomeHeaders(node, terms, result);
   switch (result.outcome) {
     case Outcome::kAnswered:
-      co_await RelayAnswer(exchange, std::move(headers), result);
+      co_await RelayAnswer(node, exchange, std::move(headers), result);
       break;
     case Outcome::kNotRun:
       co_await http::Respond(exchange, kUnavailable, std::move(headers), {});
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -181,18 +181,29 @@
   co_return sent;
 }
 
+/// Whether the connection may carry another request. A faulty target may write
+/// a refusal once more, and a retry of the same request on this connection
+/// would take the copy for its own answer.
+bool IsReusable(const Node& node, const RunResult& result) {
+  const bool refused_by_target =
+      result.pool == &node.targets &&
+      NotRunProof::FromTarget(result.head, node.port.headers).has_value();
+  const bool body_sent = !result.pump || result.pump->complete;
+  return body_sent && !refused_by_target;
+}
+
 /// Discards a body that is still being streamed, and returns the connection to
 /// its pool or closes it if the answer is complete.
-void ReleaseIfComplete(RunResult& result) {
-  const bool body_sent = !result.pump || result.pump->complete;
+void ReleaseIfComplete(const Node& node, RunResult& result) {
+  const bool reusable = IsReusable(node, result);
   if (result.pump && !result.pump->done) {
     result.pump->discard = true;
   }
-  if (result.body_complete && body_sent) {
+  if (result.body_complete && reusable) {
     http::Release(*result.pool, result.connection, result.head);
   } else if (result.body_complete) {
-    // The answer came before the end of the body. The server may still wait for
-    // the rest, and would read the next request as part of it.
+    // If the answer came before the end of the body, the server may still wait
+    // for the rest, and would read the next request as part of it.
     http::Close(*result.connection);
   }
 }
@@ -271,11 +282,11 @@
   if (result.body_complete) {
     cancellation->abort = nullptr;
   }
-  ReleaseIfComplete(result);
+  ReleaseIfComplete(node, result);
   co_return result;
 }
 
-awaitable<bool> ReadMoreBody(RunResult& result) {
+awaitable<bool> ReadMoreBody(const Node& node, RunResult& result) {
   const http::ResponseRead read =
       co_await http::ReadResponseBody(*result.connection);
   result.body += result.connection->parser.body;
@@ -286,7 +297,7 @@
   }
   if (read == http::ResponseRead::kComplete) {
     result.body_complete = true;
-    ReleaseIfComplete(result);
+    ReleaseIfComplete(node, result);
   }
   co_return true;
 }
@@ -297,7 +308,8 @@
   }
 }
 
-awaitable<bool> RelayAnswer(http::Exchange& exchange,
+awaitable<bool> RelayAnswer(const Node& node,
+                            http::Exchange& exchange,
                             http::Headers headers,
                             RunResult& result) {
   if (result.body_complete) {
@@ -312,7 +324,7 @@
     if (!ok || result.body_complete) {
       break;
     }
-    ok = co_await ReadMoreBody(result);
+    ok = co_await ReadMoreBody(node, result);
   }
   if (!ok) {
     // The answer is left without its end, so it cannot look complete to the
--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -4,6 +4,9 @@
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
 namespace eelgrassbridge::standins {
@@ -17,6 +20,7 @@
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 constexpr int kInternalError = 500;
+constexpr std::size_t kEndlessPartBytes = 1000;
 
 http::Headers AnswerHeaders(const TargetStandin& target,
                             const http::Exchange& exchange) {
@@ -35,6 +39,46 @@
   co_await http::Respond(exchange, status, std::move(headers), {});
 }
 
+/// Writes bytes as they are, without framing.
+awaitable<bool> WriteRaw(http::Exchange& exchange, std::string_view bytes) {
+  std::error_code error;
+  co_await asio::async_write(exchange.connection->socket, asio::buffer(bytes),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+/// Writes `start`, then `part` again and again until the connection ends.
+awaitable<void> WriteEndlessly(TargetStandin& target,
+                               http::Exchange& exchange,
+                               std::string start,
+                               std::string part) {
+  bool open = co_await WriteRaw(exchange, start);
+  while (open) {
+    target.endless_bytes += part.size();
+    open = co_await WriteRaw(exchange, part);
+  }
+  http::Abort(exchange);
+}
+
+/// Refuses the request if it comes for the first time, and otherwise repeats a
+/// refusal that was sent on its connection. Returns whether it is refused.
+awaitable<bool> RepeatRefusal(TargetStandin& target, http::Exchange& exchange) {
+  const std::string id(http::HeaderValue(exchange.head.headers, "Request-Id"));
+  if (!target.refused.insert(id).second) {
+    const auto found = target.refusals.find(exchange.connection);
+    if (found != target.refusals.end()) {
+      co_await WriteRaw(exchange, found->second);
+    }
+    co_return false;
+  }
+  http::Headers headers = AnswerHeaders(target, exchange);
+  headers.push_back({"Not-Executed", "1"});
+  target.refusals[exchange.connection] = http::FormatResponseHead(
+      kServiceUnavailable, headers, {http::Framing::Kind::kLength, 0}, true);
+  co_await http::Respond(exchange, kServiceUnavailable, std::move(headers), {});
+  co_return true;
+}
+
 bool IsMisdirected(const TargetStandin& target, const http::RequestHead& head) {
   const std::string_view expected =
       http::HeaderValue(head.headers, "Expected-Instance");
@@ -69,8 +113,30 @@
       co_await http::Respond(exchange, kOk, std::move(headers), "extra");
       break;
     }
+    case TargetFault::kTruncatesHeads:
+      co_await WriteRaw(exchange,
+                        "HTTP/1.1 200 OK\r\nRequest-Id: " + headers[0].value +
+                            "\r\nServer-Signature: s\r\n");
+      http::Abort(exchange);
+      break;
+    case TargetFault::kEndlessHeads:
+      co_await WriteEndlessly(
+          target, exchange,
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + headers[0].value + "\r\n",
+          "X-Filler: " + std::string(kEndlessPartBytes, 'x') + "\r\n");
+      break;
+    case TargetFault::kEndlessBodies:
+      co_await WriteEndlessly(target, exchange,
+                              "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n",
+                              std::string(kEndlessPartBytes, 'x'));
+      break;
+    case TargetFault::kEndlessInterimResponses:
+      co_await WriteEndlessly(target, exchange, {},
+                              "HTTP/1.1 102 Processing\r\n\r\n");
+      break;
     case TargetFault::kNone:
     case TargetFault::kFull:
+    case TargetFault::kRepeatsRefusal:
       co_await http::Respond(exchange, kOk, std::move(headers), body);
       break;
   }
@@ -109,6 +175,12 @@
     co_await RefuseRun(target, exchange, kServiceUnavailable);
     co_return;
   }
+  if (target.fault == TargetFault::kRepeatsRefusal) {
+    const bool refused = co_await RepeatRefusal(target, exchange);
+    if (refused) {
+      co_return;
+    }
+  }
   const std::string id(http::HeaderValue(exchange.head.headers, "Request-Id"));
   const std::uint64_t generation = target.generation;
   RecordRun(target, exchange.head);
--- a/standins/platform/target_standin.hpp
+++ b/standins/platform/target_standin.hpp
@@ -9,7 +9,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,17 @@
   kTruncatesResponses,
   /// Sends a second response after the first one.
   kSendsExtraResponse,
+  /// Refuses each request once. When it comes again it runs, but first a
+  /// refusal that was sent on its connection is sent once more.
+  kRepeatsRefusal,
+  /// Runs the request and closes the connection within the response head.
+  kTruncatesHeads,
+  /// Answers with a head that never ends.
+  kEndlessHeads,
+  /// Answers with a response to another request whose body never ends.
+  kEndlessBodies,
+  /// Answers with interim responses that never end.
+  kEndlessInterimResponses,
 };
 
 /// @brief A request that a target starts to run.
@@ -96,6 +109,14 @@
   /// When the daemon first acknowledged a heartbeat that said that the target
   /// leaves; the epoch: not yet.
   base::TimePoint leaving_acknowledged_at{};
+  /// For kRepeatsRefusal: the last refusal sent on each connection, and the ids
+  /// of the refused requests.
+  std::
+      map<std::weak_ptr<http::ServerConnection>, std::string, std::owner_less<>>
+          refusals;
+  std::set<std::string> refused;
+  /// Bytes sent of responses that never end.
+  std::uint64_t endless_bytes = 0;
 };
 
 /// @brief Serves on a free loopback port and sets `address`.
