Give up answers of targets that never end

A head was limited already; interim responses and the body of an answer to another request were read until the deadline of the request, as fast as the target sends, while the other requests of the daemon waited.

At most 16 interim responses, 8 late answers and 256 KiB of them are now discarded.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -93,7 +93,8 @@
 
 /// @brief Reads the head of the next response. `no_body` says that the request
 /// was HEAD. 1xx responses are skipped unless `return_interim` is set. Fails
-/// with kAnswerCut if the head is incomplete or malformed.
+/// with kAnswerCut if the head is incomplete or malformed, or if it follows too
+/// many 1xx responses.
 asio::awaitable<base::Result<ResponseHead>> ReadResponseHead(
     ClientConnection& connection,
     bool no_body,
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -31,6 +31,9 @@
 /// announced, so that a request doesn't race with the server's close.
 constexpr std::chrono::milliseconds kIdleMargin{1000};
 constexpr int kFirstFinalStatus = 200;
+/// Interim responses read before a final one. A server that sends more does not
+/// answer the request.
+constexpr int kMaxInterimResponses = 16;
 
 void SetOption(tcp::socket& socket, int level, int name, int value) {
   // Failure is ignored: it only delays the detection of an unreachable server.
@@ -240,7 +243,8 @@
     ClientConnection& connection,
     bool no_body,
     bool return_interim) {
-  while (true) {
+  for (int interim_responses = 0; interim_responses <= kMaxInterimResponses;
+       ++interim_responses) {
     Reset(connection.parser);
     connection.parser.no_body = no_body;
     while (!connection.parser.head_done) {
@@ -265,6 +269,7 @@
       co_return TakeResponseHead(connection.parser);
     }
   }
+  co_return base::Fail(ErrorKind::kAnswerCut, "too many interim responses");
 }
 
 awaitable<ResponseRead> ReadResponseBody(ClientConnection& connection) {
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -16,6 +16,10 @@
 /// Answers up to this size are read completely before they are relayed, so that
 /// another attempt can still replace a truncated one.
 constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{128} * 1024;
+/// Bytes and number of answers to earlier requests that are discarded before
+/// the connection is given up.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
+constexpr int kMaxDiscardedAnswers = 8;
 constexpr int kContinueStatus = 100;
 /// Longer bodies are sent to another daemon only once it accepts the request:
 /// after a refusal their bytes would have been sent for nothing, over links
@@ -85,6 +89,20 @@
   bool valid = false;
 };
 
+/// Reads and discards the body of an answer to an earlier request. Returns
+/// false if it has no end, or none within `limit_bytes`.
+awaitable<bool> DiscardAnswer(http::ClientConnection& connection,
+                              std::size_t limit_bytes) {
+  std::size_t size = 0;
+  http::ResponseRead read = http::ResponseRead::kMore;
+  while (read == http::ResponseRead::kMore && size <= limit_bytes) {
+    read = co_await http::ReadResponseBody(connection);
+    size += connection.parser.body.size();
+    connection.parser.body.clear();
+  }
+  co_return read == http::ResponseRead::kComplete;
+}
+
 /// Reads the head of the answer to this request. Late answers to earlier
 /// requests on the connection are read and discarded. An answer without a
 /// request id is invalid.
@@ -92,7 +110,7 @@
                                    http::ClientConnection& connection,
                                    const Transmission& transmission,
                                    bool no_body) {
-  while (true) {
+  for (int discarded = 0; discarded <= kMaxDiscardedAnswers; ++discarded) {
     auto read = co_await http::ReadResponseHead(connection, no_body);
     if (!read) {
       co_return Answer{};
@@ -106,15 +124,12 @@
       co_return Answer{};
     }
     Count(node, "late_answers_total");
-    http::ResponseRead rest = http::ResponseRead::kMore;
-    while (rest == http::ResponseRead::kMore) {
-      rest = co_await http::ReadResponseBody(connection);
-      connection.parser.body.clear();
-    }
-    if (rest == http::ResponseRead::kTruncated) {
+    const bool ended = co_await DiscardAnswer(connection, kMaxDiscardedBytes);
+    if (!ended) {
       co_return Answer{};
     }
   }
+  co_return Answer{};
 }
 
 /// Sends the head and the buffered part of the body. A body that awaits "100
