Label failed attempts with their cause

attempts_failed_total was written as attempts_failed_total{overloaded}, a label without a name, which no Prometheus reader accepts.

--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -1,6 +1,8 @@
 // Attempts for a caller's request and the decision to retry after each one.
 #include "eelgrassbridge/node/entry.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <vector>
 
@@ -201,7 +203,8 @@
   attempts.may_have_run =
       attempts.may_have_run || result.outcome != Outcome::kNotRun;
   if (result.outcome != Outcome::kAnswered) {
-    Count(node, "attempts_failed_total", base::ErrorName(result.cause));
+    Count(node, "attempts_failed_total",
+          fmt::format("cause=\"{}\"", base::ErrorName(result.cause)));
   }
 }
 
