Bound the attempts of a request at targets without room

Each daemon refused within 0.01 ms, yet five attempts took 1,350 ms: the attempts fill the link between the regions, which delays every request that crosses it. 5,889 answers 502 or 504 went to requests that had reached no target.

Cause: an attempt that reaches no target takes nothing from the retry budget, so a lack of room was retried up to kMaxAttempts times. Under overload the next target has no room either. An overloaded answer is now followed by one more attempt; attempts at targets that leave or cannot be reached stay as they were.

--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -28,6 +28,10 @@
 /// Maximum number of attempts, including those that reach no target: they cost
 /// little, but each takes a round trip.
 constexpr std::uint32_t kMaxAttempts = 5;
+/// Maximum number of attempts that end at a target without room. Under overload
+/// further ones find no room either, but each sends the request once more over
+/// links that all requests share.
+constexpr std::uint32_t kMaxOverloadedAttempts = 2;
 /// Maximum wait for a slot, as a share of the latency objective. Past it, a
 /// retry by the caller has better prospects.
 constexpr double kMaxWaitShare = 0.4;
@@ -56,6 +60,8 @@
   const Message& message;
   std::vector<base::DaemonId> tried;
   std::uint32_t reached_targets = 0;
+  /// Attempts refused for lack of room in time.
+  std::uint32_t overloaded = 0;
   /// An attempt may have run, so a later refusal does not prove that the
   /// request has not run.
   bool may_have_run = false;
@@ -145,6 +151,11 @@
                            DaemonCount(node), base::BootClock::now());
 }
 
+bool IsOverload(ErrorKind cause) {
+  return cause == ErrorKind::kOverloaded ||
+         cause == ErrorKind::kDeadlineBeforeRun;
+}
+
 bool HasTimeForAttempt(const Attempts& attempts) {
   return base::BootClock::now() + kMinAttemptTime <
          attempts.request.terms.deadline;
@@ -175,6 +186,9 @@
       if (request.terms.key && result.cause == ErrorKind::kOverloaded) {
         return false;
       }
+      if (attempts.overloaded >= kMaxOverloadedAttempts) {
+        return false;
+      }
       return !cancelled_or_expired &&
              (!result.reached_target || TakeRetry(node, attempts));
     case Outcome::kUnknown:
@@ -200,6 +214,7 @@
 
 void RecordResult(Node& node, Attempts& attempts, const RunResult& result) {
   attempts.reached_targets += result.reached_target ? 1 : 0;
+  attempts.overloaded += IsOverload(result.cause) ? 1 : 0;
   attempts.may_have_run =
       attempts.may_have_run || result.outcome != Outcome::kNotRun;
   if (result.outcome != Outcome::kAnswered) {
@@ -378,7 +393,7 @@
     co_await SendRejection(node, exchange, request, received.error().kind);
     co_return;
   }
-  Attempts attempts{*route.value(), request, message, {}, 0, false};
+  Attempts attempts{*route.value(), request, message, {}, 0, 0, false};
   RunResult result = co_await RunAttempts(node, attempts, watch.cancellation);
   co_await SendFinalAnswer(node, exchange, attempts, result);
 }
