Prefer a free slot in another region to a queue in the own one

Calls of the same service that may run anywhere (cupo) stayed in sur, and the runs that made them failed: 3,147 of 7,325 runs of listado in sur ended with 500, 37 of 9,387 in litoral.

Cause: a full target gave way to a farther one only if the product of latency, rounds of its queue and distance was lower. The latency contains the wait already, and that of the other region rises with the load of the link, so the comparison kept requests at home when it mattered most. A target with a free slot is now taken before any full one, nearest first; the expected time decides only among full ones.

--- a/src/eelgrassbridge/routing/target_choice.cpp
+++ b/src/eelgrassbridge/routing/target_choice.cpp
@@ -154,8 +154,8 @@
   return best;
 }
 
-/// Returns the nearest target, or with `spill` a farther one that is expected
-/// to answer sooner if the nearest is full.
+/// Returns the nearest target, or with `spill` the nearest one that has a free
+/// slot. If all are full, it is the one that is expected to answer first.
 const TargetState* ChooseAcrossTiers(const Search& search,
                                      std::uint64_t random,
                                      Locality farthest) {
@@ -168,12 +168,15 @@
     if (found == nullptr) {
       continue;
     }
+    if (!IsFull(table, *found, search.now)) {
+      return found;
+    }
     const double time = ExpectedResponseTime(table, *found, search.now);
     if (best == nullptr || time < best_time) {
       best = found;
       best_time = time;
     }
-    if (!table.options.spill || !IsFull(table, *found, search.now)) {
+    if (!table.options.spill) {
       break;
     }
   }
--- a/src/eelgrassbridge/routing/target_choice_test.cpp
+++ b/src/eelgrassbridge/routing/target_choice_test.cpp
@@ -162,4 +162,26 @@
   CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{1, 1000}});
 }
 
+TEST_CASE("a free slot far away is preferred to a queue nearby") {
+  // Guards against requests that may run anywhere and take the slots of the
+  // only region that other requests may use, while the other region is idle.
+  TargetTable table = Table({{{1}, Locality::kDataCentre, true, 6, 1},
+                             {{2}, Locality::kRegion, true, 6, 1},
+                             {{3}, Locality::kOtherRegion, true, 6, 2}});
+  table.options.spill = true;
+  const auto answer = [&table](std::uint64_t target, int ms,
+                               std::uint32_t load) {
+    RecordRequestSent(table, DaemonId{target}, kNow);
+    RecordAnswer(table, DaemonId{target},
+                 {Kind::kAnswered, milliseconds{ms}, load}, kNow);
+  };
+  answer(1, 40, 8);
+  answer(2, 40, 8);
+  answer(3, 200, 2);
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{3, 1000}});
+  // With no free slot anywhere, the target that answers first is chosen.
+  answer(3, 200, 8);
+  CHECK(Choices(table, kNow) == std::map<std::uint64_t, int>{{1, 1000}});
+}
+
 }  // namespace eelgrassbridge::routing
