Judge whether a short request can still run by its own objective

Cause: a request must start one mean run time of the target before its deadline. The mean of a target that mostly runs reserva, 160 ms and its own calls, is near 400 ms, so a short request never has enough time left there. It is now expected to need the mean run time or its objective, whichever is less.

--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -20,13 +20,16 @@
 /// deadline still reaches the caller in time.
 constexpr base::Duration kDeadlineMargin = base::milliseconds{10};
 
-/// Latest time to start the run. One that starts with less time left than the
-/// mean run time would be useless.
+/// Latest time to start the run. One that starts with less time left than it
+/// needs would be useless. It is expected to need the mean run time of the
+/// target, but no more than its own objective: a target that also runs longer
+/// requests would otherwise refuse short ones that it has time for.
 TimePoint LatestStart(const Node& node,
                       const RequestTerms& terms,
                       TimePoint now) {
-  const auto run_time = base::Duration{
+  const auto mean_run_time = base::Duration{
       static_cast<std::int64_t>(node.admission.limiter.run_time_us)};
+  const base::Duration run_time = std::min(mean_run_time, terms.objective);
   return std::min(terms.deadline - std::max(kDeadlineMargin, run_time),
                   now + terms.max_wait);
 }
