Order queues by objective, so that calls go before longer requests

Cause: requests wait in the order of their latest start. A short request may wait 150 ms, which lies above 0.4 of its objective so that it outlasts a full queue; that bound also placed it beside requests of 49 ms and 150 ms that may wait 160 ms and 320 ms. It was then refused for the length of the queue ahead of it. The order is now by the time at which 0.4 of the objective has passed; the bound of the wait stays as it was.

--- a/include/eelgrassbridge/limits/target_limiter.hpp
+++ b/include/eelgrassbridge/limits/target_limiter.hpp
@@ -50,6 +50,9 @@
   /// `deadline_for_start`.
   base::TimePoint deadline;
   bool deadline_for_start = false;
+  /// Time by which the run should start, which orders the requests of a class
+  /// if `deadline_for_start`; the deadline if it is not set.
+  std::optional<base::TimePoint> due{};
 };
 
 /// @brief Result of Admit.
--- a/include/eelgrassbridge/limits/target_queue.hpp
+++ b/include/eelgrassbridge/limits/target_queue.hpp
@@ -26,11 +26,13 @@
   base::TimePoint deadline;
   /// Whether the deadline applies to the start of the run, not to its end.
   bool deadline_for_start = false;
+  /// Time by which the run should start; used if `deadline_for_start`.
+  base::TimePoint due;
 };
 
 /// Waiting requests of one client account, oldest first, except that a request
-/// with a deadline for its start goes ahead of those with a later deadline.
-/// Never empty in a ClassQueue.
+/// with a deadline for its start goes ahead of those that are due later. Never
+/// empty in a ClassQueue.
 struct AccountQueue {
   std::string account;
   std::deque<QueuedRequest> waiting;
@@ -54,11 +56,11 @@
 /// Returns the number of waiting requests of one account.
 std::size_t CountWaiting(const ClassQueue& queue, std::string_view account);
 
-/// Returns the number of an account's waiting requests whose deadline is not
-/// later than `latest_start`.
+/// Returns the number of an account's waiting requests that are not due later
+/// than `due`.
 std::size_t CountWaitingBefore(const ClassQueue& queue,
                                std::string_view account,
-                               base::TimePoint latest_start);
+                               base::TimePoint due);
 
 /// Removes the last request of the account with the longest queue, if that
 /// queue is longer than `threshold`.
--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -20,6 +20,11 @@
 
 namespace eelgrassbridge::node {
 
+/// @brief Maximum wait for a slot, as a share of the latency objective. Past
+/// it, a retry by the caller has better prospects. Requests wait in the order
+/// in which this time is up.
+inline constexpr double kMaxWaitShare = 0.4;
+
 /// @brief Parameters of a request, sent along when a daemon forwards it.
 struct RequestTerms {
   std::string id;
@@ -161,6 +166,9 @@
 /// than the key is missing, or if one is invalid.
 base::Result<void> DecodeTerms(std::string_view text, RequestTerms& terms);
 
+/// @brief Multiplies a duration by a factor.
+base::Duration ScaleDuration(base::Duration time, double factor);
+
 /// @brief Milliseconds left until a deadline, at least zero.
 std::int64_t MillisecondsLeft(base::TimePoint deadline, base::TimePoint now);
 
--- a/src/eelgrassbridge/limits/target_limiter.cpp
+++ b/src/eelgrassbridge/limits/target_limiter.cpp
@@ -79,6 +79,10 @@
   }
 }
 
+TimePoint DueOf(const AdmissionRequest& request) {
+  return request.due.value_or(request.deadline);
+}
+
 /// Estimates the number of requests that are dispatched before a new one: all
 /// of higher classes and, in its own class, those of the round-robin rounds up
 /// to its own.
@@ -92,7 +96,7 @@
   const detail::ClassQueue& queue = limiter.classes[own_class];
   const std::size_t rounds_before =
       request.deadline_for_start
-          ? detail::CountWaitingBefore(queue, request.account, request.deadline)
+          ? detail::CountWaitingBefore(queue, request.account, DueOf(request))
           : detail::CountWaiting(queue, request.account) + 1;
   const auto rounds = static_cast<std::uint32_t>(rounds_before);
   const auto accounts = static_cast<std::uint32_t>(queue.accounts.size());
@@ -138,9 +142,10 @@
     return MakeRefusal(ErrorKind::kOverloaded);
   }
   const Ticket ticket = limiter.next_ticket++;
-  detail::Push(limiter.classes[static_cast<std::size_t>(request.priority)],
-               request.account,
-               {ticket, request.deadline, request.deadline_for_start});
+  detail::Push(
+      limiter.classes[static_cast<std::size_t>(request.priority)],
+      request.account,
+      {ticket, request.deadline, request.deadline_for_start, DueOf(request)});
   ++limiter.queued;
   limiter.next_expiry = std::min(limiter.next_expiry, request.deadline);
   return {Admission::State::kQueued, ticket, 0, {}};
--- a/src/eelgrassbridge/limits/target_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -272,6 +272,30 @@
   CHECK(FinishAndDispatch(limiter) == longer_wait.ticket);
 }
 
+TEST_CASE("a short request goes first though it may wait as long") {
+  // Guards against refusing a call made by a target, which wastes the run that
+  // waits for it, for the sake of requests that are due later.
+  TargetLimiter limiter = MakeWarmLimiter(1, 48);
+  limiter.run_time_us = 50'000;
+  CHECK(AdmitOne(limiter, PriorityClass::kNormal, "").state == State::kRun);
+  const auto queue = [&limiter](int due_ms, int latest_ms) {
+    return Admit(limiter,
+                 {PriorityClass::kNormal, "", kStart + milliseconds{latest_ms},
+                  true, kStart + milliseconds{due_ms}},
+                 kStart);
+  };
+  std::vector<Admission> longer;
+  for (int i = 0; i < 2; ++i) {
+    longer.push_back(queue(160, 160));
+    REQUIRE(longer.back().state == State::kQueued);
+  }
+  const Admission call = queue(48, 160);
+  REQUIRE(call.state == State::kQueued);
+  CHECK(FinishAndDispatch(limiter) == call.ticket);
+  CHECK(FinishAndDispatch(limiter) == longer[0].ticket);
+  CHECK(FinishAndDispatch(limiter) == longer[1].ticket);
+}
+
 TEST_CASE("without the ramp slow answers don't reduce the slots") {
   // Guards against using fewer slots than the target has because a noisy
   // neighbour briefly slows down its answers.
--- a/src/eelgrassbridge/limits/target_queue.cpp
+++ b/src/eelgrassbridge/limits/target_queue.cpp
@@ -23,11 +23,12 @@
       found != queue.accounts.end()
           ? *found
           : queue.accounts.emplace_back(AccountQueue{std::string(account), {}});
-  // A request that must start sooner goes ahead of those that can wait longer.
+  // A request that should start sooner goes ahead of those that can wait
+  // longer.
   const auto position =
       waiting.deadline_for_start
-          ? std::ranges::upper_bound(account_queue.waiting, waiting.deadline,
-                                     {}, &QueuedRequest::deadline)
+          ? std::ranges::upper_bound(account_queue.waiting, waiting.due, {},
+                                     &QueuedRequest::due)
           : account_queue.waiting.end();
   account_queue.waiting.insert(position, waiting);
   ++queue.size;
@@ -54,7 +55,7 @@
 
 std::size_t CountWaitingBefore(const ClassQueue& queue,
                                std::string_view account,
-                               base::TimePoint latest_start) {
+                               base::TimePoint due) {
   const auto found = std::find_if(
       queue.accounts.begin(), queue.accounts.end(),
       [&](const AccountQueue& item) { return item.account == account; });
@@ -62,9 +63,8 @@
     return 0;
   }
   return static_cast<std::size_t>(std::ranges::count_if(
-      found->waiting, [latest_start](const QueuedRequest& waiting) {
-        return waiting.deadline <= latest_start;
-      }));
+      found->waiting,
+      [due](const QueuedRequest& waiting) { return waiting.due <= due; }));
 }
 
 std::optional<Ticket> TakeFromLongest(ClassQueue& queue,
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -32,13 +32,11 @@
 /// further ones find no room either, but each sends the request once more over
 /// links that all requests share.
 constexpr std::uint32_t kMaxOverloadedAttempts = 2;
-/// Maximum wait for a slot, as a share of the latency objective. Past it, a
-/// retry by the caller has better prospects.
-constexpr double kMaxWaitShare = 0.4;
 /// Lower bound of the maximum wait for a slot, for requests with a short
 /// objective: a refused call wastes the work that its caller has already done,
-/// and the queue of a full target advances within this time. It never extends
-/// the wait beyond kMaxWaitShare of the time from arrival to the deadline.
+/// and the queue of a full target advances within this time. Such a request is
+/// due before the bound, so it goes ahead of longer ones. It never extends the
+/// wait beyond kMaxWaitShare of the time from arrival to the deadline.
 constexpr base::Duration kMaxWaitFloor = base::milliseconds{150};
 /// Time reserved for the final answer to reach the caller before the caller's
 /// own deadline.
@@ -67,19 +65,14 @@
   bool may_have_run = false;
 };
 
-base::Duration Scale(base::Duration time, double factor) {
-  return base::Duration{
-      static_cast<std::int64_t>(static_cast<double>(time.count()) * factor)};
-}
-
 /// Time that the request may still wait for a slot: its maximum wait less the
 /// time since its arrival, which earlier attempts have used.
 base::Duration RemainingSlotWait(const CallerRequest& request) {
   const RequestTerms& terms = request.terms;
   const base::Duration time_limit = terms.deadline - request.arrived;
-  const base::Duration max_wait =
-      std::max(Scale(terms.objective, kMaxWaitShare),
-               std::min(kMaxWaitFloor, Scale(time_limit, kMaxWaitShare)));
+  const base::Duration max_wait = std::max(
+      ScaleDuration(terms.objective, kMaxWaitShare),
+      std::min(kMaxWaitFloor, ScaleDuration(time_limit, kMaxWaitShare)));
   const base::Duration elapsed = base::BootClock::now() - request.arrived;
   return std::max(base::Duration{0}, max_wait - elapsed);
 }
@@ -202,7 +195,8 @@
 /// false once the time for such attempts is used up.
 awaitable<bool> DelayOwnerRetry(Node& node, const Attempts& attempts) {
   const RequestTerms& terms = attempts.request.terms;
-  const base::Duration wait = Scale(terms.objective, kMaxOwnerWaitShare);
+  const base::Duration wait =
+      ScaleDuration(terms.objective, kMaxOwnerWaitShare);
   const TimePoint now = base::BootClock::now();
   if (now + kOwnerRetryDelay >
       std::min(attempts.request.arrived + wait, terms.deadline)) {
--- a/src/eelgrassbridge/node/request.cpp
+++ b/src/eelgrassbridge/node/request.cpp
@@ -121,6 +121,11 @@
   return base::outcome::success();
 }
 
+base::Duration ScaleDuration(base::Duration time, double factor) {
+  return base::Duration{
+      static_cast<std::int64_t>(static_cast<double>(time.count()) * factor)};
+}
+
 std::int64_t MillisecondsLeft(base::TimePoint deadline, base::TimePoint now) {
   const auto left =
       std::chrono::duration_cast<base::milliseconds>(deadline - now).count();
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -154,6 +154,19 @@
          limiter.in_flight < limits::InFlightLimit(limiter);
 }
 
+limits::AdmissionRequest AdmissionRequestOf(const RequestTerms& terms,
+                                            TimePoint latest,
+                                            TimePoint now) {
+  const bool may_wait = terms.max_wait > base::Duration{0};
+  limits::AdmissionRequest request;
+  request.priority = PriorityClassOf(terms.priority);
+  request.deadline = may_wait ? latest : terms.deadline;
+  request.deadline_for_start = true;
+  request.due = now + std::min(terms.max_wait,
+                               ScaleDuration(terms.objective, kMaxWaitShare));
+  return request;
+}
+
 /// Waits for the pace of a cold start, then for a slot. Fails with the reason
 /// of a refusal.
 awaitable<base::Result<SlotPointer>> AcquireSlot(
@@ -179,10 +192,7 @@
   }
   const limits::Admission admission =
       limits::Admit(node.admission.limiter,
-                    {PriorityClassOf(terms.priority),
-                     {},
-                     may_wait ? latest : terms.deadline,
-                     true},
+                    AdmissionRequestOf(terms, latest, base::BootClock::now()),
                     base::BootClock::now());
   DispatchWaiters(node);
   switch (admission.state) {
