Let bodies arrive in turn, before the request takes a slot

Cause: the slot was taken before the body was asked for, so that it was idle for the time of the transfer. The body is now received first, by two requests at a time; others wait for their turn as long as they would wait for a slot, and a request that would be refused is refused before its body is sent. A body has its turn for 300 ms, so that slow callers hold up nobody. Up to 256 KiB of a body wait in memory.

--- a/include/eelgrassbridge/limits/target_limiter.hpp
+++ b/include/eelgrassbridge/limits/target_limiter.hpp
@@ -53,6 +53,8 @@
   /// Time by which the run should start, which orders the requests of a class
   /// if `deadline_for_start`; the deadline if it is not set.
   std::optional<base::TimePoint> due{};
+  /// Requests that are not queued yet and are expected to be served first.
+  std::uint32_t others_ahead = 0;
 };
 
 /// @brief Result of Admit.
@@ -112,6 +114,12 @@
 /// of slots, connections and, if the ramp is used, its level, but at least 1.
 std::uint32_t InFlightLimit(const TargetLimiter& limiter);
 
+/// @brief Returns the reason for which Admit would refuse the request now,
+/// leaving aside that the queue may be full; nothing if it would not.
+std::optional<base::ErrorKind> ExpectedRefusal(const TargetLimiter& limiter,
+                                               const AdmissionRequest& request,
+                                               base::TimePoint now);
+
 /// @brief Admits, queues or refuses a request. Refusals are kOverloaded,
 /// kDeadlineBeforeRun or kDraining; a refused request has provably not run.
 Admission Admit(TargetLimiter& limiter,
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -93,9 +93,15 @@
 };
 
 struct Admission {
+  explicit Admission(asio::io_context& io) : body_arrived(io) {}
   limits::TargetLimiter limiter;
   limits::ColdPacer cold;
   std::map<limits::Ticket, std::shared_ptr<SlotWaiter>> waiters;
+  /// Requests that will ask for a slot once their bodies have arrived, apart
+  /// from those whose bodies take too long.
+  std::uint32_t arriving_bodies = 0;
+  /// Notified when `arriving_bodies` has decreased.
+  http::Event body_arrived;
 };
 
 /// @brief Latest known changes of a table, here and on other daemons.
--- a/include/eelgrassbridge/node/target_run.hpp
+++ b/include/eelgrassbridge/node/target_run.hpp
@@ -6,6 +6,7 @@
 #define EELGRASSBRIDGE_NODE_TARGET_RUN_HPP
 
 #include <asio/awaitable.hpp>
+#include <optional>
 
 #include "eelgrassbridge/node/node.hpp"
 #include "eelgrassbridge/node/request.hpp"
@@ -19,7 +20,13 @@
                                        const Message& message,
                                        CancellationPointer cancellation);
 
-/// @brief Number of requests that run on the target or wait for a slot.
+/// @brief Returns the reason for which RunOnTarget would refuse the request
+/// now, as far as that is known before its body has arrived.
+std::optional<base::ErrorKind> ExpectedRefusal(const Node& node,
+                                               const RequestTerms& terms);
+
+/// @brief Number of requests that run on the target, wait for a slot, or will
+/// do so once their bodies have arrived.
 std::uint32_t InFlight(const Node& node);
 
 /// @brief Updates the target's limits from its last report and the routes.
--- a/src/eelgrassbridge/limits/target_limiter.cpp
+++ b/src/eelgrassbridge/limits/target_limiter.cpp
@@ -119,24 +119,39 @@
                                 limiter.options.connections, level}));
 }
 
-Admission Admit(TargetLimiter& limiter,
-                const AdmissionRequest& request,
-                TimePoint now) {
+std::optional<ErrorKind> ExpectedRefusal(const TargetLimiter& limiter,
+                                         const AdmissionRequest& request,
+                                         TimePoint now) {
   if (!limiter.accepting) {
-    return MakeRefusal(ErrorKind::kDraining);
+    return ErrorKind::kDraining;
   }
   if (request.deadline <= now) {
-    return MakeRefusal(ErrorKind::kDeadlineBeforeRun);
+    return ErrorKind::kDeadlineBeforeRun;
+  }
+  const std::uint32_t ahead =
+      CountRequestsAhead(limiter, request) + request.others_ahead;
+  const bool has_slot =
+      limiter.queued == 0 &&
+      limiter.in_flight + request.others_ahead < InFlightLimit(limiter);
+  if (!has_slot &&
+      !CanMeetDeadline(limiter, request.deadline, request.deadline_for_start,
+                       ahead + 1, now)) {
+    return ErrorKind::kOverloaded;
+  }
+  return std::nullopt;
+}
+
+Admission Admit(TargetLimiter& limiter,
+                const AdmissionRequest& request,
+                TimePoint now) {
+  RefuseExpired(limiter, now);
+  if (const auto refusal = ExpectedRefusal(limiter, request, now)) {
+    return MakeRefusal(*refusal);
   }
   if (limiter.queued == 0 && HasFreeSlot(limiter)) {
     const std::uint64_t generation = OccupySlot(limiter);
     return {Admission::State::kRun, limiter.next_ticket++, generation, {}};
   }
-  RefuseExpired(limiter, now);
-  if (!CanMeetDeadline(limiter, request.deadline, request.deadline_for_start,
-                       CountRequestsAhead(limiter, request) + 1, now)) {
-    return MakeRefusal(ErrorKind::kOverloaded);
-  }
   if (limiter.queued >= limiter.options.queue_capacity &&
       !RefuseLessUrgent(limiter, request)) {
     return MakeRefusal(ErrorKind::kOverloaded);
--- a/src/eelgrassbridge/limits/target_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/target_limiter_test.cpp
@@ -296,6 +296,20 @@
   CHECK(FinishAndDispatch(limiter) == longer[1].ticket);
 }
 
+TEST_CASE("requests whose bodies arrive count as ahead of a new one") {
+  // Guards against more bodies sent to a target than it can serve in time.
+  TargetLimiter limiter = MakeWarmLimiter(2, 48);
+  limiter.run_time_us = 50'000;
+  AdmissionRequest request{PriorityClass::kNormal, "",
+                           kStart + milliseconds{100}, true};
+  request.others_ahead = 1;
+  CHECK_FALSE(ExpectedRefusal(limiter, request, kStart).has_value());
+  request.others_ahead = 2;
+  CHECK_FALSE(ExpectedRefusal(limiter, request, kStart).has_value());
+  request.others_ahead = 4;
+  CHECK(ExpectedRefusal(limiter, request, kStart) == ErrorKind::kOverloaded);
+}
+
 TEST_CASE("without the ramp slow answers don't reduce the slots") {
   // Guards against using fewer slots than the target has because a noisy
   // neighbour briefly slows down its answers.
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -14,6 +14,47 @@
 using base::ErrorKind;
 using base::Outcome;
 
+/// Body bytes that are received before the request asks for a slot; most
+/// uploads are shorter. The rest of a longer body is streamed to the target.
+constexpr std::size_t kMaxQueuedBodyBytes = std::size_t{256} * 1024;
+/// Bodies that arrive at a time. Two fill the link of the VM; more would only
+/// delay each other and all other messages to the VM.
+constexpr std::uint32_t kMaxArrivingBodies = 2;
+/// Time after which a body no longer keeps others from arriving. A short body
+/// takes less on the slowest link, and a slow caller must not hold up others.
+constexpr base::Duration kMaxArrivalTurn = base::milliseconds{300};
+constexpr int kBadRequest = 400;
+
+struct ArrivingBody;
+
+/// Stops counting the body as arriving; only the first call has an effect.
+void EndTurn(ArrivingBody& body);
+
+/// Counts a request among those whose bodies arrive, until it is destroyed or
+/// its turn is over.
+struct ArrivingBody {
+  explicit ArrivingBody(Node& owner) : node(owner), turn(owner.io) {
+    ++this->node.admission.arriving_bodies;
+    http::Arm(this->turn, kMaxArrivalTurn, [this] { EndTurn(*this); });
+  }
+  ~ArrivingBody() { EndTurn(*this); }
+  ArrivingBody(const ArrivingBody&) = delete;
+  ArrivingBody& operator=(const ArrivingBody&) = delete;
+
+  Node& node;
+  http::Alarm turn;
+  bool counted = true;
+};
+
+void EndTurn(ArrivingBody& body) {
+  if (!body.counted) {
+    return;
+  }
+  body.counted = false;
+  --body.node.admission.arriving_bodies;
+  http::Notify(body.node.admission.body_arrived);
+}
+
 /// Tells the other daemon how far this one has read the store's tables.
 void AddSeenHeader(const Node& node, http::Headers& headers) {
   headers.push_back(
@@ -175,6 +216,50 @@
   co_await AwaitBodyPump(result);
 }
 
+/// Waits until the body may be received, and takes that time off the wait for a
+/// slot. Returns the reason if the request is refused or cancelled instead.
+awaitable<std::optional<ErrorKind>> AwaitArrival(Node& node,
+                                                 RequestTerms& terms,
+                                                 Cancellation& cancellation) {
+  http::Event& arrived = node.admission.body_arrived;
+  const base::TimePoint begin = base::BootClock::now();
+  const base::TimePoint latest = begin + terms.max_wait;
+  cancellation.abort = [&arrived] { http::Notify(arrived); };
+  while (node.admission.arriving_bodies >= kMaxArrivingBodies) {
+    if (cancellation.cause || base::BootClock::now() >= latest) {
+      cancellation.abort = nullptr;
+      co_return cancellation.cause.value_or(ErrorKind::kOverloaded);
+    }
+    co_await http::WaitUntil(arrived, latest);
+  }
+  cancellation.abort = nullptr;
+  terms.max_wait = std::max(base::Duration{0}, latest - base::BootClock::now());
+  co_return ExpectedRefusal(node, terms);
+}
+
+/// Receives the body before the request takes a slot of the target, because a
+/// slot that waits for a body on a slow link serves nobody. A body that the
+/// sender holds back is left there if the request is refused, so that the
+/// sender can choose another target at no cost.
+awaitable<base::Result<void>> ReceiveBodyBeforeSlot(
+    Node& node,
+    http::Exchange& exchange,
+    RequestTerms& terms,
+    Message& message,
+    Cancellation& cancellation) {
+  if (exchange.continue_expected) {
+    const auto refusal = co_await AwaitArrival(node, terms, cancellation);
+    if (refusal) {
+      co_return base::Fail(*refusal, {});
+    }
+  }
+  const ArrivingBody arriving(node);
+  cancellation.abort = [&exchange] { http::Abort(exchange); };
+  auto received = co_await ReceiveBody(exchange, message, kMaxQueuedBodyBytes);
+  cancellation.abort = nullptr;
+  co_return received;
+}
+
 }  // namespace
 
 RequestWatch::RequestWatch(Node& node,
@@ -257,7 +342,6 @@
 awaitable<void> HandlePeerRequest(Node& node, http::Exchange& exchange) {
   auto terms = ReadPeerTerms(node, exchange.head.headers);
   if (!terms) {
-    constexpr int kBadRequest = 400;
     Count(node, "invalid_peer_requests_total");
     co_await http::Respond(exchange, kBadRequest, {}, {});
     co_return;
@@ -270,11 +354,19 @@
   message.headers = http::EndToEndHeaders(exchange.head.headers);
   RemoveInternalHeaders(message.headers);
   http::Remove(message.headers, node.port.headers.time_left);
-  message.has_body = exchange.head.has_body;
-  message.length = exchange.head.length;
-  // The body is read only once a slot of the target is taken, so that the
-  // sender can still choose another target after a refusal.
-  message.body_source = message.has_body ? &exchange : nullptr;
+  const auto received = co_await ReceiveBodyBeforeSlot(
+      node, exchange, terms.value(), message, *watch.cancellation);
+  if (!received && exchange.body_received == 0) {
+    RunResult refused =
+        NotRunResult(received.error().kind, NotRunProof::NeverSent());
+    co_await SendPeerAnswer(node, exchange, terms.value(), refused);
+    co_return;
+  }
+  if (!received) {
+    // The sender has left or has sent a malformed body.
+    http::Abort(exchange);
+    co_return;
+  }
   RunResult result =
       co_await RunOnTarget(node, terms.value(), message, watch.cancellation);
   co_await SendPeerAnswer(node, exchange, terms.value(), result);
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -360,8 +360,25 @@
   co_return result;
 }
 
+std::optional<ErrorKind> ExpectedRefusal(const Node& node,
+                                         const RequestTerms& terms) {
+  if (const auto reason = RefusalReason(node, terms)) {
+    return reason;
+  }
+  const Admission& admission = node.admission;
+  if (terms.max_wait <= base::Duration{0} && !HasFreeSlot(admission.limiter)) {
+    return ErrorKind::kOverloaded;
+  }
+  const TimePoint now = base::BootClock::now();
+  limits::AdmissionRequest request =
+      AdmissionRequestOf(terms, LatestStart(node, terms, now), now);
+  request.others_ahead = admission.arriving_bodies;
+  return limits::ExpectedRefusal(admission.limiter, request, now);
+}
+
 std::uint32_t InFlight(const Node& node) {
-  return node.admission.limiter.in_flight + node.admission.limiter.queued;
+  return node.admission.limiter.in_flight + node.admission.limiter.queued +
+         node.admission.arriving_bodies;
 }
 
 void RefreshAdmission(Node& node) {
