Log uploads that are refused before their bodies arrive

A request that waited in vain for its turn, or that the target would refuse, was answered without a request_turned_away line, so explain could not tell where and why. The refusal now goes through the same function as those of RunOnTarget.

--- a/include/eelgrassbridge/node/target_run.hpp
+++ b/include/eelgrassbridge/node/target_run.hpp
@@ -20,6 +20,13 @@
                                        const Message& message,
                                        CancellationPointer cancellation);
 
+/// @brief Refuses a request of which nothing has been sent to the target, and
+/// logs the reason.
+RunResult TurnAway(Node& node,
+                   const RequestTerms& terms,
+                   base::ErrorKind cause,
+                   base::TimePoint arrived);
+
 /// @brief Returns the reason for which RunOnTarget would refuse the request
 /// now, as far as that is known before its body has arrived.
 std::optional<base::ErrorKind> ExpectedRefusal(const Node& node,
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -222,8 +222,7 @@
                                                  RequestTerms& terms,
                                                  Cancellation& cancellation) {
   http::Event& arrived = node.admission.body_arrived;
-  const base::TimePoint begin = base::BootClock::now();
-  const base::TimePoint latest = begin + terms.max_wait;
+  const base::TimePoint latest = base::BootClock::now() + terms.max_wait;
   cancellation.abort = [&arrived] { http::Notify(arrived); };
   while (node.admission.arriving_bodies >= kMaxArrivingBodies) {
     if (cancellation.cause || base::BootClock::now() >= latest) {
@@ -247,13 +246,14 @@
     RequestTerms& terms,
     Message& message,
     Cancellation& cancellation) {
+  std::optional<ArrivingBody> arriving;
   if (exchange.continue_expected) {
     const auto refusal = co_await AwaitArrival(node, terms, cancellation);
     if (refusal) {
       co_return base::Fail(*refusal, {});
     }
+    arriving.emplace(node);
   }
-  const ArrivingBody arriving(node);
   cancellation.abort = [&exchange] { http::Abort(exchange); };
   auto received = co_await ReceiveBody(exchange, message, kMaxQueuedBodyBytes);
   cancellation.abort = nullptr;
@@ -347,6 +347,7 @@
     co_return;
   }
   ReadSeenHeader(node, exchange.head.headers);
+  const base::TimePoint arrived = base::BootClock::now();
   RequestWatch watch(node, exchange, terms.value().deadline);
   Message message;
   message.method = exchange.head.method;
@@ -358,7 +359,7 @@
       node, exchange, terms.value(), message, *watch.cancellation);
   if (!received && exchange.body_received == 0) {
     RunResult refused =
-        NotRunResult(received.error().kind, NotRunProof::NeverSent());
+        TurnAway(node, terms.value(), received.error().kind, arrived);
     co_await SendPeerAnswer(node, exchange, terms.value(), refused);
     co_return;
   }
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -335,9 +335,7 @@
   }
   auto admitted = co_await AdmitToTarget(node, terms, cancellation);
   if (!admitted) {
-    const ErrorKind cause = admitted.error().kind;
-    LogTurnedAway(node, terms, cause, arrived);
-    co_return NotRunResult(cause, NotRunProof::NeverSent());
+    co_return TurnAway(node, terms, admitted.error().kind, arrived);
   }
   const SlotPointer slot = std::move(admitted.value());
   const TimePoint sent_at = base::BootClock::now();
@@ -360,6 +358,14 @@
   co_return result;
 }
 
+RunResult TurnAway(Node& node,
+                   const RequestTerms& terms,
+                   ErrorKind cause,
+                   TimePoint arrived) {
+  LogTurnedAway(node, terms, cause, arrived);
+  return NotRunResult(cause, NotRunProof::NeverSent());
+}
+
 std::optional<ErrorKind> ExpectedRefusal(const Node& node,
                                          const RequestTerms& terms) {
   if (const auto reason = RefusalReason(node, terms)) {
