Reproduce daemons that never get a large version of the routes

The stand-in of the store gets a link that sends one response after the other, and counts how often it sends each row.

--- a/standins/platform/row_standin.cpp
+++ b/standins/platform/row_standin.cpp
@@ -1,6 +1,7 @@
 // HTTP calls of the stand-in store.
 #include "row_standin.hpp"
 
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/ip/tcp.hpp>
@@ -26,6 +27,8 @@
 /// Longer than any caller waits for a response.
 constexpr std::chrono::milliseconds kUnresponsiveTime{60000};
 constexpr std::chrono::milliseconds kLateWriteDelay{300};
+/// Bytes of a response after which the link checks whether its caller has left.
+constexpr std::size_t kLinkPieceBytes = std::size_t{8} * 1024;
 
 RowStandin::Name NameOf(const json& value) {
   return {value.at("table").get<std::string>(),
@@ -137,7 +140,7 @@
   return query;
 }
 
-Reply GetRows(const RowStandin& standin, std::string_view target) {
+Reply GetRows(RowStandin& standin, std::string_view target) {
   auto query = QueryOf(target);
   Reply reply{kOk, State(standin)};
   reply.body["rows"] = json::array();
@@ -146,6 +149,7 @@
     const auto& [table, partition, key] = name;
     if (table == query["table"] && partition == query["part"] &&
         key >= query["from"] && !row.removed) {
+      ++standin.rows_sent[name];
       reply.body["rows"].push_back(RowJson(name, row));
     }
   }
@@ -153,12 +157,13 @@
 }
 
 /// Rows of the table that changed after the version, oldest change first.
-json ChangedRows(const RowStandin& standin,
+json ChangedRows(RowStandin& standin,
                  const std::string& table,
                  std::uint64_t after) {
   std::map<std::uint64_t, json> changed;
   for (const auto& [name, row] : standin.rows) {
     if (std::get<0>(name) == table && row.version > after) {
+      ++standin.rows_sent[name];
       json& list = changed[row.version];
       list.push_back(RowJson(name, row));
     }
@@ -220,6 +225,38 @@
   co_return Reply{kBadRequest, json::object()};
 }
 
+/// Sends a response over the shared link, after those that were there before.
+/// Stops when the caller has closed the connection.
+awaitable<void> SendOverLink(RowStandin& standin,
+                             http::Exchange& exchange,
+                             int status,
+                             std::string_view text) {
+  const std::uint64_t turn = standin.link_turns++;
+  while (standin.link_turn != turn) {
+    co_await http::Wait(standin.link_free);
+  }
+  bool sending = !exchange.connection->caller_disconnected;
+  sending = sending &&
+            co_await http::StartResponse(exchange, status, {}, text.size());
+  while (sending && !text.empty() &&
+         !exchange.connection->caller_disconnected) {
+    const std::string_view piece = text.substr(0, kLinkPieceBytes);
+    text.remove_prefix(piece.size());
+    co_await http::Sleep(
+        standin.server.io,
+        base::Duration{static_cast<std::int64_t>(
+            static_cast<double>(piece.size()) / standin.link_rate * 1e6)});
+    sending = co_await http::WriteBody(exchange, piece);
+  }
+  ++standin.link_turn;
+  http::Notify(standin.link_free);
+  if (sending && text.empty()) {
+    co_await http::FinishResponse(exchange);
+  } else {
+    http::Abort(exchange);
+  }
+}
+
 awaitable<void> Handle(RowStandin& standin, http::Exchange& exchange) {
   ++standin.calls;
   std::string body;
@@ -245,12 +282,17 @@
     co_return;
   }
   const std::string text = reply.body.dump();
+  if (standin.link_rate > 0) {
+    co_await SendOverLink(standin, exchange, reply.status, text);
+    co_return;
+  }
   co_await http::Respond(exchange, reply.status, {}, text);
 }
 
 }  // namespace
 
-RowStandin::RowStandin(asio::io_context& io) : server(io), changed(io) {}
+RowStandin::RowStandin(asio::io_context& io)
+    : server(io), changed(io), link_free(io) {}
 
 std::string Start(RowStandin& standin) {
   standin.server.handler = [&standin](http::Exchange& exchange) {
--- a/standins/platform/row_standin.hpp
+++ b/standins/platform/row_standin.hpp
@@ -51,6 +51,15 @@
   std::uint64_t history_from = 0;
   StoreFault fault = StoreFault::kNone;
   std::chrono::milliseconds delay{0};
+  /// Rate of the link that all responses share, in bytes per second; 0: no
+  /// limit. The link sends one response after the other.
+  double link_rate = 0;
+  /// Turn of the response that the link sends now, and number of turns given.
+  std::uint64_t link_turn = 0;
+  std::uint64_t link_turns = 0;
+  http::Event link_free;
+  /// How often each row was put into a response to a read or a poll.
+  std::map<Name, std::uint64_t> rows_sent;
   std::uint64_t calls = 0;
   std::uint64_t writes = 0;
 };
