Keep reads of the store while their answer arrives, and close given-up ones

Cause: a long poll was abandoned when any other call failed, or 400 ms after another daemon had reported a later version, also while its answer was arriving; it was not closed, so the store went on sending it beside the next one. A read had 1 s in all, however long its answer, and a connection to the store 300 ms to open. On a full link each of these makes more of the traffic that fills it, which lasts when the cause is gone.

A poll whose answer has begun is kept; others are abandoned only once they are 400 ms old, doubled for each one given up, and are closed. The limit of 1 s holds until the answer begins and between its pieces. New log event poll_abandoned, counters store_polls_abandoned_total and store_poll_bytes_total, which the logs of the incident lacked.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -111,14 +111,31 @@
   std::string body;
 };
 
+/// @brief State of a call, shared with its starter.
+struct CallProgress {
+  /// Body bytes of the response received so far.
+  std::uint64_t received_bytes = 0;
+  /// Ends the call with an error and closes its connection, so that the server
+  /// stops sending. Empty while the call has no connection.
+  std::function<void()> cancel;
+};
+
 /// @brief A request whose body is held in memory.
 struct BufferedRequest {
   std::string method;
   std::string target;
   Headers headers;
   std::string body;
+  /// Maximum time until the body of the response begins.
   std::chrono::milliseconds timeout{1000};
+  /// Maximum time between two pieces of the body: a long response over a slow
+  /// link takes longer than any fixed time.
+  std::chrono::milliseconds piece_timeout{1000};
+  /// Maximum time of the whole call.
+  std::chrono::milliseconds total_timeout{30000};
   std::size_t max_response_bytes = std::size_t{4} << 20U;
+  /// Null if the starter does not watch the call.
+  std::shared_ptr<CallProgress> progress;
 };
 
 /// @brief Sends a request and reads the complete response. Fails with
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -179,8 +179,11 @@
   base::CounterRegistry counters;
 };
 
-/// @brief Increments a counter of the node by one.
-void Count(Node& node, std::string_view name, std::string_view labels = {});
+/// @brief Increments a counter of the node.
+void Count(Node& node,
+           std::string_view name,
+           std::string_view labels = {},
+           std::uint64_t number = 1);
 
 /// @brief Whether the service of the target beside this daemon is divided by
 /// key.
@@ -208,17 +211,16 @@
 /// @brief Hash of a daemon's address that identifies it in target tables.
 base::DaemonId DaemonIdOf(std::string_view address);
 
-/// @brief Updates the store's reachability and clock from the result of a call
-/// to it.
-/// @param cause Error text of a failed call, for the log.
-/// @param state Null if the result must not set the clock.
+/// @brief Updates the store's reachability and clock from an answer of it.
+/// @param state Null if the answer must not set the clock.
 /// @param sent_at Time at which the call was sent.
-void RecordStoreResult(Node& node,
-                       bool reachable,
-                       std::string_view cause,
+void RecordStoreAnswer(Node& node,
                        const StoreState* state,
                        base::TimePoint sent_at);
 
+/// @brief Updates the store's reachability from a failed call.
+void RecordStoreFailure(Node& node, const base::Error& error);
+
 /// @brief Records that another daemon has applied a version of a table.
 void RecordPeerVersion(Node& node, TableProgress& table, std::uint64_t version);
 
--- a/include/eelgrassbridge/node/row_store.hpp
+++ b/include/eelgrassbridge/node/row_store.hpp
@@ -7,11 +7,13 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "eelgrassbridge/base/error.hpp"
 #include "eelgrassbridge/base/time.hpp"
+#include "eelgrassbridge/http/client.hpp"
 
 namespace eelgrassbridge::node {
 
@@ -89,8 +91,11 @@
                                                        std::string partition)>
       read;
   /// Polls for changes after a position; returns at the first change or after
-  /// the maximum wait.
-  std::function<asio::awaitable<base::Result<RowPage>>(FeedPosition)> follow;
+  /// the maximum wait. The progress lets the starter watch and end the poll.
+  std::function<asio::awaitable<base::Result<RowPage>>(
+      FeedPosition,
+      std::shared_ptr<http::CallProgress>)>
+      follow;
 };
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
@@ -126,7 +127,8 @@
 
 awaitable<base::Result<Response>> SendAndReceive(
     ClientConnection& connection,
-    const BufferedRequest& request) {
+    const BufferedRequest& request,
+    const std::function<void()>& on_piece) {
   const std::string head =
       FormatRequestHead(request.method, request.target, request.headers,
                         {Framing::Kind::kLength, request.body.size()});
@@ -144,7 +146,11 @@
   ResponseRead read = ResponseRead::kMore;
   while (read == ResponseRead::kMore) {
     read = co_await ReadResponseBody(connection);
+    on_piece();
     response.body += connection.parser.body;
+    if (request.progress) {
+      request.progress->received_bytes = response.body.size();
+    }
     connection.parser.body.clear();
     if (response.body.size() > request.max_response_bytes) {
       co_return base::Fail(ErrorKind::kPeerLost, "the response is too large");
@@ -294,13 +300,26 @@
   }
   const ClientConnectionPtr connection = std::move(acquired.value());
   bool timed_out = false;
-  Alarm alarm(pool.io);
-  Arm(alarm, request.timeout, [connection, &timed_out] {
+  const auto time_out = [connection, &timed_out] {
     timed_out = true;
     Close(*connection);
-  });
-  auto response = co_await SendAndReceive(*connection, request);
-  Disarm(alarm);
+  };
+  Alarm stalled(pool.io);
+  Alarm too_long(pool.io);
+  const auto restart = [&stalled, &request, &time_out] {
+    Arm(stalled, request.piece_timeout, time_out);
+  };
+  Arm(stalled, request.timeout, time_out);
+  Arm(too_long, std::max(request.timeout, request.total_timeout), time_out);
+  if (request.progress) {
+    request.progress->cancel = [connection] { Close(*connection); };
+  }
+  auto response = co_await SendAndReceive(*connection, request, restart);
+  Disarm(stalled);
+  Disarm(too_long);
+  if (request.progress) {
+    request.progress->cancel = nullptr;
+  }
   if (!response) {
     Close(*connection);
     if (timed_out) {
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -1,6 +1,8 @@
 // Reads tables of the store and follows their changes by long polls.
 #include "eelgrassbridge/node/feeds.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -8,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "eelgrassbridge/node/request.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 
 namespace eelgrassbridge::node {
@@ -22,8 +25,12 @@
 /// daemon reports a later version.
 constexpr std::chrono::milliseconds kOperatorPollTime{8000};
 /// Time allowed for a poll to return a change that another daemon has already
-/// reported; slightly more than the round trip between regions.
-constexpr base::Duration kPeerVersionGrace = base::milliseconds{400};
+/// reported, and age from which a poll is abandoned when another call fails;
+/// slightly more than the round trip between regions. Doubled for each poll
+/// that was abandoned, up to the maximum: while the link to the store is full,
+/// answers are only late, and to ask again keeps it full.
+constexpr base::Duration kInitialGrace = base::milliseconds{400};
+constexpr base::Duration kMaxGrace = base::milliseconds{3200};
 /// The poll for the fleet's rows may wait longer, because an outage detected by
 /// the poll for the operator's rows ends it as well.
 constexpr std::chrono::milliseconds kFleetPollTime{20000};
@@ -37,6 +44,8 @@
 
 struct Backoff {
   std::chrono::milliseconds next = kInitialPause;
+  /// Minimum age of a poll that is abandoned.
+  base::Duration grace = kInitialGrace;
 };
 
 awaitable<void> Pause(Node& node, Backoff& backoff) {
@@ -51,9 +60,9 @@
                       const base::Result<RowPage>& answer,
                       base::TimePoint sent_at) {
   if (answer) {
-    RecordStoreResult(node, true, {}, &answer.value().state, sent_at);
-  } else if (answer.error().kind != ErrorKind::kNotFound) {
-    RecordStoreResult(node, false, answer.error().detail, nullptr, sent_at);
+    RecordStoreAnswer(node, &answer.value().state, sent_at);
+  } else {
+    RecordStoreFailure(node, answer.error());
   }
 }
 
@@ -69,12 +78,15 @@
 
 struct PendingPoll {
   std::optional<base::Result<RowPage>> page;
+  std::shared_ptr<http::CallProgress> progress =
+      std::make_shared<http::CallProgress>();
 };
 
 awaitable<void> RunPoll(Node& node,
                         FeedPosition position,
                         std::shared_ptr<PendingPoll> pending) {
-  pending->page.emplace(co_await node.port.store.follow(std::move(position)));
+  pending->page.emplace(
+      co_await node.port.store.follow(std::move(position), pending->progress));
   http::Notify(node.store.changed);
 }
 
@@ -83,48 +95,68 @@
                                            : node.store.fleet_rows;
 }
 
-/// Waits until the poll has ended or is abandoned. Returns false if it is
-/// abandoned.
-awaitable<bool> AwaitPage(Node& node,
-                          const FeedPosition& position,
-                          const PendingPoll& pending) {
+/// Waits until the poll has ended or is to be abandoned. Returns the reason to
+/// abandon it, or an empty string.
+///
+/// A poll is abandoned if the store may have lost it: another call has failed,
+/// or another daemon has reported a change that the poll should have returned.
+/// It is kept while its answer arrives, because the next one would have to send
+/// all of it again.
+awaitable<std::string_view> AwaitPage(Node& node,
+                                      const FeedPosition& position,
+                                      const PendingPoll& pending,
+                                      base::Duration grace) {
   const std::uint64_t losses = node.store.losses;
   const base::TimePoint started_at = base::BootClock::now();
-  while (!pending.page && node.store.losses == losses) {
-    // If another daemon has reported a later version, the poll should have
-    // returned by now.
+  while (!pending.page) {
     const TableProgress& table = ProgressOf(node, position.table);
-    if (table.peer_version <= position.after) {
+    const bool lost = node.store.losses != losses;
+    const bool behind = table.peer_version > position.after;
+    if (pending.progress->received_bytes > 0 || (!lost && !behind)) {
       co_await http::Wait(node.store.changed);
       continue;
     }
-    const base::TimePoint deadline =
-        std::max(started_at, table.peer_version_at) + kPeerVersionGrace;
-    if (base::BootClock::now() >= deadline) {
-      break;
+    const base::TimePoint since =
+        lost ? started_at : std::max(started_at, table.peer_version_at);
+    if (base::BootClock::now() >= since + grace) {
+      co_return lost ? "another call to the store failed"
+                     : "another daemon reported a later version";
     }
-    co_await http::WaitUntil(node.store.changed, deadline);
+    co_await http::WaitUntil(node.store.changed, since + grace);
   }
-  co_return pending.page.has_value();
+  co_return std::string_view{};
 }
 
-/// Polls for changes, and abandons the poll if the store becomes unreachable,
-/// because the store may have lost the poll as well. The store's time in the
-/// answer is not used for the clock: the poll may have waited for any time
-/// between `sent_at` and the answer.
-awaitable<base::Result<RowPage>> Poll(Node& node, FeedPosition position) {
+/// Polls for changes, and abandons the poll if the store may have lost it. The
+/// store's time in the answer is not used for the clock: the poll may have
+/// waited for any time between `sent_at` and the answer.
+awaitable<base::Result<RowPage>> Poll(Node& node,
+                                      FeedPosition position,
+                                      Backoff& backoff) {
   const base::TimePoint sent_at = base::BootClock::now();
   auto pending = std::make_shared<PendingPoll>();
   asio::co_spawn(node.io, RunPoll(node, position, pending), asio::detached);
-  const bool ended = co_await AwaitPage(node, position, *pending);
-  if (!ended) {
-    co_return base::Fail(
-        ErrorKind::kStoreUnavailable,
-        "the poll was abandoned: the store became unreachable, or another "
-        "daemon reported a later version");
+  const std::string_view cause =
+      co_await AwaitPage(node, position, *pending, backoff.grace);
+  if (!cause.empty()) {
+    if (pending->progress->cancel) {
+      pending->progress->cancel();
+    }
+    backoff.grace = std::min(backoff.grace * 2, kMaxGrace);
+    Count(node, "store_polls_abandoned_total",
+          fmt::format("table=\"{}\"", position.table));
+    Log(node.log, EventKind::kPollAbandoned,
+        {{"table", position.table},
+         {"after", static_cast<std::int64_t>(position.after)},
+         {"waited_ms", MillisecondsLeft(base::BootClock::now(), sent_at)},
+         {"cause", cause}});
+    co_return base::Fail(ErrorKind::kStoreUnavailable, std::string(cause));
   }
   if (*pending->page) {
-    RecordStoreResult(node, true, {}, nullptr, sent_at);
+    RecordStoreAnswer(node, nullptr, sent_at);
+    Count(node, "store_poll_bytes_total",
+          fmt::format("table=\"{}\"", position.table),
+          pending->progress->received_bytes);
   } else {
     RecordReadResult(node, *pending->page, sent_at);
   }
@@ -247,7 +279,7 @@
                             void (*apply)(Node&, const StoredRow&),
                             std::function<awaitable<void>()> after_page) {
   while (true) {
-    auto page = co_await Poll(node, position);
+    auto page = co_await Poll(node, position, backoff);
     if (!page && page.error().kind == ErrorKind::kNotFound) {
       co_return;
     }
@@ -311,9 +343,9 @@
   const base::TimePoint sent_at = base::BootClock::now();
   auto result = co_await node.port.store.commit(std::move(transaction));
   if (result) {
-    RecordStoreResult(node, true, {}, &result.value().state, sent_at);
+    RecordStoreAnswer(node, &result.value().state, sent_at);
   } else {
-    RecordStoreResult(node, false, result.error().detail, nullptr, sent_at);
+    RecordStoreFailure(node, result.error());
   }
   co_return result;
 }
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -91,10 +91,10 @@
   auto page = co_await node.port.store.read(std::string(kLeaseTable),
                                             node.settings.service);
   if (!page) {
-    RecordStoreResult(node, false, page.error().detail, nullptr, sent_at);
+    RecordStoreFailure(node, page.error());
     co_return false;
   }
-  RecordStoreResult(node, true, {}, &page.value().state, sent_at);
+  RecordStoreAnswer(node, &page.value().state, sent_at);
   const RowName own = LeaseRow(node.settings.service, node.settings.peers);
   node.lease.version = 0;
   for (const StoredRow& row : page.value().rows) {
@@ -108,11 +108,10 @@
 
 /// Reads the rows of the service, including its range map.
 awaitable<bool> ReadMap(Node& node) {
-  const base::TimePoint sent_at = base::BootClock::now();
   auto page = co_await node.port.store.read(std::string(kFleetTable),
                                             node.settings.service);
   if (!page) {
-    RecordStoreResult(node, false, page.error().detail, nullptr, sent_at);
+    RecordStoreFailure(node, page.error());
     co_return false;
   }
   for (const StoredRow& row : page.value().rows) {
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -1,6 +1,8 @@
 // Construction of the node state, queries on it, and the target tables.
 #include "eelgrassbridge/node/node.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 
 #include "eelgrassbridge/base/hash.hpp"
@@ -90,8 +92,11 @@
   this->log.name = this->settings.name;
 }
 
-void Count(Node& node, std::string_view name, std::string_view labels) {
-  base::GetCounter(node.counters, name, labels) += 1;
+void Count(Node& node,
+           std::string_view name,
+           std::string_view labels,
+           std::uint64_t number) {
+  base::GetCounter(node.counters, name, labels) += number;
 }
 
 bool IsDividedByKey(const Node& node) {
@@ -155,24 +160,29 @@
   return base::DaemonId{base::Hash64(address)};
 }
 
-void RecordStoreResult(Node& node,
-                       bool reachable,
-                       std::string_view cause,
+void RecordStoreAnswer(Node& node,
                        const StoreState* state,
                        base::TimePoint sent_at) {
   if (state != nullptr) {
     node.store.clock = {state->time, sent_at, true};
   }
-  if (reachable == node.store.reachable) {
+  if (!node.store.reachable) {
+    node.store.reachable = true;
+    Log(node.log, EventKind::kStoreRegained, {});
+  }
+}
+
+void RecordStoreFailure(Node& node, const base::Error& error) {
+  using base::ErrorKind;
+  if (error.kind == ErrorKind::kNotFound) {
     return;
   }
-  node.store.reachable = reachable;
-  if (!reachable) {
+  if (node.store.reachable) {
+    node.store.reachable = false;
     ++node.store.losses;
     http::Notify(node.store.changed);
+    Log(node.log, EventKind::kStoreLost, {{"cause", error.detail}});
   }
-  Log(node.log, reachable ? EventKind::kStoreRegained : EventKind::kStoreLost,
-      {{"cause", cause}});
 }
 
 void RecordPeerVersion(Node& node,
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -42,11 +42,11 @@
   auto page = co_await node.port.store.read(std::string(kLeaseTable),
                                             node.settings.service);
   if (!page) {
-    RecordStoreResult(node, false, page.error().detail, nullptr, sent_at);
+    RecordStoreFailure(node, page.error());
     co_return base::Fail(page.error().kind, page.error().detail);
   }
   const StoreState& state = page.value().state;
-  RecordStoreResult(node, true, {}, &state, sent_at);
+  RecordStoreAnswer(node, &state, sent_at);
   LeaseRows rows;
   for (const StoredRow& row : page.value().rows) {
     rows.versions[row.name.key] = row.version;
