Tell a call that the store refuses from a store that is lost

Cause: one flag, cleared by any failed call. A 4xx shows that the store answers; it concerns one call only. Such calls are now counted by cause (store_calls_refused_total) and logged (store_refused), and change nothing else. No answer and 5xx count as a loss as before.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -218,7 +218,8 @@
                        const StoreState* state,
                        base::TimePoint sent_at);
 
-/// @brief Updates the store's reachability from a failed call.
+/// @brief Updates the store's reachability from a failed call. A call that the
+/// store has refused is counted and logged, but says nothing about others.
 void RecordStoreFailure(Node& node, const base::Error& error);
 
 /// @brief Records that another daemon has applied a version of a table.
--- a/include/eelgrassbridge/node/row_store.hpp
+++ b/include/eelgrassbridge/node/row_store.hpp
@@ -82,7 +82,8 @@
 /// @brief Calls to the store. Errors: kStoreUnavailable (no change was made),
 /// kStoreResultUnknown (the change may have been made, or may be made later),
 /// kNotFound (the feed no longer has changes from this position: read the rows
-/// again).
+/// again), kOverloaded and kBadRequest (the store refused this call, but serves
+/// others; no change was made).
 struct RowStore {
   std::function<asio::awaitable<base::Result<CommitResult>>(RowTransaction)>
       commit;
--- a/src/eelgrassbridge/node/event_log.cpp
+++ b/src/eelgrassbridge/node/event_log.cpp
@@ -15,37 +15,17 @@
 namespace {
 
 constexpr std::array<std::string_view, kEventKindCount> kEventNames = {
-    "started",
-    "stopping",
-    "stopped",
-    "settings_reloaded",
-    "settings_rejected",
-    "store_lost",
-    "store_regained",
-    "poll_abandoned",
-    "routes_in_force",
-    "routes_rejected",
-    "row_rejected",
-    "data_centre_out",
-    "data_centre_back",
-    "member_changed",
-    "member_removed",
-    "target_started",
-    "target_leaving",
-    "report_rejected",
-    "lease_acquired",
-    "lease_lost",
-    "ranges_changed",
-    "ranges_planned",
-    "ranges_released",
-    "request_answered",
-    "request_refused",
-    "request_failed",
-    "request_retried",
-    "request_run",
-    "request_turned_away",
-    "caller_left",
-    "lines_dropped"};
+    "started",           "stopping",          "stopped",
+    "settings_reloaded", "settings_rejected", "store_lost",
+    "store_regained",    "store_refused",     "poll_abandoned",
+    "routes_in_force",   "routes_rejected",   "row_rejected",
+    "data_centre_out",   "data_centre_back",  "member_changed",
+    "member_removed",    "target_started",    "target_leaving",
+    "report_rejected",   "lease_acquired",    "lease_lost",
+    "ranges_changed",    "ranges_planned",    "ranges_released",
+    "request_answered",  "request_refused",   "request_failed",
+    "request_retried",   "request_run",       "request_turned_away",
+    "caller_left",       "lines_dropped"};
 
 /// Whether the text needs no escapes in JSON.
 bool IsPlain(std::string_view text) {
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -177,6 +177,13 @@
   if (error.kind == ErrorKind::kNotFound) {
     return;
   }
+  if (error.kind == ErrorKind::kOverloaded ||
+      error.kind == ErrorKind::kBadRequest) {
+    Count(node, "store_calls_refused_total",
+          fmt::format("cause=\"{}\"", base::ErrorName(error.kind)));
+    Log(node.log, EventKind::kStoreRefused, {{"cause", error.detail}});
+    return;
+  }
   if (node.store.reachable) {
     node.store.reachable = false;
     ++node.store.losses;
--- a/standins/platform/row_standin.cpp
+++ b/standins/platform/row_standin.cpp
@@ -208,6 +208,9 @@
                           std::string body) {
   const std::string_view path = http::PathWithoutQuery(target);
   if (path == "/api/rows-tx") {
+    if (standin.fault == StoreFault::kRefusesWrites) {
+      co_return Reply{kBadRequest, json::object()};
+    }
     const json request = json::parse(body);
     if (standin.fault == StoreFault::kLateWrites) {
       asio::co_spawn(standin.server.io, ApplyLate(standin, request),
@@ -277,7 +280,8 @@
   }
   const std::string target = exchange.head.target;
   const Reply reply = co_await Dispatch(standin, target, body);
-  if (standin.fault != StoreFault::kNone) {
+  if (standin.fault != StoreFault::kNone &&
+      standin.fault != StoreFault::kRefusesWrites) {
     http::Abort(exchange);
     co_return;
   }
--- a/standins/platform/row_standin.hpp
+++ b/standins/platform/row_standin.hpp
@@ -29,6 +29,8 @@
   kDropsResponses,
   /// Drops the response and applies the transaction after a delay.
   kLateWrites,
+  /// Answers 400 to transactions, as to a row that is too long.
+  kRefusesWrites,
 };
 
 struct RowStandin {
