Relay the operator's rows within a data centre

Cause: each daemon read each version from the store. 38 daemons beyond the link between the regions times 290 KB are 88 Mbit, 1.5 s of all that the link of 60 Mbit/s carries; two versions within a second cannot arrive in the bound of 3 s, and the requests that cross the link wait meanwhile.

Two daemons of each data centre, those with the fastest links (setting link_mbps, now in the member row), poll the store for the operator's rows. They announce a change in one row of the fleet's table, which all daemons follow; the others fetch it from a relay beside them. A relay waits up to 400 ms for a change that it has not received itself. If none has it the daemon reads the store, which it also does every 6 to 8 s in case no relay can announce a change; a relay that does not answer is not used for 10 s.

--- a/include/eelgrassbridge/node/member.hpp
+++ b/include/eelgrassbridge/node/member.hpp
@@ -21,6 +21,8 @@
   /// Start of the target, Unix time in milliseconds.
   std::int64_t born = 0;
   std::uint32_t slots = 0;
+  /// Rate of the VM's link in Mbit/s; 0 if unknown.
+  double link_mbps = 0;
   /// The target accepts requests: it has reported and is not leaving.
   bool serving = false;
 
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -128,6 +128,22 @@
   TableProgress fleet_rows;
 };
 
+/// @brief The operator's rows as this daemon has received them, for other
+/// daemons of the data centre.
+struct OperatorCopy {
+  explicit OperatorCopy(asio::io_context& io) : changed(io) {}
+  /// By key; removed rows stay with their versions.
+  std::map<std::string, StoredRow, std::less<>> rows;
+  /// All changes up to this version are in `rows`.
+  std::uint64_t version = 0;
+  /// Latest version that a relay has announced.
+  std::uint64_t announced_version = 0;
+  /// When daemons did not answer as relays, by address.
+  std::map<std::string, base::TimePoint, std::less<>> failed_relays;
+  /// Notified when `version` has risen.
+  http::Event changed;
+};
+
 struct Node {
   Node(asio::io_context& event_loop,
        NodeSettings node_settings,
@@ -148,6 +164,7 @@
   OwnTarget target;
   LeaseState lease;
   StoreView store;
+  OperatorCopy operator_copy;
   KeyDemand demand;
   Admission admission;
   limits::ServiceRetryBudget retries;
--- /dev/null
+++ b/include/eelgrassbridge/node/operator_relay.hpp
@@ -0,0 +1,58 @@
+// How the operator's rows reach the daemons of a data centre.
+//
+// A version of the routes may have hundreds of kilobytes, and links between
+// regions carry all requests as well, so only a few daemons of each data
+// centre, the relays, poll the store for the operator's rows. A relay that has
+// received a change announces its version in a small row of the fleet's table,
+// which all daemons follow. The others then fetch the changed rows from a relay
+// of their data centre. They read the store themselves if no relay has the
+// change in time, and now and then in case no relay of any data centre can
+// announce it.
+#ifndef EELGRASSBRIDGE_NODE_OPERATOR_RELAY_HPP
+#define EELGRASSBRIDGE_NODE_OPERATOR_RELAY_HPP
+
+#include <asio/awaitable.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "eelgrassbridge/node/node.hpp"
+
+namespace eelgrassbridge::node {
+
+/// @brief Relays of the data centre, in a fixed order: the members with the
+/// fastest links, apart from those that have failed to answer lately.
+std::vector<std::string> OperatorRelays(const Node& node);
+
+/// @brief Whether this daemon is a relay of its data centre.
+bool IsOperatorRelay(const Node& node);
+
+/// @brief Keeps the rows of a page for other daemons of the data centre.
+void KeepOperatorPage(Node& node, const RowPage& page);
+
+/// @brief Announces the latest change of the operator's rows, unless another
+/// relay does.
+asio::awaitable<void> AnnounceOperatorRows(Node& node);
+
+/// @brief Fetches the changes after a version from the relays. Fails if none of
+/// them has received the change `needed` in time.
+asio::awaitable<base::Result<RowPage>> FetchFromRelays(Node& node,
+                                                       std::uint64_t after,
+                                                       std::uint64_t needed);
+
+/// @brief Whether the request of another daemon asks for the operator's rows.
+bool IsOperatorRowsRequest(const http::RequestHead& head);
+
+/// @brief Answers such a request once this daemon has the change that it needs,
+/// or refuses it after a short wait.
+asio::awaitable<void> HandleOperatorRowsRequest(Node& node,
+                                                http::Exchange& exchange);
+
+/// @brief Encodes the rows and the version of a page as CBOR.
+std::string EncodeRowPage(const RowPage& page);
+/// @brief Decodes a page; fails with kFrameInvalid if it is malformed.
+base::Result<RowPage> DecodeRowPage(std::string_view text);
+
+}  // namespace eelgrassbridge::node
+
+#endif  // EELGRASSBRIDGE_NODE_OPERATOR_RELAY_HPP
--- a/include/eelgrassbridge/node/peer_call.hpp
+++ b/include/eelgrassbridge/node/peer_call.hpp
@@ -19,7 +19,8 @@
                                      const Message& message,
                                      CancellationPointer cancellation);
 
-/// @brief Handles a request forwarded by another daemon, up to its answer.
+/// @brief Handles a request of another daemon, up to its answer: one that it
+/// forwards, or one for the operator's rows.
 asio::awaitable<void> HandlePeerRequest(Node& node, http::Exchange& exchange);
 
 /// @brief Cancels a request when its caller disconnects or its deadline passes,
--- a/include/eelgrassbridge/node/rows.hpp
+++ b/include/eelgrassbridge/node/rows.hpp
@@ -18,9 +18,13 @@
 inline constexpr std::string_view kLeaseTable = "eelgrassbridge-leases";
 inline constexpr std::string_view kRangeMapKey = "ranges";
 inline constexpr std::string_view kMemberPrefix = "member/";
+/// Key of the row with the version of the latest change of the operator's rows.
+inline constexpr std::string_view kOperatorVersionKey = "operator-version";
 
 RowName RangeMapRow(std::string_view service);
 RowName MemberRow(std::string_view service, std::string_view address);
+/// @brief The row in which relays announce changes of the operator's rows.
+RowName OperatorVersionRow();
 RowName LeaseRow(std::string_view service, std::string_view address);
 
 }  // namespace eelgrassbridge::node
--- a/include/eelgrassbridge/node/settings.hpp
+++ b/include/eelgrassbridge/node/settings.hpp
@@ -47,6 +47,8 @@
   std::string service;
   std::string store_address;
   std::uint32_t max_descriptors = 1024;
+  /// Rate of the VM's link in Mbit/s; 0 if unknown.
+  double link_mbps = 0;
   Bounds bounds;
 
   bool operator==(const NodeSettings&) const = default;
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/request.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 
@@ -163,12 +164,17 @@
   co_return std::move(*pending->page);
 }
 
+using NextPage = awaitable<base::Result<RowPage>> (*)(Node&,
+                                                      FeedPosition,
+                                                      Backoff&);
+
 /// Reads the operator's rows. Returns the version from which to follow them.
 awaitable<base::Result<std::uint64_t>> ReadOperatorRows(Node& node) {
   auto page = co_await ReadPartition(node, node.port.operator_table, "");
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
+  KeepOperatorPage(node, page.value());
   std::set<std::string> out;
   for (const StoredRow& row : page.value().rows) {
     ApplyOperatorRow(node, row);
@@ -271,15 +277,58 @@
   co_return;
 }
 
+/// Waits until another daemon reports a change of the operator's rows, this
+/// daemon becomes a relay, or the time for a read without a report has come.
+awaitable<void> AwaitOperatorChange(Node& node, const FeedPosition& position) {
+  std::uniform_real_distribution<double> jitter(0.75, 1);
+  const base::TimePoint end =
+      base::BootClock::now() + std::chrono::duration_cast<base::Duration>(
+                                   kOperatorPollTime * jitter(node.random));
+  while (!IsOperatorRelay(node) && base::BootClock::now() < end &&
+         node.store.operator_rows.peer_version <= position.after) {
+    co_await http::WaitUntil(node.store.changed, end);
+  }
+}
+
+/// Returns the next changes of the operator's rows: a relay polls the store,
+/// other daemons fetch reported changes from the relays.
+awaitable<base::Result<RowPage>> NextOperatorPage(Node& node,
+                                                  FeedPosition position,
+                                                  Backoff& backoff) {
+  if (!IsOperatorRelay(node)) {
+    co_await AwaitOperatorChange(node, position);
+  }
+  if (!IsOperatorRelay(node)) {
+    const std::uint64_t reported = node.store.operator_rows.peer_version;
+    if (reported > position.after) {
+      auto page = co_await FetchFromRelays(node, position.after, reported);
+      if (page) {
+        KeepOperatorPage(node, page.value());
+        co_return page;
+      }
+    }
+    position.wait = std::chrono::milliseconds{0};
+  }
+  auto page = co_await Poll(node, position, backoff);
+  if (page) {
+    KeepOperatorPage(node, page.value());
+    if (!page.value().rows.empty()) {
+      asio::co_spawn(node.io, AnnounceOperatorRows(node), asio::detached);
+    }
+  }
+  co_return page;
+}
+
 /// Applies the changes of a table until the feed no longer has the changes from
 /// the current position.
 awaitable<void> FollowTable(Node& node,
                             FeedPosition position,
                             Backoff& backoff,
+                            NextPage next_page,
                             void (*apply)(Node&, const StoredRow&),
                             std::function<awaitable<void>()> after_page) {
   while (true) {
-    auto page = co_await Poll(node, position, backoff);
+    auto page = co_await next_page(node, position, backoff);
     if (!page && page.error().kind == ErrorKind::kNotFound) {
       co_return;
     }
@@ -310,8 +359,8 @@
     backoff = Backoff{};
     FeedPosition position{node.port.operator_table, start.value(),
                           kOperatorPollTime};
-    co_await FollowTable(node, std::move(position), backoff, ApplyOperatorRow,
-                         [] { return DoNothing(); });
+    co_await FollowTable(node, std::move(position), backoff, NextOperatorPage,
+                         ApplyOperatorRow, [] { return DoNothing(); });
   }
 }
 
@@ -331,8 +380,8 @@
     backoff = Backoff{};
     FeedPosition position{std::string(kFleetTable), start.value(),
                           kFleetPollTime};
-    co_await FollowTable(node, std::move(position), backoff, ApplyFleetRow,
-                         [&node, &services_read] {
+    co_await FollowTable(node, std::move(position), backoff, Poll,
+                         ApplyFleetRow, [&node, &services_read] {
                            return AfterFleetPage(node, services_read);
                          });
   }
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -27,6 +27,7 @@
   member.target = node.target.id;
   member.born = node.target.born;
   member.slots = node.target.slots;
+  member.link_mbps = node.settings.link_mbps;
   member.serving = IsServing(node.target);
   return member;
 }
--- a/src/eelgrassbridge/node/member.cpp
+++ b/src/eelgrassbridge/node/member.cpp
@@ -11,7 +11,7 @@
   return json{{"address", member.address}, {"data_centre", member.data_centre},
               {"service", member.service}, {"target", member.target},
               {"born", member.born},       {"slots", member.slots},
-              {"serving", member.serving}}
+              {"serving", member.serving}, {"link_mbps", member.link_mbps}}
       .dump();
 }
 
@@ -25,6 +25,8 @@
     member.target = value.at("target").get<std::string>();
     member.born = value.at("born").get<std::int64_t>();
     member.slots = value.at("slots").get<std::uint32_t>();
+    // Absent in rows of daemons that know no relays.
+    member.link_mbps = value.value("link_mbps", 0.0);
     member.serving = value.at("serving").get<bool>();
     return member;
   } catch (const json::exception& error) {
--- /dev/null
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -0,0 +1,236 @@
+// Choice of relays, announcement of changes, and the calls between a relay and
+// the other daemons of its data centre.
+#include "eelgrassbridge/node/operator_relay.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "eelgrassbridge/node/feeds.hpp"
+#include "eelgrassbridge/node/request.hpp"
+#include "eelgrassbridge/node/rows.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using asio::awaitable;
+using base::ErrorKind;
+using nlohmann::json;
+
+/// Relays of a data centre. With two, the loss of one delays no change.
+constexpr std::size_t kRelayCount = 2;
+/// Time for which a daemon that did not answer is not used as a relay.
+constexpr base::Duration kRelayFailureTime = base::seconds{10};
+/// Delay of an announcement by the relay of the next rank, so that mostly one
+/// relay makes it.
+constexpr std::chrono::milliseconds kAnnouncementDelay{100};
+/// Maximum time for which a relay waits until it has a change itself. Both
+/// relays together leave time to read the store within the bound on how late a
+/// change may be in force.
+constexpr base::Duration kRelayWait = base::milliseconds{400};
+/// Added to the wait for the answer to arrive.
+constexpr std::chrono::milliseconds kRelayAnswerTime{300};
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr std::string_view kRowsHeader = "Eelgrassbridge-Operator-Rows";
+
+bool HasFailedLately(const Node& node, const std::string& address) {
+  const auto found = node.operator_copy.failed_relays.find(address);
+  return found != node.operator_copy.failed_relays.end() &&
+         base::BootClock::now() < found->second + kRelayFailureTime;
+}
+
+std::uint64_t LatestChange(const OperatorCopy& copy) {
+  std::uint64_t latest = 0;
+  for (const auto& [key, row] : copy.rows) {
+    latest = std::max(latest, row.version);
+  }
+  return latest;
+}
+
+RowPage ChangesAfter(const OperatorCopy& copy, std::uint64_t after) {
+  RowPage page;
+  page.state.version = copy.version;
+  for (const auto& [key, row] : copy.rows) {
+    if (row.version > after) {
+      page.rows.push_back(row);
+    }
+  }
+  return page;
+}
+
+awaitable<base::Result<RowPage>> FetchFromRelay(Node& node,
+                                                const std::string& address,
+                                                std::uint64_t after,
+                                                std::uint64_t needed) {
+  const auto endpoint = http::ParseEndpoint(address);
+  if (!endpoint) {
+    co_return base::Fail(ErrorKind::kPeerUnreachable, "invalid address");
+  }
+  http::BufferedRequest request;
+  request.method = "GET";
+  request.target = "/operator-rows";
+  request.headers = {
+      {"Host", address},
+      {std::string(kRowsHeader), fmt::format("{};{}", after, needed)}};
+  request.timeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kRelayWait) +
+      kRelayAnswerTime;
+  auto answer = co_await http::Call(node.peers, *endpoint, std::move(request));
+  if (!answer) {
+    co_return base::Fail(answer.error().kind, answer.error().detail);
+  }
+  if (answer.value().head.status != kOk) {
+    co_return base::Fail(ErrorKind::kNotFound,
+                         "the relay has not received the change");
+  }
+  auto page = DecodeRowPage(answer.value().body);
+  if (page && page.value().state.version < needed) {
+    co_return base::Fail(ErrorKind::kFrameInvalid,
+                         "the relay's rows are older than requested");
+  }
+  co_return page;
+}
+
+}  // namespace
+
+std::vector<std::string> OperatorRelays(const Node& node) {
+  std::vector<const Member*> candidates;
+  for (const auto& [address, member] : node.fleet.members) {
+    if (member.data_centre == node.settings.data_centre && member.serving &&
+        !HasFailedLately(node, address)) {
+      candidates.push_back(&member);
+    }
+  }
+  std::ranges::stable_sort(candidates, [](const Member* a, const Member* b) {
+    return a->link_mbps > b->link_mbps;
+  });
+  std::vector<std::string> relays;
+  for (const Member* member : candidates) {
+    if (relays.size() < kRelayCount) {
+      relays.push_back(member->address);
+    }
+  }
+  return relays;
+}
+
+bool IsOperatorRelay(const Node& node) {
+  const auto relays = OperatorRelays(node);
+  return std::ranges::find(relays, node.settings.peers) != relays.end();
+}
+
+void KeepOperatorPage(Node& node, const RowPage& page) {
+  OperatorCopy& copy = node.operator_copy;
+  for (const StoredRow& row : page.rows) {
+    copy.rows[row.name.key] = row;
+  }
+  copy.version = std::max(copy.version, page.state.version);
+  http::Notify(copy.changed);
+}
+
+awaitable<void> AnnounceOperatorRows(Node& node) {
+  const std::uint64_t version = LatestChange(node.operator_copy);
+  const auto relays = OperatorRelays(node);
+  const auto rank =
+      std::ranges::find(relays, node.settings.peers) - relays.begin();
+  co_await http::Sleep(node.io, kAnnouncementDelay * rank);
+  if (node.operator_copy.announced_version >= version) {
+    co_return;
+  }
+  RowTransaction transaction;
+  transaction.writes.push_back(
+      {OperatorVersionRow(), fmt::format("{}", version)});
+  co_await Commit(node, std::move(transaction));
+}
+
+awaitable<base::Result<RowPage>> FetchFromRelays(Node& node,
+                                                 std::uint64_t after,
+                                                 std::uint64_t needed) {
+  std::vector<std::string> relays = OperatorRelays(node);
+  // Each relay serves about the same number of daemons first.
+  if (DaemonIdOf(node.settings.peers).value % 2 == 1) {
+    std::ranges::reverse(relays);
+  }
+  for (const std::string& address : relays) {
+    auto page = co_await FetchFromRelay(node, address, after, needed);
+    if (page) {
+      co_return page;
+    }
+    if (page.error().kind != ErrorKind::kNotFound) {
+      node.operator_copy.failed_relays[address] = base::BootClock::now();
+    }
+  }
+  co_return base::Fail(ErrorKind::kNotFound, "no relay has the change");
+}
+
+bool IsOperatorRowsRequest(const http::RequestHead& head) {
+  return http::Find(head.headers, kRowsHeader) != nullptr;
+}
+
+awaitable<void> HandleOperatorRowsRequest(Node& node,
+                                          http::Exchange& exchange) {
+  const std::string_view versions =
+      http::HeaderValue(exchange.head.headers, kRowsHeader);
+  const auto separator = versions.find(';');
+  const auto after = http::ParseNumber(versions.substr(0, separator));
+  const auto needed = separator == std::string_view::npos
+                          ? std::nullopt
+                          : http::ParseNumber(versions.substr(separator + 1));
+  const base::TimePoint latest = base::BootClock::now() + kRelayWait;
+  OperatorCopy& copy = node.operator_copy;
+  while (after && needed && copy.version < *needed &&
+         base::BootClock::now() < latest) {
+    co_await http::WaitUntil(copy.changed, latest);
+  }
+  if (!after || !needed || copy.version < *needed) {
+    co_await http::Respond(exchange, kUnavailable, {}, {});
+    co_return;
+  }
+  const std::string body = EncodeRowPage(ChangesAfter(copy, *after));
+  Count(node, "operator_rows_relayed_total");
+  co_await http::Respond(exchange, kOk, {}, body);
+}
+
+std::string EncodeRowPage(const RowPage& page) {
+  json rows = json::array();
+  for (const StoredRow& row : page.rows) {
+    rows.push_back(
+        {{"table", row.name.table},
+         {"partition", row.name.partition},
+         {"key", row.name.key},
+         {"version", row.version},
+         {"removed", row.removed},
+         {"value", json::binary({row.value.begin(), row.value.end()})}});
+  }
+  const json value = {{"version", page.state.version},
+                      {"rows", std::move(rows)}};
+  std::string text;
+  json::to_cbor(value, text);
+  return text;
+}
+
+base::Result<RowPage> DecodeRowPage(std::string_view text) {
+  try {
+    const json value = json::from_cbor(text);
+    RowPage page;
+    page.state.version = value.at("version").get<std::uint64_t>();
+    for (const json& item : value.at("rows")) {
+      StoredRow row;
+      row.name = {item.at("table").get<std::string>(),
+                  item.at("partition").get<std::string>(),
+                  item.at("key").get<std::string>()};
+      row.version = item.at("version").get<std::uint64_t>();
+      row.removed = item.at("removed").get<bool>();
+      const auto& bytes = item.at("value").get_binary();
+      row.value.assign(bytes.begin(), bytes.end());
+      page.rows.push_back(std::move(row));
+    }
+    return page;
+  } catch (const json::exception& error) {
+    return base::Fail(ErrorKind::kFrameInvalid, error.what());
+  }
+}
+
+}  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -3,6 +3,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
 #include "eelgrassbridge/node/transmit.hpp"
 
@@ -260,6 +261,41 @@
   co_return received;
 }
 
+/// Handles a request that another daemon forwards, up to its answer.
+awaitable<void> HandleForwardedRequest(Node& node, http::Exchange& exchange) {
+  auto terms = ReadPeerTerms(node, exchange.head.headers);
+  if (!terms) {
+    Count(node, "invalid_peer_requests_total");
+    co_await http::Respond(exchange, kBadRequest, {}, {});
+    co_return;
+  }
+  ReadSeenHeader(node, exchange.head.headers);
+  const base::TimePoint arrived = base::BootClock::now();
+  RequestWatch watch(node, exchange, terms.value().deadline);
+  Message message;
+  message.method = exchange.head.method;
+  message.request_target = exchange.head.target;
+  message.headers = http::EndToEndHeaders(exchange.head.headers);
+  RemoveInternalHeaders(message.headers);
+  http::Remove(message.headers, node.port.headers.time_left);
+  const auto received = co_await ReceiveBodyBeforeSlot(
+      node, exchange, terms.value(), message, *watch.cancellation);
+  if (!received && exchange.body_received == 0) {
+    RunResult refused =
+        TurnAway(node, terms.value(), received.error().kind, arrived);
+    co_await SendPeerAnswer(node, exchange, terms.value(), refused);
+    co_return;
+  }
+  if (!received) {
+    // The sender has left or has sent a malformed body.
+    http::Abort(exchange);
+    co_return;
+  }
+  RunResult result =
+      co_await RunOnTarget(node, terms.value(), message, watch.cancellation);
+  co_await SendPeerAnswer(node, exchange, terms.value(), result);
+}
+
 }  // namespace
 
 RequestWatch::RequestWatch(Node& node,
@@ -340,37 +376,9 @@
 }
 
 awaitable<void> HandlePeerRequest(Node& node, http::Exchange& exchange) {
-  auto terms = ReadPeerTerms(node, exchange.head.headers);
-  if (!terms) {
-    Count(node, "invalid_peer_requests_total");
-    co_await http::Respond(exchange, kBadRequest, {}, {});
-    co_return;
-  }
-  ReadSeenHeader(node, exchange.head.headers);
-  const base::TimePoint arrived = base::BootClock::now();
-  RequestWatch watch(node, exchange, terms.value().deadline);
-  Message message;
-  message.method = exchange.head.method;
-  message.request_target = exchange.head.target;
-  message.headers = http::EndToEndHeaders(exchange.head.headers);
-  RemoveInternalHeaders(message.headers);
-  http::Remove(message.headers, node.port.headers.time_left);
-  const auto received = co_await ReceiveBodyBeforeSlot(
-      node, exchange, terms.value(), message, *watch.cancellation);
-  if (!received && exchange.body_received == 0) {
-    RunResult refused =
-        TurnAway(node, terms.value(), received.error().kind, arrived);
-    co_await SendPeerAnswer(node, exchange, terms.value(), refused);
-    co_return;
-  }
-  if (!received) {
-    // The sender has left or has sent a malformed body.
-    http::Abort(exchange);
-    co_return;
-  }
-  RunResult result =
-      co_await RunOnTarget(node, terms.value(), message, watch.cancellation);
-  co_await SendPeerAnswer(node, exchange, terms.value(), result);
+  return IsOperatorRowsRequest(exchange.head)
+             ? HandleOperatorRowsRequest(node, exchange)
+             : HandleForwardedRequest(node, exchange);
 }
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -96,6 +96,20 @@
   http::Notify(node.release_possible);
 }
 
+/// Notes that the operator's rows have changed, which makes this daemon fetch
+/// them.
+void ApplyOperatorVersion(Node& node, const StoredRow& row) {
+  const auto version = http::ParseNumber(row.value);
+  if (!version) {
+    Log(node.log, EventKind::kRowRejected,
+        {{"row", row.name.key}, {"cause", "the value is not a version"}});
+    return;
+  }
+  std::uint64_t& announced = node.operator_copy.announced_version;
+  announced = std::max(announced, *version);
+  RecordPeerVersion(node, node.store.operator_rows, *version);
+}
+
 }  // namespace
 
 void SetOutOfService(Node& node, const std::string& data_centre, bool out) {
@@ -140,6 +154,8 @@
     ApplyRangeMap(node, row);
   } else if (row.name.key.starts_with(kMemberPrefix)) {
     ApplyMember(node, row);
+  } else if (row.name.key == kOperatorVersionKey) {
+    ApplyOperatorVersion(node, row);
   }
 }
 
--- a/src/eelgrassbridge/node/rows.cpp
+++ b/src/eelgrassbridge/node/rows.cpp
@@ -13,6 +13,10 @@
           std::string(kMemberPrefix).append(address)};
 }
 
+RowName OperatorVersionRow() {
+  return {std::string(kFleetTable), {}, std::string(kOperatorVersionKey)};
+}
+
 RowName LeaseRow(std::string_view service, std::string_view address) {
   return {std::string(kLeaseTable), std::string(service), std::string(address)};
 }
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -110,6 +110,7 @@
   ReadText(reader, "service", settings.service);
   ReadAddress(reader, "store_address", settings.store_address);
   ReadOptional(reader, "max_descriptors", settings.max_descriptors);
+  ReadOptional(reader, "link_mbps", settings.link_mbps);
   ReadBounds(reader, settings.bounds);
   return settings;
 }
