Write each owner of a range map once

Each entry repeated its owner's daemon, target and start time; 48 owners with 24 entries each exceed the 65,536 bytes of a row.

An encoded map now holds a table of owners, the daemons that own nothing, and entries that are short arrays without their last key. The former encoding is still decoded. A daemon of the version before doesn't decode the new one.

--- a/include/eelgrassbridge/ranges/range_map.hpp
+++ b/include/eelgrassbridge/ranges/range_map.hpp
@@ -97,11 +97,16 @@
 /// has restarted; pending moves stay. Returns whether anything changed.
 bool ReassignAfterRestart(RangeMap& map, const OwnerId& owner);
 
-/// @brief Encodes a map as JSON.
+/// @brief Encodes a map as JSON. Owners and daemons are written once, in a
+/// table, because the store bounds the size of a row and sends each change of
+/// the map to all daemons. An entry is [first key, fencing token, index of the
+/// owner, handover, index of the next daemon] without the trailing values that
+/// are empty.
 std::string EncodeMap(const RangeMap& map);
 
 /// @brief Decodes a map; fails with kFrameInvalid if the text is malformed or
-/// breaks the invariants.
+/// breaks the invariants. Also accepts the former encoding, in which each entry
+/// is an object, since daemons of both versions run during an upgrade.
 base::Result<RangeMap> DecodeMap(std::string_view text);
 
 }  // namespace eelgrassbridge::ranges
--- a/src/eelgrassbridge/ranges/range_map.cpp
+++ b/src/eelgrassbridge/ranges/range_map.cpp
@@ -22,7 +22,9 @@
   return map.entries.empty() || expected == kLastKey + 1;
 }
 
-RangeEntry DecodeEntry(const json& value) {
+/// Decodes an entry of the former encoding, in which each entry is an object
+/// that repeats its owner.
+RangeEntry DecodeObjectEntry(const json& value) {
   RangeEntry entry;
   entry.keys = {value.at("first").get<std::uint32_t>(),
                 value.at("last").get<std::uint32_t>()};
@@ -35,15 +37,96 @@
   return entry;
 }
 
-json EncodeEntry(const RangeEntry& entry) {
-  json value = {{"first", entry.keys.first},    {"last", entry.keys.last},
-                {"token", entry.fencing_token}, {"daemon", entry.owner.daemon},
-                {"target", entry.owner.target}, {"born", entry.owner.born}};
-  if (!entry.handover.empty()) {
-    value["handover"] = entry.handover;
+/// The owners and daemons that entries refer to by their index.
+struct NameTable {
+  std::vector<OwnerId> owners;
+  /// Addresses of the owners' daemons, followed by those of daemons that keys
+  /// move to and that own none.
+  std::vector<std::string> daemons;
+};
+
+OwnerId DecodeOwner(const json& value) {
+  return {value.at(0).get<std::string>(), value.at(1).get<std::string>(),
+          value.at(2).get<std::int64_t>()};
+}
+
+NameTable DecodeNames(const json& value) {
+  NameTable names;
+  for (const json& owner : value.at("owners")) {
+    names.owners.push_back(DecodeOwner(owner));
+    names.daemons.push_back(names.owners.back().daemon);
+  }
+  for (const json& daemon : value.at("others")) {
+    names.daemons.push_back(daemon.get<std::string>());
+  }
+  return names;
+}
+
+/// Decodes an entry without its last key, which follows from the next entry.
+RangeEntry DecodeArrayEntry(const json& value, const NameTable& names) {
+  RangeEntry entry;
+  entry.keys.first = value.at(0).get<std::uint32_t>();
+  entry.fencing_token = value.at(1).get<std::uint64_t>();
+  entry.owner = names.owners.at(value.at(2).get<std::size_t>());
+  if (value.size() > 3) {
+    entry.handover = value.at(3).get<std::string>();
+  }
+  if (value.size() > 4) {
+    entry.next_daemon = names.daemons.at(value.at(4).get<std::size_t>());
+  }
+  return entry;
+}
+
+void DecodeEntries(const json& value, RangeMap& map) {
+  if (!value.contains("owners")) {
+    for (const json& entry : value.at("entries")) {
+      map.entries.push_back(DecodeObjectEntry(entry));
+    }
+    return;
+  }
+  const NameTable names = DecodeNames(value);
+  for (const json& entry : value.at("entries")) {
+    map.entries.push_back(DecodeArrayEntry(entry, names));
+  }
+  for (std::size_t i = 0; i < map.entries.size(); ++i) {
+    const bool is_last = i + 1 == map.entries.size();
+    map.entries[i].keys.last =
+        is_last ? kLastKey : map.entries[i + 1].keys.first - 1;
+  }
+}
+
+NameTable CollectNames(const RangeMap& map) {
+  NameTable names;
+  for (const RangeEntry& entry : map.entries) {
+    if (std::ranges::find(names.owners, entry.owner) == names.owners.end()) {
+      names.owners.push_back(entry.owner);
+      names.daemons.push_back(entry.owner.daemon);
+    }
+  }
+  for (const RangeEntry& entry : map.entries) {
+    if (!entry.next_daemon.empty() &&
+        std::ranges::find(names.daemons, entry.next_daemon) ==
+            names.daemons.end()) {
+      names.daemons.push_back(entry.next_daemon);
+    }
+  }
+  return names;
+}
+
+template <typename T>
+std::size_t IndexOf(const std::vector<T>& values, const T& value) {
+  return static_cast<std::size_t>(std::ranges::find(values, value) -
+                                  values.begin());
+}
+
+json EncodeEntry(const RangeEntry& entry, const NameTable& names) {
+  json value = json::array({entry.keys.first, entry.fencing_token,
+                            IndexOf(names.owners, entry.owner)});
+  if (!entry.handover.empty() || !entry.next_daemon.empty()) {
+    value.push_back(entry.handover);
   }
   if (!entry.next_daemon.empty()) {
-    value["next"] = entry.next_daemon;
+    value.push_back(IndexOf(names.daemons, entry.next_daemon));
   }
   return value;
 }
@@ -124,11 +207,23 @@
 }
 
 std::string EncodeMap(const RangeMap& map) {
+  const NameTable names = CollectNames(map);
+  json owners = json::array();
+  for (const OwnerId& owner : names.owners) {
+    owners.push_back(json::array({owner.daemon, owner.target, owner.born}));
+  }
+  json others = json::array();
+  for (std::size_t i = names.owners.size(); i < names.daemons.size(); ++i) {
+    others.push_back(names.daemons[i]);
+  }
   json entries = json::array();
   for (const RangeEntry& entry : map.entries) {
-    entries.push_back(EncodeEntry(entry));
+    entries.push_back(EncodeEntry(entry, names));
   }
-  return json{{"next_token", map.next_token}, {"entries", std::move(entries)}}
+  return json{{"next_token", map.next_token},
+              {"owners", std::move(owners)},
+              {"others", std::move(others)},
+              {"entries", std::move(entries)}}
       .dump();
 }
 
@@ -137,10 +232,9 @@
   try {
     const json value = json::parse(text);
     map.next_token = value.at("next_token").get<std::uint64_t>();
-    for (const json& entry : value.at("entries")) {
-      map.entries.push_back(DecodeEntry(entry));
-    }
-  } catch (const json::exception& error) {
+    DecodeEntries(value, map);
+  } catch (const std::exception& error) {
+    // An index without an owner or daemon gives std::out_of_range.
     return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
   }
   if (!SatisfiesInvariants(map)) {
--- a/src/eelgrassbridge/ranges/range_map_test.cpp
+++ b/src/eelgrassbridge/ranges/range_map_test.cpp
@@ -44,6 +44,57 @@
   });
 }
 
+/// A map with entries of drawn owners, tokens, handovers and pending moves,
+/// some of them to daemons that own nothing.
+RangeMap DrawMap() {
+  RangeMap map = MakeDividedMap(*rc::gen::inRange<std::size_t>(1, 9));
+  map.next_token = 1000000;
+  const auto cuts = *rc::gen::container<std::vector<std::uint32_t>>(
+      rc::gen::inRange<std::uint32_t>(0, kLastKey + 1));
+  for (const std::uint32_t cut : cuts) {
+    SplitAt(map, cut);
+  }
+  const std::vector<OwnerId> owners = MakeOwners(12);
+  for (RangeEntry& entry : map.entries) {
+    entry.owner = *rc::gen::elementOf(owners);
+    entry.owner.born += *rc::gen::inRange(0, 2);
+    entry.fencing_token = *rc::gen::inRange<std::uint64_t>(1, map.next_token);
+    if (*rc::gen::arbitrary<bool>()) {
+      entry.handover = *rc::gen::nonEmpty(
+          rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~')));
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+      entry.next_daemon = (*rc::gen::elementOf(owners)).daemon;
+    }
+  }
+  return map;
+}
+
+TEST_CASE("any map is equal to itself after encoding and decoding") {
+  // Guards against an entry that refers to the wrong owner or next daemon, in
+  // particular to a daemon that owns nothing.
+  rc::check("round trip", [] {
+    const RangeMap map = DrawMap();
+    const auto decoded = DecodeMap(EncodeMap(map));
+    RC_ASSERT(static_cast<bool>(decoded));
+    RC_ASSERT(decoded.value() == map);
+  });
+}
+
+TEST_CASE("a map in the former encoding is decoded") {
+  // Guards against an upgraded daemon that rejects the map in the store.
+  const auto map = DecodeMap(
+      R"({"next_token":9,"entries":[{"first":0,"last":99,"token":8,)"
+      R"("daemon":"d1","target":"t1","born":5,"handover":"h","next":"d3"},)"
+      R"({"first":100,"last":65535,"token":2,)"
+      R"("daemon":"d2","target":"t2","born":6}]})");
+  REQUIRE(map);
+  const RangeMap expected{9,
+                          {{{0, 99}, 8, {"d1", "t1", 5}, "h", "d3"},
+                           {{100, kLastKey}, 2, {"d2", "t2", 6}, "", ""}}};
+  CHECK(map.value() == expected);
+}
+
 TEST_CASE("a new owner gets a fencing token above all earlier ones") {
   RangeMap map = MakeDividedMap(3);
   const std::uint64_t before = map.next_token;
@@ -74,7 +125,21 @@
         R"("daemon":"d","target":"t","born":1}]})",
         R"({"next_token":1,"entries":[{"first":0,"last":65535,"token":1,)"
         R"("daemon":"d","target":"t","born":1}]})",
-        R"({"next_token":"x","entries":[]})"}) {
+        R"({"next_token":"x","entries":[]})",
+        R"({"next_token":9,"owners":[],"others":[],"entries":[[0,1,0]]})",
+        R"({"next_token":9,"owners":[["d","t",1]],"entries":[[0,1,0]]})",
+        R"({"next_token":9,"owners":[["d","t",1]],"others":[],)"
+        R"("entries":[[0,1,-1]]})",
+        R"({"next_token":9,"owners":[["d","t",1]],"others":[],)"
+        R"("entries":[[0,1,0,"",1]]})",
+        R"({"next_token":9,"owners":[["d","t",1]],"others":[],)"
+        R"("entries":[[5,1,0]]})",
+        R"({"next_token":9,"owners":[["d","t",1]],"others":[],)"
+        R"("entries":[[0,1,0],[0,1,0]]})",
+        R"({"next_token":9,"owners":[["d","t",1]],"others":[],)"
+        R"("entries":[[0,9,0]]})",
+        R"({"next_token":9,"owners":[["d","t"]],"others":[],)"
+        R"("entries":[[0,1,0]]})"}) {
     CAPTURE(text);
     CHECK(!DecodeMap(text));
   }
