Bound the encoded size of a range map

Plans split entries without regard to the size of the map, so enough owners still outgrow a row of the store, which then refuses every change. Each loss of an owner added as many pieces as there were candidates.

The limit is 48 KiB, which as base64 is 65,536 characters, so that a map fits whether the store counts bytes or characters. Plans split entries only while any pending moves would still fit. LimitEncodedSize, which plans and hand-overs both apply before the map is written, drops handovers that are no longer needed, merges an owner's adjacent entries under the higher token and, as a last resort, cancels moves. A lost owner's adjacent entries are merged before they are split, into about 12 pieces at most.

--- a/include/eelgrassbridge/ranges/planning.hpp
+++ b/include/eelgrassbridge/ranges/planning.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "eelgrassbridge/ranges/lease.hpp"
+#include "eelgrassbridge/ranges/map_size.hpp"
 #include "eelgrassbridge/ranges/range_map.hpp"
 
 namespace eelgrassbridge::ranges {
@@ -27,6 +28,12 @@
   std::uint32_t max_moves = 4;
   /// Entries per owner; the answer to a heartbeat holds at most 4 KiB.
   std::uint32_t max_entries_per_owner = 24;
+  /// Pieces into which the keys of a lost owner are split, beside the ranges
+  /// that they already form. Each recipient then takes about a twelfth of its
+  /// load, well below max_imbalance; more pieces only enlarge the map.
+  std::uint32_t max_lost_pieces = 12;
+  /// Largest encoded size of a planned map.
+  std::size_t max_encoded_size = kMaxEncodedMapSize;
 };
 
 /// @brief Input of a plan besides the current map.
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -4,6 +4,7 @@
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/ownership.hpp"
 #include "eelgrassbridge/node/rows.hpp"
+#include "eelgrassbridge/ranges/map_size.hpp"
 
 namespace eelgrassbridge::node {
 
@@ -230,7 +231,7 @@
     if (!adopted && !released) {
       continue;
     }
-    ranges::MergeAdjacent(map);
+    ranges::LimitEncodedSize(map);
     const bool written = co_await WriteMap(node, map, {});
     Log(node.log, EventKind::kRangesReleased,
         {{"new_life", std::int64_t{adopted}},
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -31,6 +31,8 @@
   bool changed = false;
   std::vector<Candidate> candidates;
   std::map<std::string, const LeaseRecord*> leases;
+  /// Entries up to which the plan splits others.
+  std::size_t max_entries = 0;
 };
 
 double RunSeconds(const OwnerLoad& load, const PlanningOptions& options) {
@@ -40,9 +42,11 @@
 Planner MakePlanner(const RangeMap& map,
                     const PlanningInput& input,
                     const PlanningOptions& options) {
-  Planner planner{input, options, map, false, {}, {}};
+  Planner planner{input, options, map, false, {}, {}, 0};
+  std::vector<OwnerId> owners;
   for (const LeaseRecord& lease : input.live) {
     planner.leases[lease.owner.daemon] = &lease;
+    owners.push_back(lease.owner);
     if (lease.accepting) {
       const double slots = std::max(1U, lease.load.slots);
       planner.candidates.push_back({lease.owner,
@@ -53,6 +57,7 @@
   std::ranges::sort(planner.candidates, {}, [](const Candidate& candidate) {
     return candidate.owner.daemon;
   });
+  planner.max_entries = MaxEntries(map, owners, options.max_encoded_size);
   return planner;
 }
 
@@ -88,6 +93,13 @@
   }
 }
 
+/// Splits an entry unless the map has no room for another one.
+void SplitWithinRoom(Planner& planner, std::uint32_t key) {
+  if (planner.map.entries.size() < planner.max_entries) {
+    SplitAt(planner.map, key);
+  }
+}
+
 /// Splits the owner's entries at its quantile keys, so that each entry lies
 /// within one of the equal parts of its demand.
 void SplitAtQuantiles(Planner& planner, const std::string& daemon) {
@@ -99,7 +111,7 @@
     const RangeEntry* const entry = FindEntry(planner.map, key);
     if (entry != nullptr && entry->owner.daemon == daemon &&
         entry->next_daemon.empty()) {
-      SplitAt(planner.map, key);
+      SplitWithinRoom(planner, key);
     }
   }
 }
@@ -121,33 +133,58 @@
   return load.requests_per_second * static_cast<double>(inside + 1) / parts;
 }
 
-/// Reassigns the keys of owners without a lease. The keys of each lost owner
-/// are split into as many pieces as there are candidates, so that no single
-/// candidate takes all of its load.
-void ReassignLostOwners(Planner& planner) {
+bool IsLost(const Planner& planner, const RangeEntry& entry) {
+  return !planner.leases.contains(entry.owner.daemon);
+}
+
+/// Merges the adjacent entries of each lost owner. All of them are about to
+/// get new tokens without a handover.
+void MergeLostEntries(Planner& planner) {
+  for (RangeEntry& entry : planner.map.entries) {
+    if (IsLost(planner, entry)) {
+      entry.handover.clear();
+      entry.next_daemon.clear();
+    }
+  }
+  MergeOwnEntries(planner.map, [&planner](const RangeEntry& entry) {
+    return IsLost(planner, entry);
+  });
+}
+
+/// Splits the keys of each lost owner into pieces, so that no single candidate
+/// takes all of its load.
+void SplitLostEntries(Planner& planner) {
   std::map<std::string, std::vector<KeyRange>> lost;
   for (const RangeEntry& entry : planner.map.entries) {
-    const auto lease = planner.leases.find(entry.owner.daemon);
-    if (lease == planner.leases.end()) {
+    if (IsLost(planner, entry)) {
       lost[entry.owner.daemon].push_back(entry.keys);
     }
   }
+  const auto pieces =
+      std::min(static_cast<std::uint32_t>(planner.candidates.size()),
+               planner.options.max_lost_pieces);
   for (const auto& [daemon, ranges] : lost) {
     std::uint32_t total = 0;
     for (const KeyRange& range : ranges) {
       total += SizeOf(range);
     }
-    const auto pieces = static_cast<std::uint32_t>(planner.candidates.size());
     const std::uint32_t piece = std::max(1U, total / pieces);
     for (const KeyRange& range : ranges) {
       const std::uint32_t cuts = (SizeOf(range) + piece / 2) / piece;
       for (std::uint32_t i = 1; i < cuts; ++i) {
-        SplitAt(planner.map, range.first + SizeOf(range) * i / cuts);
+        SplitWithinRoom(planner, range.first + SizeOf(range) * i / cuts);
       }
     }
   }
+}
+
+/// Reassigns the keys of owners without a lease.
+void ReassignLostOwners(Planner& planner) {
+  const std::uint64_t first_new_token = planner.map.next_token;
+  MergeLostEntries(planner);
+  SplitLostEntries(planner);
   for (RangeEntry& entry : planner.map.entries) {
-    if (!lost.contains(entry.owner.daemon)) {
+    if (!IsLost(planner, entry)) {
       continue;
     }
     Candidate* const recipient = FindLeastLoaded(planner, entry.owner.daemon);
@@ -166,6 +203,10 @@
     recipient->demand += std::max(1.0, total_demand) * SizeOf(entry.keys) /
                          static_cast<double>(kLastKey);
   }
+  // Nobody has been told these tokens yet, so either may stand for both.
+  MergeOwnEntries(planner.map, [first_new_token](const RangeEntry& entry) {
+    return entry.fencing_token >= first_new_token;
+  });
 }
 
 /// Cancels pending moves to daemons that can no longer receive keys.
@@ -298,6 +339,11 @@
     return std::nullopt;
   }
   MergeAdjacent(planner.map);
+  if (planner.map.entries.size() >= planner.max_entries) {
+    // Otherwise no entry could be split again.
+    CompactMap(planner.map);
+  }
+  LimitEncodedSize(planner.map, options.max_encoded_size);
   return planner.map;
 }
 
