Reassign lost keys also when all owners have their maximum of entries

Keys of a lost owner, and those of a leaving target, stayed where they were while each other owner had its maximum of entries: a plan found no recipient and skipped them, so nobody served them.

The new tests failed before: planning_test.cpp:97: FATAL ERROR: REQUIRE( after ) is NOT correct! planning_test.cpp:120: FATAL ERROR: REQUIRE( after ) is NOT correct!

The maximum now only bounds moves for load. Lost keys go to the owner of the neighbouring keys if nobody may take another entry, and the entries of owners above the maximum are merged under the higher token. Both tests and the rest of ranges_test pass (25 cases).

--- a/include/eelgrassbridge/ranges/map_size.hpp
+++ b/include/eelgrassbridge/ranges/map_size.hpp
@@ -17,6 +17,10 @@
 /// whichever of the two the store counts.
 inline constexpr std::size_t kMaxEncodedMapSize = 49152;
 
+inline bool AnyEntry(const RangeEntry& /*entry*/) {
+  return true;
+}
+
 /// @brief Returns how many entries a map of these owners and of `joining` may
 /// have so that it encodes to at most `max_size` bytes without handovers,
 /// whichever owners the entries have and move to.
@@ -31,10 +35,11 @@
                      const std::function<bool(const RangeEntry&)>& allowed);
 
 /// @brief Drops the handovers that owners no longer need and merges the entries
-/// of each owner. A handover is needed until the owner's target has been
-/// granted the keys, which is taken to be the case once many later tokens have
-/// been assigned or the keys move on.
-void CompactMap(RangeMap& map);
+/// of each owner, apart from entries that `allowed` excludes. A handover is
+/// needed until the owner's target has been granted the keys, which is taken to
+/// be the case once many later tokens have been assigned or the keys move on.
+void CompactMap(RangeMap& map,
+                const std::function<bool(const RangeEntry&)>& allowed);
 
 /// @brief Makes the map encode to at most `max_size` bytes with as little loss
 /// as possible: merges equal entries, compacts the map, drops the remaining
--- a/src/eelgrassbridge/ranges/map_size.cpp
+++ b/src/eelgrassbridge/ranges/map_size.cpp
@@ -21,10 +21,6 @@
 /// assign fewer tokens than this in that time unless several owners are lost.
 constexpr std::uint64_t kRecentTokens = 128;
 
-bool Any(const RangeEntry& /*entry*/) {
-  return true;
-}
-
 /// Encoded length of the owner, counted once more as a next daemon.
 std::size_t EncodedOwnerSize(const OwnerId& owner) {
   return kOwnerFrameBytes + owner.daemon.size() + owner.target.size();
@@ -81,12 +77,14 @@
   map.entries = std::move(merged);
 }
 
-void CompactMap(RangeMap& map) {
-  DropHandovers(map, [&map](const RangeEntry& entry) {
-    return !entry.next_daemon.empty() ||
-           entry.fencing_token + kRecentTokens < map.next_token;
+void CompactMap(RangeMap& map,
+                const std::function<bool(const RangeEntry&)>& allowed) {
+  DropHandovers(map, [&map, &allowed](const RangeEntry& entry) {
+    const bool unneeded = !entry.next_daemon.empty() ||
+                          entry.fencing_token + kRecentTokens < map.next_token;
+    return unneeded && allowed(entry);
   });
-  MergeOwnEntries(map, Any);
+  MergeOwnEntries(map, allowed);
 }
 
 void LimitEncodedSize(RangeMap& map, std::size_t max_size) {
@@ -94,19 +92,19 @@
   if (Fits(map, max_size)) {
     return;
   }
-  CompactMap(map);
+  CompactMap(map, AnyEntry);
   if (Fits(map, max_size)) {
     return;
   }
-  DropHandovers(map, Any);
-  MergeOwnEntries(map, Any);
+  DropHandovers(map, AnyEntry);
+  MergeOwnEntries(map, AnyEntry);
   if (Fits(map, max_size)) {
     return;
   }
   for (RangeEntry& entry : map.entries) {
     entry.next_daemon.clear();
   }
-  MergeOwnEntries(map, Any);
+  MergeOwnEntries(map, AnyEntry);
 }
 
 }  // namespace eelgrassbridge::ranges
--- a/src/eelgrassbridge/ranges/map_size_test.cpp
+++ b/src/eelgrassbridge/ranges/map_size_test.cpp
@@ -211,7 +211,7 @@
   Reassign(map, map.entries[0], owners[1], "old");
   map.next_token = 1000;
   Reassign(map, map.entries[1], owners[0], "new");
-  CompactMap(map);
+  CompactMap(map, AnyEntry);
   CHECK(map.entries[0].handover.empty());
   CHECK(map.entries[1].handover == "new");
 }
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -69,13 +69,15 @@
   return found == planner.candidates.end() ? nullptr : &*found;
 }
 
+bool MayTakeEntry(const Planner& planner, const Candidate& candidate) {
+  return candidate.entries < planner.options.max_entries_per_owner;
+}
+
+/// Finds the least loaded candidate that may take another entry.
 Candidate* FindLeastLoaded(Planner& planner, const std::string& except) {
   Candidate* best = nullptr;
   for (Candidate& candidate : planner.candidates) {
-    const bool allowed =
-        candidate.owner.daemon != except &&
-        candidate.entries < planner.options.max_entries_per_owner;
-    if (allowed &&
+    if (candidate.owner.daemon != except && MayTakeEntry(planner, candidate) &&
         (best == nullptr || Utilization(candidate) < Utilization(*best))) {
       best = &candidate;
     }
@@ -83,6 +85,40 @@
   return best;
 }
 
+/// Finds the recipient of an entry that can't stay with its owner. If no
+/// candidate may take another entry, the owner of the neighbouring keys takes
+/// it, since the two entries can be merged, or else the least loaded one.
+Candidate* FindRecipient(Planner& planner,
+                         const std::string& except,
+                         const std::string& neighbour) {
+  if (Candidate* const recipient = FindLeastLoaded(planner, except)) {
+    return recipient;
+  }
+  Candidate* best = nullptr;
+  for (Candidate& candidate : planner.candidates) {
+    if (candidate.owner.daemon == except) {
+      continue;
+    }
+    if (candidate.owner.daemon == neighbour) {
+      return &candidate;
+    }
+    if (best == nullptr || Utilization(candidate) < Utilization(*best)) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+/// Merges the entries of owners that have more than they may.
+void MergeEntriesAboveMaximum(Planner& planner) {
+  CompactMap(planner.map, [&planner](const RangeEntry& entry) {
+    const Candidate* const candidate =
+        FindCandidate(planner, entry.owner.daemon);
+    return candidate != nullptr &&
+           candidate->entries > planner.options.max_entries_per_owner;
+  });
+}
+
 void CountEntries(Planner& planner) {
   for (const RangeEntry& entry : planner.map.entries) {
     const std::string& daemon =
@@ -183,14 +219,18 @@
   const std::uint64_t first_new_token = planner.map.next_token;
   MergeLostEntries(planner);
   SplitLostEntries(planner);
+  std::string neighbour;
   for (RangeEntry& entry : planner.map.entries) {
     if (!IsLost(planner, entry)) {
+      neighbour = entry.owner.daemon;
       continue;
     }
-    Candidate* const recipient = FindLeastLoaded(planner, entry.owner.daemon);
+    Candidate* const recipient =
+        FindRecipient(planner, entry.owner.daemon, neighbour);
     if (recipient == nullptr) {
       continue;
     }
+    neighbour = recipient->owner.daemon;
     Reassign(planner.map, entry, recipient->owner, {});
     planner.changed = true;
     ++recipient->entries;
@@ -233,7 +273,7 @@
         lease->second->accepting) {
       continue;
     }
-    Candidate* const recipient = FindLeastLoaded(planner, entry.owner.daemon);
+    Candidate* const recipient = FindRecipient(planner, entry.owner.daemon, {});
     if (recipient == nullptr) {
       continue;
     }
@@ -339,9 +379,10 @@
     return std::nullopt;
   }
   MergeAdjacent(planner.map);
+  MergeEntriesAboveMaximum(planner);
   if (planner.map.entries.size() >= planner.max_entries) {
     // Otherwise no entry could be split again.
-    CompactMap(planner.map);
+    CompactMap(planner.map, AnyEntry);
   }
   LimitEncodedSize(planner.map, options.max_encoded_size);
   return planner.map;
--- a/src/eelgrassbridge/ranges/planning_test.cpp
+++ b/src/eelgrassbridge/ranges/planning_test.cpp
@@ -84,6 +84,47 @@
   }
 }
 
+TEST_CASE("lost keys are reassigned although no owner may get more entries") {
+  // Guards against keys that nobody serves until an owner has fewer entries.
+  std::vector<LeaseRecord> all;
+  all.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    all.push_back(MakeLease(i));
+  }
+  const PlanningOptions options{.max_entries_per_owner = 1};
+  const RangeMap before = MakeDividedMap(all);
+  const std::vector<LeaseRecord> live(all.begin(), all.begin() + 3);
+  const auto after = Plan(before, {live, false}, options);
+  REQUIRE(after);
+  std::map<std::string, int> entries;
+  for (const RangeEntry& entry : after->entries) {
+    ++entries[entry.owner.daemon];
+    CHECK(std::ranges::any_of(live, [&entry](const LeaseRecord& lease) {
+      return lease.owner == entry.owner;
+    }));
+  }
+  for (const auto& [daemon, count] : entries) {
+    CHECK(count == 1);
+  }
+  CHECK(CountKeys(*after).size() == 3);
+  for (std::uint32_t key = kLastKey / 8 * 3 + 8; key <= kLastKey; key += 100) {
+    CHECK(FindEntry(*after, key)->fencing_token >= before.next_token);
+  }
+}
+
+TEST_CASE("a leaving target is emptied although no owner may get entries") {
+  // Guards against a target that leaves with keys that nobody is to take.
+  std::vector<LeaseRecord> all = {MakeLease(1), MakeLease(2)};
+  const RangeMap before = MakeDividedMap(all);
+  all[0].accepting = false;
+  const auto after = Plan(before, {all, false}, {.max_entries_per_owner = 1});
+  REQUIRE(after);
+  for (const RangeEntry& entry : after->entries) {
+    const bool leaves = entry.owner == all[0].owner;
+    CHECK(entry.next_daemon == (leaves ? all[1].owner.daemon : ""));
+  }
+}
+
 TEST_CASE("a pending move to a lost owner is cancelled") {
   std::vector<LeaseRecord> all = {MakeLease(1), MakeLease(2), MakeLease(3)};
   RangeMap map = MakeDividedMap(all);
