Merge the adjacent entries of a restarted target

A restarted target got a new token for each of its entries, so entries that could be one again stayed apart and the range map kept growing.

The new test failed before: range_map_test.cpp:131: FATAL ERROR: REQUIRE( map.entries.size() == 2 ) is NOT correct! values: REQUIRE( 3 == 2 )

All entries of the target now get the same new token.

--- a/include/eelgrassbridge/ranges/range_map.hpp
+++ b/include/eelgrassbridge/ranges/range_map.hpp
@@ -94,7 +94,8 @@
               std::string handover);
 
 /// @brief Reassigns the entries of `owner.daemon` to `owner` after its target
-/// has restarted; pending moves stay. Returns whether anything changed.
+/// has restarted, all under one new fencing token; pending moves stay. Returns
+/// whether anything changed.
 bool ReassignAfterRestart(RangeMap& map, const OwnerId& owner);
 
 /// @brief Encodes a map as JSON. Owners and daemons are written once, in a
--- a/src/eelgrassbridge/ranges/range_map.cpp
+++ b/src/eelgrassbridge/ranges/range_map.cpp
@@ -194,16 +194,17 @@
 }
 
 bool ReassignAfterRestart(RangeMap& map, const OwnerId& owner) {
-  bool changed = false;
+  // All entries get the same token, so that adjacent ones can be merged.
+  const std::uint64_t token = map.next_token;
   for (RangeEntry& entry : map.entries) {
     if (entry.owner.daemon == owner.daemon && entry.owner != owner) {
-      const std::string next = entry.next_daemon;
-      Reassign(map, entry, owner, {});
-      entry.next_daemon = next;
-      changed = true;
+      entry.fencing_token = token;
+      entry.owner = owner;
+      entry.handover.clear();
+      map.next_token = token + 1;
     }
   }
-  return changed;
+  return map.next_token != token;
 }
 
 std::string EncodeMap(const RangeMap& map) {
--- a/src/eelgrassbridge/ranges/range_map_test.cpp
+++ b/src/eelgrassbridge/ranges/range_map_test.cpp
@@ -117,6 +117,23 @@
   CHECK(!ReassignAfterRestart(map, restarted));
 }
 
+TEST_CASE("adjacent entries of a restarted target become one") {
+  // Guards against a map that keeps the former divisions of keys that are
+  // assigned anew together.
+  RangeMap map = MakeDividedMap(2);
+  SplitAt(map, 100);
+  Reassign(map, map.entries[0], map.entries[0].owner, "handover data");
+  const std::uint64_t before = map.next_token;
+  OwnerId restarted = map.entries[0].owner;
+  restarted.born = 200;
+  REQUIRE(ReassignAfterRestart(map, restarted));
+  MergeAdjacent(map);
+  REQUIRE(map.entries.size() == 2);
+  CHECK(map.entries[0].owner == restarted);
+  CHECK(map.entries[0].fencing_token >= before);
+  CHECK(map.entries[0].fencing_token < map.next_token);
+}
+
 TEST_CASE("maps that are malformed or break the invariants are rejected") {
   // Guards against using a row that another writer has corrupted.
   for (const char* text :
