Reject numbers and addresses that do not fit in reports and rows

What callers saw: nothing yet; other operators report machines that lost requests after another writer had left an entry with a number too large or a port out of range. Here a report with minus one slot gave a target of four billion slots, a lease row with an expiry near 2^63 overflowed, one with a rate of 1e308 stopped the balancing of all planners, and a range map whose next token was near 2^64 would have started the fencing tokens again from 0.

No address was checked before it was used.

Change: base/json_value.hpp reads integers, numbers, durations and names strictly.

--- a/include/eelgrassbridge/node/member.hpp
+++ b/include/eelgrassbridge/node/member.hpp
@@ -30,7 +30,8 @@
 };
 
 std::string EncodeMember(const Member& member);
-/// @brief Fails with kFrameInvalid if a field is missing or has another type.
+/// @brief Fails with kFrameInvalid if a field is missing, has another type or a
+/// value that no daemon writes.
 base::Result<Member> DecodeMember(std::string_view text);
 
 }  // namespace eelgrassbridge::node
--- a/include/eelgrassbridge/ranges/lease.hpp
+++ b/include/eelgrassbridge/ranges/lease.hpp
@@ -79,7 +79,8 @@
 
 /// @brief Encodes a lease row as JSON.
 std::string EncodeLease(const LeaseRecord& record);
-/// @brief Decodes a lease row; fails with kFrameInvalid if it is malformed.
+/// @brief Decodes a lease row; fails with kFrameInvalid if it is malformed or
+/// has a value that no daemon writes.
 base::Result<LeaseRecord> DecodeLease(std::string_view text);
 
 /// @brief This daemon's right under its lease to let its target hold keys.
--- a/include/eelgrassbridge/ranges/range_map.hpp
+++ b/include/eelgrassbridge/ranges/range_map.hpp
@@ -19,6 +19,10 @@
 /// @brief Keys are numbers from 0 to kLastKey.
 inline constexpr std::uint32_t kLastKey = 65535;
 
+/// @brief More slots than any target has. A larger number in a report or a row
+/// is invalid.
+inline constexpr std::uint32_t kMaxSlots = 65536;
+
 /// @brief Keys from first to last, inclusive.
 struct KeyRange {
   std::uint32_t first = 0;
--- a/src/eelgrassbridge/node/member.cpp
+++ b/src/eelgrassbridge/node/member.cpp
@@ -3,6 +3,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include "eelgrassbridge/base/json_value.hpp"
+#include "eelgrassbridge/http/client.hpp"
+#include "eelgrassbridge/ranges/range_map.hpp"
+
 namespace eelgrassbridge::node {
 
 using nlohmann::json;
@@ -22,15 +26,21 @@
     member.address = value.at("address").get<std::string>();
     member.data_centre = value.at("data_centre").get<std::string>();
     member.service = value.at("service").get<std::string>();
-    member.target = value.at("target").get<std::string>();
-    member.born = value.at("born").get<std::int64_t>();
-    member.slots = value.at("slots").get<std::uint32_t>();
+    member.target = base::JsonName(value.at("target"));
+    member.born = base::JsonInteger<std::int64_t>(value.at("born"));
+    member.slots = base::JsonInteger(value.at("slots"), ranges::kMaxSlots);
     // Absent in rows of daemons that know no relays.
     member.link_mbps = value.value("link_mbps", 0.0);
     member.serving = value.at("serving").get<bool>();
+    if (!http::ParseEndpoint(member.address)) {
+      return base::Fail(base::ErrorKind::kFrameInvalid,
+                        "the address is not of the form IP:PORT");
+    }
     return member;
   } catch (const json::exception& error) {
     return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
+  } catch (const base::InvalidJsonValue& error) {
+    return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
   }
 }
 
--- a/src/eelgrassbridge/ranges/lease.cpp
+++ b/src/eelgrassbridge/ranges/lease.cpp
@@ -4,17 +4,39 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "eelgrassbridge/base/json_value.hpp"
+
 namespace eelgrassbridge::ranges {
 
 namespace {
 
 using nlohmann::json;
 
+/// Bounds of the values that a daemon writes. A planner adds up the loads, so a
+/// value beyond them would spoil the plan for all owners.
+constexpr double kMaxRequestsPerSecond = 1e9;
+constexpr double kMaxRunSeconds = 1e6;
+constexpr std::size_t kMaxQuantiles = 64;
+constexpr std::int64_t kMaxExpiry =
+    static_cast<std::int64_t>(base::kMaxJsonSeconds) * 1'000'000;
+
 base::Duration Scale(base::Duration duration, double factor) {
   return base::Duration{static_cast<std::int64_t>(
       static_cast<double>(duration.count()) * factor)};
 }
 
+std::vector<std::uint32_t> DecodeQuantiles(const json& value) {
+  if (!value.is_array() || value.size() > kMaxQuantiles) {
+    throw base::InvalidJsonValue("expected a short list of keys");
+  }
+  std::vector<std::uint32_t> quantiles;
+  quantiles.reserve(value.size());
+  for (const json& key : value) {
+    quantiles.push_back(base::JsonInteger(key, kLastKey));
+  }
+  return quantiles;
+}
+
 }  // namespace
 
 base::Duration LatestStoreTime(const StoreClock& clock, base::TimePoint now) {
@@ -40,20 +62,23 @@
   try {
     const json value = json::parse(text);
     LeaseRecord record;
-    record.owner = {value.at("daemon").get<std::string>(),
-                    value.at("target").get<std::string>(),
-                    value.at("born").get<std::int64_t>()};
+    record.owner = {base::JsonName(value.at("daemon")),
+                    base::JsonName(value.at("target")),
+                    base::JsonInteger<std::int64_t>(value.at("born"))};
     record.process = value.at("process").get<std::string>();
-    record.sequence = value.at("sequence").get<std::uint64_t>();
-    record.expires = base::Duration{value.at("expires_us").get<std::int64_t>()};
+    record.sequence = base::JsonInteger<std::uint64_t>(value.at("sequence"));
+    record.expires =
+        base::Duration{base::JsonInteger(value.at("expires_us"), kMaxExpiry)};
     record.accepting = value.at("accepting").get<bool>();
-    record.load = {value.at("rate").get<double>(),
-                   value.at("run_s").get<double>(),
-                   value.at("slots").get<std::uint32_t>(),
-                   value.at("quantiles").get<std::vector<std::uint32_t>>()};
+    record.load = {base::JsonNumber(value.at("rate"), kMaxRequestsPerSecond),
+                   base::JsonNumber(value.at("run_s"), kMaxRunSeconds),
+                   base::JsonInteger(value.at("slots"), kMaxSlots),
+                   DecodeQuantiles(value.at("quantiles"))};
     return record;
   } catch (const json::exception& error) {
     return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
+  } catch (const base::InvalidJsonValue& error) {
+    return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
   }
 }
 
--- a/src/eelgrassbridge/ranges/lease_test.cpp
+++ b/src/eelgrassbridge/ranges/lease_test.cpp
@@ -85,5 +85,40 @@
   CHECK(!DecodeLease("\xff\xfe"));
 }
 
+TEST_CASE("lease rows with numbers that do not fit are rejected") {
+  // Guards against an expiry that overflows, and against loads that spoil the
+  // plans of all planners.
+  LeaseRecord record;
+  record.owner = {"10.0.0.1:1", "target", 12};
+  record.process = "p";
+  record.sequence = 7;
+  record.expires = milliseconds{1234};
+  record.load = {12.5, 0.25, 9, {100, 200}};
+  const std::string good = EncodeLease(record);
+  const auto spoiled = [&good](std::string_view from, std::string_view to) {
+    std::string text = good;
+    const auto found = text.find(from);
+    REQUIRE(found != std::string::npos);
+    return DecodeLease(text.replace(found, from.size(), to));
+  };
+  CHECK(spoiled("\"slots\":9", "\"slots\":8"));
+  CHECK(!spoiled("\"slots\":9", "\"slots\":-1"));
+  CHECK(!spoiled("\"slots\":9", "\"slots\":4294967305"));
+  CHECK(!spoiled("\"slots\":9", "\"slots\":4000000000"));
+  CHECK(!spoiled("1234000", "9223372036854775807"));
+  CHECK(!spoiled("1234000", "1e300"));
+  CHECK(!spoiled("12.5", "1e308"));
+  CHECK(!spoiled("12.5", "-1"));
+  CHECK(!spoiled("0.25", "1e308"));
+  CHECK(!spoiled("0.25", "-1"));
+  CHECK(!spoiled("[100,200]", "[100,70000]"));
+  CHECK(!spoiled("[100,200]", "[100,-1]"));
+  std::string many = "[0";
+  for (int i = 0; i < 1000; ++i) {
+    many += ",1";
+  }
+  CHECK(!spoiled("[100,200]", many + "]"));
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::ranges
--- a/src/eelgrassbridge/ranges/range_map.cpp
+++ b/src/eelgrassbridge/ranges/range_map.cpp
@@ -2,7 +2,11 @@
 #include "eelgrassbridge/ranges/range_map.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "eelgrassbridge/base/json_value.hpp"
 
 namespace eelgrassbridge::ranges {
 
@@ -10,6 +14,11 @@
 
 using nlohmann::json;
 
+/// Far above any token in use, and far below the number after which tokens
+/// would start again from 0.
+constexpr auto kMaxNextToken =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+
 bool SatisfiesInvariants(const RangeMap& map) {
   std::uint32_t expected = 0;
   for (const RangeEntry& entry : map.entries) {
@@ -26,12 +35,12 @@
 /// that repeats its owner.
 RangeEntry DecodeObjectEntry(const json& value) {
   RangeEntry entry;
-  entry.keys = {value.at("first").get<std::uint32_t>(),
-                value.at("last").get<std::uint32_t>()};
-  entry.fencing_token = value.at("token").get<std::uint64_t>();
-  entry.owner = {value.at("daemon").get<std::string>(),
-                 value.at("target").get<std::string>(),
-                 value.at("born").get<std::int64_t>()};
+  entry.keys = {base::JsonInteger(value.at("first"), kLastKey),
+                base::JsonInteger(value.at("last"), kLastKey)};
+  entry.fencing_token = base::JsonInteger<std::uint64_t>(value.at("token"));
+  entry.owner = {base::JsonName(value.at("daemon")),
+                 base::JsonName(value.at("target")),
+                 base::JsonInteger<std::int64_t>(value.at("born"))};
   entry.handover = value.value("handover", std::string{});
   entry.next_daemon = value.value("next", std::string{});
   return entry;
@@ -46,8 +55,8 @@
 };
 
 OwnerId DecodeOwner(const json& value) {
-  return {value.at(0).get<std::string>(), value.at(1).get<std::string>(),
-          value.at(2).get<std::int64_t>()};
+  return {base::JsonName(value.at(0)), base::JsonName(value.at(1)),
+          base::JsonInteger<std::int64_t>(value.at(2))};
 }
 
 NameTable DecodeNames(const json& value) {
@@ -57,7 +66,7 @@
     names.daemons.push_back(names.owners.back().daemon);
   }
   for (const json& daemon : value.at("others")) {
-    names.daemons.push_back(daemon.get<std::string>());
+    names.daemons.push_back(base::JsonName(daemon));
   }
   return names;
 }
@@ -65,14 +74,15 @@
 /// Decodes an entry without its last key, which follows from the next entry.
 RangeEntry DecodeArrayEntry(const json& value, const NameTable& names) {
   RangeEntry entry;
-  entry.keys.first = value.at(0).get<std::uint32_t>();
-  entry.fencing_token = value.at(1).get<std::uint64_t>();
-  entry.owner = names.owners.at(value.at(2).get<std::size_t>());
+  entry.keys.first = base::JsonInteger(value.at(0), kLastKey);
+  entry.fencing_token = base::JsonInteger<std::uint64_t>(value.at(1));
+  entry.owner = names.owners.at(base::JsonInteger<std::size_t>(value.at(2)));
   if (value.size() > 3) {
     entry.handover = value.at(3).get<std::string>();
   }
   if (value.size() > 4) {
-    entry.next_daemon = names.daemons.at(value.at(4).get<std::size_t>());
+    entry.next_daemon =
+        names.daemons.at(base::JsonInteger<std::size_t>(value.at(4)));
   }
   return entry;
 }
@@ -232,11 +242,15 @@
   RangeMap map;
   try {
     const json value = json::parse(text);
-    map.next_token = value.at("next_token").get<std::uint64_t>();
+    map.next_token = base::JsonInteger(value.at("next_token"), kMaxNextToken);
     DecodeEntries(value, map);
-  } catch (const std::exception& error) {
-    // An index without an owner or daemon gives std::out_of_range.
+  } catch (const json::exception& error) {
+    return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
+  } catch (const base::InvalidJsonValue& error) {
     return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
+  } catch (const std::out_of_range&) {
+    return base::Fail(base::ErrorKind::kFrameInvalid,
+                      "an entry names an owner or daemon that is not listed");
   }
   if (!SatisfiesInvariants(map)) {
     return base::Fail(
--- a/src/eelgrassbridge/ranges/range_map_test.cpp
+++ b/src/eelgrassbridge/ranges/range_map_test.cpp
@@ -162,5 +162,27 @@
   }
 }
 
+TEST_CASE("maps with numbers that do not fit are rejected") {
+  // Guards against numbers that wrap to valid ones, and against a next token
+  // that overflows, after which tokens would start again.
+  const auto map = [](const std::string& next_token, const std::string& entry) {
+    return DecodeMap(R"({"next_token":)" + next_token + R"(,"entries":[{)" +
+                     entry + R"("daemon":"d","target":"t"}]})");
+  };
+  const std::string good = R"("first":0,"last":65535,"token":1,"born":1,)";
+  CHECK(map("9", good));
+  CHECK(!map("18446744073709551615", good));
+  CHECK(!map("-1", good));
+  CHECK(!map("9.5", good));
+  CHECK(!map("9", R"("first":4294967296,"last":65535,"token":1,"born":1,)"));
+  CHECK(!map("9", R"("first":0,"last":4295032831,"token":1,"born":1,)"));
+  CHECK(!map("9", R"("first":0.5,"last":65535,"token":1,"born":1,)"));
+  CHECK(!map("9", R"("first":0,"last":65535,"token":1.5,"born":1,)"));
+  CHECK(!map("9", R"("first":0,"last":65535,"token":1,"born":1e300,)"));
+  CHECK(!DecodeMap(
+      R"({"next_token":9,"entries":[{"first":0,"last":65535,"token":1,)"
+      R"("born":1,"daemon":"d","target":"t\r\nX: y"}]})"));
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::ranges
