--- a/include/eelgrassbridge/node/row_store.hpp
+++ b/include/eelgrassbridge/node/row_store.hpp
@@ -69,6 +69,8 @@
 struct RowPage {
   std::vector<StoredRow> rows;
   StoreState state;
+  /// Rows that were left out because they could not be decoded.
+  std::uint32_t malformed_rows = 0;
 };
 
 /// @brief Position from which a poll of a feed continues.
