Reject member rows that name another service than their partition

What callers saw: nothing yet. A row that another writer left in the partition of one service made its daemon a target of another service, and a read of the other partition would not have removed it.

Cause: only the address of a member was compared with its row.

Change: the service of a member is compared with the partition.

--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -42,6 +42,19 @@
        {"hosts", static_cast<std::int64_t>(node.routes->by_host.size())}});
 }
 
+/// Why a member does not belong to its row; empty if it does.
+std::string_view MemberMismatch(const StoredRow& row,
+                                const Member& member,
+                                std::string_view address) {
+  if (member.address != address) {
+    return "the address differs from the row key";
+  }
+  if (member.service != row.name.partition) {
+    return "the service differs from the partition";
+  }
+  return {};
+}
+
 void ApplyMember(Node& node, const StoredRow& row) {
   const std::string address = row.name.key.substr(kMemberPrefix.size());
   std::uint64_t& version = node.fleet.versions[address];
@@ -56,11 +69,12 @@
     return;
   }
   auto member = DecodeMember(row.value);
-  if (!member || member.value().address != address) {
+  const std::string_view fault =
+      member ? MemberMismatch(row, member.value(), address)
+             : std::string_view(member.error().detail);
+  if (!fault.empty()) {
     Log(node.log, EventKind::kRowRejected,
-        {{"row", row.name.key},
-         {"cause", member ? "the address differs from the row key"
-                          : std::string_view(member.error().detail)}});
+        {{"row", row.name.key}, {"cause", fault}});
     return;
   }
   Log(node.log, EventKind::kMemberChanged,
