Write the own member row again when another writer has changed it

What callers saw: nothing yet. A daemon whose member row was spoiled stayed unknown to all daemons that started later, for as long as it ran.

Cause: the loop that writes the row waits for changes of its inputs only. An invalid row also left the member that was known before in place, so the row seemed to be current.

Evidence: platform_test failed after 5 s: "REQUIRE( holds ) is NOT correct! waited for: the row of the first daemon".

Change: a change of the own row notifies the loop, and an invalid one removes the own member until the loop has written it, which takes one call of the store.

Result: the test passes, for an invalid row and for a valid one with another content.

--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -62,6 +62,11 @@
     return;
   }
   version = row.removed ? 0 : row.version;
+  if (address == node.settings.peers) {
+    // Another writer may have changed the row; this daemon then writes it
+    // again.
+    http::Notify(node.member_inputs_changed);
+  }
   if (row.removed) {
     node.fleet.members.erase(address);
     Log(node.log, EventKind::kMemberRemoved, {{"address", address}});
@@ -75,6 +80,10 @@
   if (!fault.empty()) {
     Log(node.log, EventKind::kRowRejected,
         {{"row", row.name.key}, {"cause", fault}});
+    if (address == node.settings.peers) {
+      node.fleet.members.erase(address);
+      node.fleet.target_tables_stale = true;
+    }
     return;
   }
   Log(node.log, EventKind::kMemberChanged,
