Reject terms of other daemons with numbers that do not fit

What callers saw: nothing.

Cause: numbers of the terms header were taken as they are.

Evidence: node_test failed 5 checks of CHECK( !DecodeTerms(text, terms) ), e.g. for the key 65536.

Change: the key, the priority and the times are bounded.

Result: node_test passes.

--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -3,6 +3,8 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
 #include "eelgrassbridge/node/transmit.hpp"
@@ -163,7 +165,9 @@
     return base::Fail(ErrorKind::kBadRequest,
                       "request id, service or time left is missing");
   }
-  terms.deadline = base::BootClock::now() + base::milliseconds{*left};
+  terms.deadline =
+      base::BootClock::now() +
+      base::milliseconds{std::min(*left, std::uint64_t{INT32_MAX})};
   const auto decoded =
       DecodeTerms(http::HeaderValue(headers, kTermsHeader), terms);
   if (!decoded) {
--- a/src/eelgrassbridge/node/request.cpp
+++ b/src/eelgrassbridge/node/request.cpp
@@ -24,6 +24,13 @@
   return static_cast<catalogue::RequestClass>(found - kClassNames.begin());
 }
 
+/// Returns a number up to `last`; none if the text is another one.
+std::optional<std::uint64_t> NumberUpTo(std::string_view text,
+                                        std::uint64_t last) {
+  const auto number = http::ParseNumber(text);
+  return number && *number <= last ? number : std::nullopt;
+}
+
 std::array<std::string_view, kTermsFieldCount> SplitTerms(
     std::string_view text) {
   std::array<std::string_view, kTermsFieldCount> fields;
@@ -102,10 +109,10 @@
 base::Result<void> DecodeTerms(std::string_view text, RequestTerms& terms) {
   const auto fields = SplitTerms(text);
   const auto request_class = ParseClass(fields[0]);
-  const auto priority = http::ParseNumber(fields[1]);
-  const auto objective = http::ParseNumber(fields[2]);
-  const auto wait = http::ParseNumber(fields[3]);
-  const auto key = http::ParseNumber(fields[4]);
+  const auto priority = NumberUpTo(fields[1], UINT32_MAX);
+  const auto objective = NumberUpTo(fields[2], INT32_MAX);
+  const auto wait = NumberUpTo(fields[3], INT32_MAX);
+  const auto key = NumberUpTo(fields[4], ranges::kLastKey);
   if (!request_class || !priority || !objective || !wait ||
       (!key && !fields[4].empty())) {
     return base::Fail(base::ErrorKind::kBadRequest, "invalid request terms");
--- a/src/eelgrassbridge/node/request_test.cpp
+++ b/src/eelgrassbridge/node/request_test.cpp
@@ -36,6 +36,19 @@
   }
 }
 
+TEST_CASE("terms with numbers that do not fit are rejected") {
+  // Guards against a key beyond the last one, which is counted outside the
+  // array of counts, and against times that overflow.
+  RequestTerms terms;
+  for (const char* text :
+       {"upload;1;2;3;65536", "upload;1;2;3;4294967301",
+        "upload;4294967297;2;3;", "upload;1;9223372036854775807;3;",
+        "upload;1;2;18446744073709551615;"}) {
+    CAPTURE(std::string(text));
+    CHECK(!DecodeTerms(text, terms));
+  }
+}
+
 TEST_CASE("only an answer that states it proves that a request has not run") {
   // Guards against telling a caller that its request has not run although it
   // may have.
