Answer the requests that are open at the end of a planned stop

What callers saw: a request accepted before the stop refuses new ones, at 3 s, and with a timeout beyond its end, at 5.5 s, was cut without an answer, also if it may not be repeated. The same held for requests of other daemons and for uploads whose bodies were still arriving.

Cause: the stop waited for open requests until its end and then ended the process, whatever was open. A request whose body was arriving could only be closed, not answered.

Change: 0.6 s before the end of the grace period all open requests are cancelled as draining, so that each gets its final answer: 503 if it has not run, else 502. The process ends when they are sent, at the latest 0.3 s later. Reading of a body can be interrupted with the connection left open for the answer, also when the time of the request is up. Refusing starts at 3 s sharp, not at the next check up to 50 ms later, and uploads that wait for their turn are refused then.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -59,6 +59,8 @@
   bool caller_disconnected = false;
   /// Closed by this side.
   bool closed = false;
+  /// Reading of the current request's body is to end; see InterruptBody.
+  bool body_interrupted = false;
   /// Called at most once, when the caller disconnects during a request.
   std::function<void()> on_caller_disconnected;
 };
@@ -110,12 +112,17 @@
   kComplete,
   kTooLarge,
   kCallerDisconnected,
+  kInterrupted,
   kInvalid,
 };
 
 /// @brief Appends the next piece of the body to `body`.
 asio::awaitable<BodyRead> ReadBody(Exchange& exchange, std::string& body);
 
+/// @brief Ends reading of the body, now and later, with kInterrupted. The
+/// response can still be sent; the connection is closed after it.
+void InterruptBody(Exchange& exchange);
+
 /// @brief Sends a complete response. Returns false if the connection failed.
 asio::awaitable<bool> Respond(Exchange& exchange,
                               int status,
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -144,6 +144,8 @@
   http::Event changed;
 };
 
+struct RequestWatch;
+
 struct Node {
   Node(asio::io_context& event_loop,
        NodeSettings node_settings,
@@ -192,6 +194,8 @@
   bool stopping = false;
   /// New requests are refused; set in a later phase of the planned stop.
   bool refusing_requests = false;
+  /// The requests that are being handled, which remove themselves.
+  std::set<RequestWatch*> open_requests;
   EventLog log;
   base::CounterRegistry counters;
 };
--- a/include/eelgrassbridge/node/run_node.hpp
+++ b/include/eelgrassbridge/node/run_node.hpp
@@ -2,6 +2,7 @@
 #ifndef EELGRASSBRIDGE_NODE_RUN_NODE_HPP
 #define EELGRASSBRIDGE_NODE_RUN_NODE_HPP
 
+#include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <functional>
 #include <string>
@@ -18,6 +19,11 @@
 /// loop. Throws std::system_error if an address cannot be bound.
 void StartNode(Node& node);
 
+/// @brief Performs a planned stop: continues to serve until callers have had
+/// time to notice it and no request is active, or until the grace period is
+/// nearly over. The process may exit afterwards.
+asio::awaitable<void> StopGracefully(Node& node);
+
 /// @brief Creates the platform port for an event loop and settings.
 using MakePort =
     std::function<PlatformPort(asio::io_context&, const NodeSettings&)>;
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -75,10 +75,12 @@
 }
 
 /// Parses the received bytes up to the parser's next pause, and waits for more
-/// if there are none. Returns false if the connection is closed.
+/// if there are none. Returns false if the connection is closed or reading is
+/// interrupted.
 awaitable<bool> ParseMore(ServerConnection& connection) {
   while (connection.input.empty()) {
-    if (connection.caller_disconnected || connection.closed) {
+    if (connection.caller_disconnected || connection.closed ||
+        connection.body_interrupted) {
       co_return false;
     }
     co_await Wait(connection.input_changed);
@@ -160,6 +162,7 @@
   if (exchange.continue_expected) {
     co_return;
   }
+  exchange.connection->body_interrupted = false;
   CloseAfter(*exchange.connection, kDiscardTimeout, exchange.connection);
   std::string discarded;
   BodyRead read = BodyRead::kMore;
@@ -299,7 +302,8 @@
   }
   const bool parsed = co_await ParseMore(connection);
   if (!parsed) {
-    co_return BodyRead::kCallerDisconnected;
+    const bool open = !connection.caller_disconnected && !connection.closed;
+    co_return open ? BodyRead::kInterrupted : BodyRead::kCallerDisconnected;
   }
   exchange.body_received += connection.parser.body.size();
   exchange.counts->body_bytes += connection.parser.body.size();
@@ -322,6 +326,12 @@
   co_return BodyRead::kMore;
 }
 
+void InterruptBody(Exchange& exchange) {
+  exchange.close_after_response = true;
+  exchange.connection->body_interrupted = true;
+  Notify(exchange.connection->input_changed);
+}
+
 awaitable<bool> Respond(Exchange& exchange,
                         int status,
                         Headers headers,
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -374,15 +374,19 @@
   limits::NoteRequest(node.retries, request.terms.service, DaemonCount(node),
                       request.arrived);
   Message message = MakeMessage(node, exchange.head);
-  watch.cancellation->abort = [&exchange] { http::Abort(exchange); };
-  const auto received =
-      co_await ReceiveBody(exchange, message, kMaxBufferedBodyBytes);
-  watch.cancellation->abort = nullptr;
+  const auto received = co_await ReceiveBody(
+      exchange, message, kMaxBufferedBodyBytes, *watch.cancellation);
   if (!received) {
-    if (received.error().kind == ErrorKind::kCancelled) {
+    const ErrorKind cause = received.error().kind;
+    if (cause == ErrorKind::kCancelled) {
       http::Abort(exchange);
       co_return;
     }
+    if (watch.cancellation->cause == cause) {
+      co_await SendRefusal(node, exchange, request, NotRunProof::NeverSent(),
+                           cause);
+      co_return;
+    }
     exchange.close_after_response = true;
     co_await SendRejection(node, exchange, request, received.error().kind);
     co_return;
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -229,7 +229,8 @@
   http::Event& arrived = node.admission.body_arrived;
   const base::TimePoint latest = base::BootClock::now() + terms.max_wait;
   cancellation.abort = [&arrived] { http::Notify(arrived); };
-  while (node.admission.arriving_bodies >= kMaxArrivingBodies) {
+  while (node.admission.arriving_bodies >= kMaxArrivingBodies &&
+         !node.refusing_requests) {
     if (cancellation.cause || base::BootClock::now() >= latest) {
       cancellation.abort = nullptr;
       co_return cancellation.cause.value_or(ErrorKind::kOverloaded);
@@ -259,10 +260,8 @@
     }
     arriving.emplace(node);
   }
-  cancellation.abort = [&exchange] { http::Abort(exchange); };
-  auto received = co_await ReceiveBody(exchange, message, kMaxQueuedBodyBytes);
-  cancellation.abort = nullptr;
-  co_return received;
+  co_return co_await ReceiveBody(exchange, message, kMaxQueuedBodyBytes,
+                                 cancellation);
 }
 
 /// Handles a request that another daemon forwards, up to its answer.
@@ -284,7 +283,9 @@
   http::Remove(message.headers, node.port.headers.time_left);
   const auto received = co_await ReceiveBodyBeforeSlot(
       node, exchange, terms.value(), message, *watch.cancellation);
-  if (!received && exchange.body_received == 0) {
+  const bool interrupted = watch.cancellation->cause.value_or(
+                               ErrorKind::kCancelled) != ErrorKind::kCancelled;
+  if (!received && (exchange.body_received == 0 || interrupted)) {
     RunResult refused =
         TurnAway(node, terms.value(), received.error().kind, arrived);
     co_await SendPeerAnswer(node, exchange, terms.value(), refused);
@@ -302,12 +303,14 @@
 
 }  // namespace
 
-RequestWatch::RequestWatch(Node& node,
+RequestWatch::RequestWatch(Node& owner,
                            http::Exchange& watched,
                            base::TimePoint deadline)
-    : cancellation(std::make_shared<Cancellation>()),
-      alarm(node.io),
+    : node(owner),
+      cancellation(std::make_shared<Cancellation>()),
+      alarm(owner.io),
       exchange(watched) {
+  this->node.open_requests.insert(this);
   watched.connection->on_caller_disconnected = [pointer = this->cancellation] {
     Cancel(*pointer, ErrorKind::kCancelled);
   };
@@ -318,6 +321,7 @@
 }
 
 RequestWatch::~RequestWatch() {
+  this->node.open_requests.erase(this);
   this->exchange.connection->on_caller_disconnected = nullptr;
 }
 
@@ -343,12 +347,27 @@
       co_return base::Fail(ErrorKind::kBodyTooLarge, {});
     case http::BodyRead::kCallerDisconnected:
       co_return base::Fail(ErrorKind::kCancelled, {});
+    case http::BodyRead::kInterrupted:
+      co_return base::Fail(ErrorKind::kDraining, {});
     case http::BodyRead::kInvalid:
       break;
   }
   co_return base::Fail(ErrorKind::kBadRequest, "malformed request body");
 }
 
+awaitable<base::Result<void>> ReceiveBody(http::Exchange& exchange,
+                                          Message& message,
+                                          std::size_t limit_bytes,
+                                          Cancellation& cancellation) {
+  cancellation.abort = [&exchange] { http::InterruptBody(exchange); };
+  auto received = co_await ReceiveBody(exchange, message, limit_bytes);
+  cancellation.abort = nullptr;
+  if (!received && received.error().kind == ErrorKind::kDraining) {
+    co_return base::Fail(cancellation.cause.value_or(ErrorKind::kDraining), {});
+  }
+  co_return received;
+}
+
 awaitable<RunResult> RunOnPeer(Node& node,
                                std::string address,
                                const RequestTerms& terms,
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -1,6 +1,7 @@
 // Starts a node, handles its signals and performs the planned stop.
 #include "eelgrassbridge/node/run_node.hpp"
 
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/signal_set.hpp>
@@ -34,7 +35,11 @@
 constexpr std::chrono::milliseconds kIdleBeforeStop{300};
 constexpr std::chrono::milliseconds kStopCheckInterval{50};
 /// Time reserved between the end of the planned stop and SIGKILL.
-constexpr base::Duration kKillMargin = base::milliseconds{500};
+constexpr base::Duration kKillMargin = base::milliseconds{300};
+/// Time reserved at the end of the planned stop for the final answers to the
+/// requests that are still open.
+constexpr base::Duration kFinalAnswerTime = base::milliseconds{300};
+constexpr std::chrono::milliseconds kFinalAnswerCheckInterval{10};
 
 void RethrowFailure(const std::exception_ptr& failure) {
   // The node cannot run without any of its loops. The exception ends the
@@ -56,35 +61,28 @@
          node.peers_server.active_requests;
 }
 
-/// Continues to serve until callers have had time to notice the stop and no
-/// request is active, or until the grace period is nearly over.
-awaitable<void> StopGracefully(Node& node) {
-  const base::TimePoint started_at = base::BootClock::now();
-  const base::TimePoint deadline =
-      started_at + node.settings.bounds.grace - kKillMargin;
-  node.stopping = true;
-  node.callers_server.draining = true;
-  node.peers_server.draining = true;
-  Log(node.log, EventKind::kStopping,
-      {{"active", std::int64_t{ActiveRequests(node)}}});
-  Flush(node.log);
-  base::TimePoint last_active_at = started_at;
-  base::TimePoint now = started_at;
-  while (now < deadline) {
-    co_await http::Sleep(node.io, kStopCheckInterval);
-    now = base::BootClock::now();
-    if (ActiveRequests(node) > 0) {
-      last_active_at = now;
-    }
-    node.refusing_requests = now - started_at >= kAcceptTime;
-    if (now - started_at >= kMinStopTime &&
-        now - last_active_at >= kIdleBeforeStop) {
-      break;
-    }
+/// Cancels the requests that are still open, so that each gets a final answer:
+/// a refusal if it has not run, a failure if it may have run. Waits until the
+/// answers are sent, at most until `latest`.
+awaitable<void> EndOpenRequests(Node& node, base::TimePoint latest) {
+  const auto open = node.open_requests;
+  for (RequestWatch* const request : open) {
+    request->exchange.close_after_response = true;
+    Cancel(*request->cancellation, base::ErrorKind::kDraining);
   }
-  Log(node.log, EventKind::kStopped,
-      {{"active", std::int64_t{ActiveRequests(node)}}});
-  Flush(node.log);
+  while (ActiveRequests(node) > 0 && base::BootClock::now() < latest) {
+    co_await http::Sleep(node.io, kFinalAnswerCheckInterval);
+  }
+}
+
+void RefuseRequests(Node& node) {
+  node.refusing_requests = true;
+  // Uploads that wait for their turn need not wait to be refused.
+  http::Notify(node.admission.body_arrived);
+}
+
+awaitable<void> StopAndExit(Node& node) {
+  co_await StopGracefully(node);
   node.io.stop();
 }
 
@@ -113,7 +111,7 @@
     if (signal == SIGHUP) {
       Reload(node, read_settings);
     } else if (!node.stopping) {
-      asio::co_spawn(node.io, StopGracefully(node), RethrowFailure);
+      asio::co_spawn(node.io, StopAndExit(node), RethrowFailure);
     }
   }
 }
@@ -166,6 +164,46 @@
   }
 }
 
+awaitable<void> StopGracefully(Node& node) {
+  const base::TimePoint started_at = base::BootClock::now();
+  const base::TimePoint exit_at =
+      started_at + node.settings.bounds.grace - kKillMargin;
+  const base::TimePoint deadline = exit_at - kFinalAnswerTime;
+  const base::TimePoint refuse_at = started_at + kAcceptTime;
+  node.stopping = true;
+  node.callers_server.draining = true;
+  node.peers_server.draining = true;
+  Log(node.log, EventKind::kStopping,
+      {{"active", std::int64_t{ActiveRequests(node)}}});
+  Flush(node.log);
+  base::TimePoint last_active_at = started_at;
+  base::TimePoint now = started_at;
+  while (now < deadline) {
+    base::Duration pause = kStopCheckInterval;
+    if (!node.refusing_requests) {
+      pause = std::min(pause, refuse_at - now);
+    }
+    co_await http::Sleep(node.io, pause);
+    now = base::BootClock::now();
+    if (!node.refusing_requests && now >= refuse_at) {
+      RefuseRequests(node);
+    }
+    if (ActiveRequests(node) > 0) {
+      last_active_at = now;
+    }
+    if (now - started_at >= kMinStopTime &&
+        now - last_active_at >= kIdleBeforeStop) {
+      break;
+    }
+  }
+  const std::uint32_t active = ActiveRequests(node);
+  co_await EndOpenRequests(node, exit_at);
+  Log(node.log, EventKind::kStopped,
+      {{"active", std::int64_t{active}},
+       {"unanswered", std::int64_t{ActiveRequests(node)}}});
+  Flush(node.log);
+}
+
 base::Result<void> RunNode(const NodeSettings& settings,
                            const MakePort& make_port,
                            const ReadSettings& read_settings) {
