Refuse a request whose body arrives late in a planned stop

What callers saw: a request whose head came before the stop refused new ones, and whose body came after, was passed on to another daemon, and cut when the stop ended.

Cause: only the arrival of the head was checked. The own target refuses such a request, but the next attempt went to another one.

Evidence: platform_test failed: CHECK( answer.starts_with("HTTP/1.1 503") ) and CHECK( site.CountRuns("late") == 0 ), values 1 == 0.

Change: the check is repeated once the body, or as much of it as is buffered, has arrived.

Result: the test passes. A longer body, of which the rest is streamed, may still be arriving then; it was accepted at its head and is answered at the end of the stop.

--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -376,6 +376,13 @@
   Message message = MakeMessage(node, exchange.head);
   const auto received = co_await ReceiveBody(
       exchange, message, kMaxBufferedBodyBytes, *watch.cancellation);
+  if (received && node.refusing_requests) {
+    // The body arrived so late that the answer of a target might not arrive
+    // before the process ends.
+    co_await SendRefusal(node, exchange, request, NotRunProof::NeverSent(),
+                         ErrorKind::kDraining);
+    co_return;
+  }
   if (!received) {
     const ErrorKind cause = received.error().kind;
     if (cause == ErrorKind::kCancelled) {
