Poll the operator's rows while no relay is known

Cause: a daemon without members of its data centre took itself for no relay, so that daemons which start before the first routes waited 6 to 8 s for an announcement that nobody could make. A daemon without routes, or that knows no relay, now polls the store itself.

--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -118,7 +118,8 @@
 
 bool IsOperatorRelay(const Node& node) {
   const auto relays = OperatorRelays(node);
-  return std::ranges::find(relays, node.settings.peers) != relays.end();
+  return !node.routes || relays.empty() ||
+         std::ranges::find(relays, node.settings.peers) != relays.end();
 }
 
 void KeepOperatorPage(Node& node, const RowPage& page) {
