Announce the operator's changes on condition of the last announcement

Seen in a test of the relays: of two versions 20 ms apart the second came to one or two of ten daemons after 6.4 to 6.8 s, by the read that needs no announcement.

Cause: a relay took the version to announce before it waited for the relays ahead of it, and wrote it without a condition. Its announcement of the first version replaced that of the second. The version is now taken when it is written, and the row must be the one that this daemon knows.

Test: two versions in quick succession; failed 4 of 4 times before (not in force everywhere within 2 s), passed 6 of 6 after.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -136,8 +136,10 @@
   std::map<std::string, StoredRow, std::less<>> rows;
   /// All changes up to this version are in `rows`.
   std::uint64_t version = 0;
-  /// Latest version that a relay has announced.
+  /// Latest version that a relay has announced, and the version of the row that
+  /// announces it.
   std::uint64_t announced_version = 0;
+  std::uint64_t announcement_row_version = 0;
   /// When daemons did not answer as relays, by address.
   std::map<std::string, base::TimePoint, std::less<>> failed_relays;
   /// Notified when `version` has risen.
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -132,18 +132,36 @@
 }
 
 awaitable<void> AnnounceOperatorRows(Node& node) {
-  const std::uint64_t version = LatestChange(node.operator_copy);
   const auto relays = OperatorRelays(node);
   const auto rank =
       std::ranges::find(relays, node.settings.peers) - relays.begin();
   co_await http::Sleep(node.io, kAnnouncementDelay * rank);
-  if (node.operator_copy.announced_version >= version) {
-    co_return;
+  OperatorCopy& copy = node.operator_copy;
+  // The condition keeps a relay that is behind from replacing a later version.
+  while (copy.announced_version < LatestChange(copy)) {
+    const RowName name = OperatorVersionRow();
+    const std::string value = fmt::format("{}", LatestChange(copy));
+    RowTransaction transaction;
+    transaction.conditions.push_back({name, copy.announcement_row_version});
+    transaction.writes.push_back({name, value});
+    const auto result = co_await Commit(node, std::move(transaction));
+    if (!result) {
+      // Another relay announces the change, or the daemons find it themselves.
+      co_return;
+    }
+    if (result.value().committed) {
+      ApplyFleetRow(node, {name, value, result.value().state.version, false});
+      co_return;
+    }
+    for (const StoredRow& row : result.value().current_rows) {
+      if (row.version > 0) {
+        ApplyFleetRow(node, row);
+      }
+    }
+    if (result.value().current_rows.empty()) {
+      copy.announcement_row_version = 0;
+    }
   }
-  RowTransaction transaction;
-  transaction.writes.push_back(
-      {OperatorVersionRow(), fmt::format("{}", version)});
-  co_await Commit(node, std::move(transaction));
 }
 
 awaitable<base::Result<RowPage>> FetchFromRelays(Node& node,
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -128,6 +128,7 @@
         {{"row", row.name.key}, {"cause", "the value is not a version"}});
     return;
   }
+  node.operator_copy.announcement_row_version = row.version;
   std::uint64_t& announced = node.operator_copy.announced_version;
   announced = std::max(announced, *version);
   RecordPeerVersion(node, node.store.operator_rows, *version);
