Read the operator's rows again when the fleet's feed has lost its history

Cause: only relays poll the operator's rows, so the others got no 410 for their position; they waited for an announcement above the versions that had been given out before, or reports of such versions from other daemons made them give up each poll.

A lost history of the fleet's feed, which all daemons follow, now makes them read the operator's rows again and forget the versions known so far. A reported version that the store does not have is dropped with the next answer of a poll, and a poll after a failed one does not wait.

The ownership of keys across a restore is not touched.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -140,6 +140,10 @@
   /// announces it.
   std::uint64_t announced_version = 0;
   std::uint64_t announcement_row_version = 0;
+  /// The operator's rows have to be read again, because the fleet's feed has
+  /// lost its history: the store may have been restored from an older copy, so
+  /// that the versions known here are void.
+  bool must_read_again = false;
   /// When daemons did not answer as relays, by address.
   std::map<std::string, base::TimePoint, std::less<>> failed_relays;
   /// Notified when `version` has risen.
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -96,6 +96,21 @@
                                            : node.store.fleet_rows;
 }
 
+/// Forgets a version that was reported before the call and that the store does
+/// not have: it was given out before the store was restored.
+void DropVoidReport(Node& node,
+                    std::string_view name,
+                    const RowPage& page,
+                    base::TimePoint sent_at) {
+  TableProgress& table = name == node.port.operator_table
+                             ? node.store.operator_rows
+                             : node.store.fleet_rows;
+  if (table.peer_version > page.state.version &&
+      table.peer_version_at < sent_at) {
+    table.peer_version = 0;
+  }
+}
+
 /// Waits until the poll has ended or is to be abandoned. Returns the reason to
 /// abandon it, or an empty string.
 ///
@@ -155,6 +170,7 @@
   }
   if (*pending->page) {
     RecordStoreAnswer(node, nullptr, sent_at);
+    DropVoidReport(node, position.table, pending->page->value(), sent_at);
     Count(node, "store_poll_bytes_total",
           fmt::format("table=\"{}\"", position.table),
           pending->progress->received_bytes);
@@ -174,6 +190,7 @@
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
+  ResetOperatorCopy(node);
   KeepOperatorPage(node, page.value());
   std::set<std::string> out;
   for (const StoredRow& row : page.value().rows) {
@@ -284,7 +301,8 @@
   const base::TimePoint end =
       base::BootClock::now() + std::chrono::duration_cast<base::Duration>(
                                    kOperatorPollTime * jitter(node.random));
-  while (!IsOperatorRelay(node) && base::BootClock::now() < end &&
+  while (!IsOperatorRelay(node) && !node.operator_copy.must_read_again &&
+         base::BootClock::now() < end &&
          node.store.operator_rows.peer_version <= position.after) {
     co_await http::WaitUntil(node.store.changed, end);
   }
@@ -298,6 +316,9 @@
   if (!IsOperatorRelay(node)) {
     co_await AwaitOperatorChange(node, position);
   }
+  if (node.operator_copy.must_read_again) {
+    co_return base::Fail(ErrorKind::kNotFound, "the history was lost");
+  }
   if (!IsOperatorRelay(node)) {
     const std::uint64_t reported = node.store.operator_rows.peer_version;
     if (reported > position.after) {
@@ -327,15 +348,20 @@
                             NextPage next_page,
                             void (*apply)(Node&, const StoredRow&),
                             std::function<awaitable<void>()> after_page) {
+  const std::chrono::milliseconds wait = position.wait;
   while (true) {
     auto page = co_await next_page(node, position, backoff);
     if (!page && page.error().kind == ErrorKind::kNotFound) {
       co_return;
     }
     if (!page) {
+      // Only an answer shows that a reported version is void, so the next poll
+      // does not wait for a change.
+      position.wait = std::chrono::milliseconds{0};
       co_await Pause(node, backoff);
       continue;
     }
+    position.wait = wait;
     backoff = Backoff{};
     for (const StoredRow& row : page.value().rows) {
       apply(node, row);
@@ -372,6 +398,7 @@
   }
   while (true) {
     std::set<std::string> services_read;
+    node.store.fleet_rows = TableProgress{};
     auto start = co_await ReadFleetRows(node, services_read);
     if (!start) {
       co_await Pause(node, backoff);
@@ -384,6 +411,8 @@
                          ApplyFleetRow, [&node, &services_read] {
                            return AfterFleetPage(node, services_read);
                          });
+    node.operator_copy.must_read_again = true;
+    http::Notify(node.store.changed);
   }
 }
 
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -122,6 +122,16 @@
          std::ranges::find(relays, node.settings.peers) != relays.end();
 }
 
+void ResetOperatorCopy(Node& node) {
+  OperatorCopy& copy = node.operator_copy;
+  copy.rows.clear();
+  copy.version = 0;
+  copy.announced_version = 0;
+  copy.announcement_row_version = 0;
+  copy.must_read_again = false;
+  node.store.operator_rows = TableProgress{};
+}
+
 void KeepOperatorPage(Node& node, const RowPage& page) {
   OperatorCopy& copy = node.operator_copy;
   for (const StoredRow& row : page.rows) {
--- a/standins/platform/row_standin.cpp
+++ b/standins/platform/row_standin.cpp
@@ -182,13 +182,16 @@
   const std::uint64_t after = http::ParseNumber(query["after"]).value_or(0);
   const auto wait = base::milliseconds{static_cast<std::int64_t>(
       http::ParseNumber(query["wait_ms"]).value_or(0))};
-  if (after < standin.history_from) {
+  if (after < standin.history_from || after > standin.version) {
     co_return Reply{kGone, State(standin)};
   }
   const base::TimePoint end = base::BootClock::now() + wait;
   json rows = ChangedRows(standin, query["table"], after);
   while (rows.empty() && base::BootClock::now() < end) {
     co_await http::WaitUntil(standin.changed, end);
+    if (after > standin.version) {
+      co_return Reply{kGone, State(standin)};
+    }
     rows = ChangedRows(standin, query["table"], after);
   }
   Reply reply{kOk, State(standin)};
@@ -330,6 +333,16 @@
   http::Notify(standin.changed);
 }
 
+StoreCopy CopyOf(const RowStandin& standin) {
+  return {standin.rows, standin.version};
+}
+
+void Restore(RowStandin& standin, const StoreCopy& copy) {
+  standin.rows = copy.rows;
+  standin.version = copy.version;
+  http::Notify(standin.changed);
+}
+
 std::string ValueOf(const RowStandin& standin, const RowStandin::Name& name) {
   const auto found = standin.rows.find(name);
   if (found == standin.rows.end() || found->second.removed) {
--- a/standins/platform/row_standin.hpp
+++ b/standins/platform/row_standin.hpp
@@ -80,6 +80,18 @@
 /// 410.
 void DropHistory(RowStandin& standin);
 
+/// @brief Rows and version of the store at one moment.
+struct StoreCopy {
+  std::map<RowStandin::Name, RowStandin::Row> rows;
+  std::uint64_t version = 0;
+};
+
+StoreCopy CopyOf(const RowStandin& standin);
+
+/// @brief Puts the store back to a copy: what was written since is lost, and
+/// versions are given out again. Feeds from later versions get 410.
+void Restore(RowStandin& standin, const StoreCopy& copy);
+
 /// @brief Returns the decoded value of a row; empty if the row does not exist.
 std::string ValueOf(const RowStandin& standin, const RowStandin::Name& name);
 
