Read the operator's rows more often after a failed call to the store

For 15 s after a failed call these daemons read the rows every 1.1 to 1.5 s, so that a missed announcement delays a change by less than the bound. In steady state nothing changes.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -144,6 +144,8 @@
   /// lost its history: the store may have been restored from an older copy, so
   /// that the versions known here are void.
   bool must_read_again = false;
+  /// When a call to the store last failed.
+  base::TimePoint store_failed_at{};
   /// When daemons did not answer as relays, by address.
   std::map<std::string, base::TimePoint, std::less<>> failed_relays;
   /// Notified when `version` has risen.
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -25,6 +25,12 @@
 /// have lost is abandoned sooner: when another call fails, or when another
 /// daemon reports a later version.
 constexpr std::chrono::milliseconds kOperatorPollTime{8000};
+/// After a failed call, daemons that are no relays read the operator's rows
+/// this often for this time: announcements may be missed while the store is
+/// disturbed or after it was restored, and a change has to be in force
+/// within 2.5 s.
+constexpr std::chrono::milliseconds kDoubtfulReadInterval{1500};
+constexpr base::Duration kDoubtfulTime = base::seconds{15};
 /// Time allowed for a poll to return a change that another daemon has already
 /// reported, and age from which a poll is abandoned when another call fails;
 /// slightly more than the round trip between regions. Doubled for each poll
@@ -297,13 +303,21 @@
 /// Waits until another daemon reports a change of the operator's rows, this
 /// daemon becomes a relay, or the time for a read without a report has come.
 awaitable<void> AwaitOperatorChange(Node& node, const FeedPosition& position) {
-  std::uniform_real_distribution<double> jitter(0.75, 1);
-  const base::TimePoint end =
-      base::BootClock::now() + std::chrono::duration_cast<base::Duration>(
-                                   kOperatorPollTime * jitter(node.random));
+  std::uniform_real_distribution<double> distribution(0.75, 1);
+  const double jitter = distribution(node.random);
+  const base::TimePoint started_at = base::BootClock::now();
   while (!IsOperatorRelay(node) && !node.operator_copy.must_read_again &&
-         base::BootClock::now() < end &&
          node.store.operator_rows.peer_version <= position.after) {
+    const base::TimePoint now = base::BootClock::now();
+    const bool doubtful =
+        now < node.operator_copy.store_failed_at + kDoubtfulTime;
+    const base::TimePoint end =
+        started_at +
+        std::chrono::duration_cast<base::Duration>(
+            (doubtful ? kDoubtfulReadInterval : kOperatorPollTime) * jitter);
+    if (now >= end) {
+      break;
+    }
     co_await http::WaitUntil(node.store.changed, end);
   }
 }
