Read no entry before the first in the test of the map's size

Seen: ranges_test ends with a heap-buffer-overflow under the address sanitizer, in the assertion that two entries in a row have different owners. RC_ASSERT takes its expression apart and evaluates both operands of ||, so that the entry before the first was read. The condition now stands outside the assertion; what is asserted is the same.

--- a/src/eelgrassbridge/ranges/map_size_test.cpp
+++ b/src/eelgrassbridge/ranges/map_size_test.cpp
@@ -189,7 +189,10 @@
       for (std::size_t i = 0; i < map.entries.size(); ++i) {
         RC_ASSERT(map.entries[i].handover.empty());
         RC_ASSERT(map.entries[i].next_daemon.empty());
-        RC_ASSERT(i == 0 || map.entries[i].owner != map.entries[i - 1].owner);
+        // RC_ASSERT evaluates both operands of ||.
+        if (i > 0) {
+          RC_ASSERT(map.entries[i].owner != map.entries[i - 1].owner);
+        }
       }
     }
     for (const RangeEntry& entry : before.entries) {
