Read the rows again after the store was restored

What callers saw: after a restore from an older copy, a daemon could stay on old routes although the operator had written new ones, and a daemon that started then never learned of a target whose member row was lost.

Cause: versions of rows and positions in feeds outlived the copy. The store gives versions out again, so a feed that goes on from a former version misses changes, and a row counted as stored because this process had written it once.

Change: each answer tells the era of the store (Store-Era, 0 if absent). A later era drops feed positions, row versions, the clock and what other daemons have reported; answers of a former era, and to calls sent in one, are discarded, and a commit among them has an unknown result. Daemons tell each other the era besides the versions that they have read. After a failed poll the next one does not wait, because only an answer tells the era. Members that a restored store lacks stay until their daemons have written them again.

Ownership after a restore is not changed yet.

--- a/include/eelgrassbridge/node/event_log.hpp
+++ b/include/eelgrassbridge/node/event_log.hpp
@@ -26,6 +26,7 @@
   kSettingsRejected,
   kStoreLost,
   kStoreRegained,
+  kStoreRestored,
   kStoreRefused,
   kPollAbandoned,
   kRoutesInForce,
--- a/include/eelgrassbridge/node/feeds.hpp
+++ b/include/eelgrassbridge/node/feeds.hpp
@@ -18,6 +18,13 @@
 /// returns.
 asio::awaitable<void> FollowFleet(Node& node);
 
+/// @brief Reads all rows of a partition, and updates what is known of the store
+/// from the answer. Fails with kStoreUnavailable if the store was restored
+/// meanwhile.
+asio::awaitable<base::Result<RowPage>> ReadPartition(Node& node,
+                                                     std::string table,
+                                                     std::string partition);
+
 /// @brief Marks a data centre as out of service or as back in service.
 void SetOutOfService(Node& node, const std::string& data_centre, bool out);
 
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -36,7 +36,8 @@
 struct Fleet {
   /// By daemon address.
   std::map<std::string, Member, std::less<>> members;
-  /// Versions of the members' rows, by daemon address.
+  /// Versions of the members' rows in the present era of the store, by daemon
+  /// address.
   std::map<std::string, std::uint64_t, std::less<>> versions;
   /// Candidate targets, by service.
   std::map<std::string, routing::TargetTable, std::less<>> targets;
@@ -44,6 +45,9 @@
   std::map<base::DaemonId, std::string> address_of;
   /// The rows of all services have been read at least once.
   bool loaded = false;
+  /// The rows of this daemon's service have been read in the present era of the
+  /// store, so `versions` has the version of each that exists.
+  bool own_rows_read = false;
   /// Members have changed since `targets` was built. It is rebuilt only after
   /// all rows of a page are applied, because each rebuild takes time linear in
   /// the number of members.
@@ -53,6 +57,8 @@
 /// @brief Latest known range map of a service.
 struct ServiceRanges {
   ranges::RangeMap map;
+  /// Version of the row in the present era of the store; 0 if it has not been
+  /// read in this era.
   std::uint64_t version = 0;
   base::TimePoint received_at{};
 };
@@ -114,22 +120,34 @@
   base::TimePoint peer_version_at{};
 };
 
-/// @brief Reachability, clock and read progress of the store.
+/// @brief Reachability, era, clock and read progress of the store.
+///
+/// Invariant: the clock, and the versions of both tables, are from answers in
+/// the present era.
 struct StoreView {
   explicit StoreView(asio::io_context& io) : changed(io) {}
+  /// Latest known era of the store; see StoreState.
+  std::uint64_t era = 0;
+  /// An answer has told the era.
+  bool era_known = false;
+  /// The store was restored while this process ran.
+  bool restored = false;
+  /// Latest era that another daemon has reported.
+  std::uint64_t peer_era = 0;
   ranges::StoreClock clock;
   bool reachable = false;
   /// How often the store has become unreachable.
   std::uint64_t losses = 0;
-  /// Notified when the store becomes unreachable, when a poll ends, and when
-  /// another daemon reports a later version of a table.
+  /// Notified when the store becomes unreachable, when a poll ends, when an era
+  /// begins, and when another daemon reports a later era, or a later version of
+  /// a table.
   http::Event changed;
   TableProgress operator_rows;
   TableProgress fleet_rows;
 };
 
-/// @brief The operator's rows as this daemon has received them, for other
-/// daemons of the data centre.
+/// @brief The operator's rows as this daemon has received them in the present
+/// era of the store, for other daemons of the data centre.
 struct OperatorCopy {
   explicit OperatorCopy(asio::io_context& io) : changed(io) {}
   /// By key; removed rows stay with their versions.
@@ -140,10 +158,6 @@
   /// announces it.
   std::uint64_t announced_version = 0;
   std::uint64_t announcement_row_version = 0;
-  /// The operator's rows have to be read again, because the fleet's feed has
-  /// lost its history: the store may have been restored from an older copy, so
-  /// that the versions known here are void.
-  bool must_read_again = false;
   /// When a call to the store last failed.
   base::TimePoint store_failed_at{};
   /// When daemons did not answer as relays, by address.
--- a/include/eelgrassbridge/node/operator_relay.hpp
+++ b/include/eelgrassbridge/node/operator_relay.hpp
@@ -28,10 +28,6 @@
 /// relay of its data centre, knows none, or has no routes yet.
 bool IsOperatorRelay(const Node& node);
 
-/// @brief Forgets the kept rows and all versions of the operator's rows, before
-/// they are read anew.
-void ResetOperatorCopy(Node& node);
-
 /// @brief Keeps the rows of a page for other daemons of the data centre.
 void KeepOperatorPage(Node& node, const RowPage& page);
 
--- a/include/eelgrassbridge/node/row_store.hpp
+++ b/include/eelgrassbridge/node/row_store.hpp
@@ -52,10 +52,14 @@
   std::vector<RowName> removals;
 };
 
-/// @brief Version and clock of the store at the time of an answer.
+/// @brief Version, clock and era of the store at the time of an answer.
 struct StoreState {
   std::uint64_t version = 0;
   base::Duration time{};
+  /// Increases each time the store is restored from an older copy. Versions of
+  /// different eras are unrelated: a restore takes back the latest versions,
+  /// and they are given out again.
+  std::uint64_t era = 0;
 };
 
 struct CommitResult {
--- a/include/eelgrassbridge/node/rows.hpp
+++ b/include/eelgrassbridge/node/rows.hpp
@@ -18,7 +18,8 @@
 inline constexpr std::string_view kLeaseTable = "eelgrassbridge-leases";
 inline constexpr std::string_view kRangeMapKey = "ranges";
 inline constexpr std::string_view kMemberPrefix = "member/";
-/// Key of the row with the version of the latest change of the operator's rows.
+/// Key of the row with the version of the latest change of the operator's rows,
+/// and the era of the store in which it was made: "VERSION;ERA".
 inline constexpr std::string_view kOperatorVersionKey = "operator-version";
 
 RowName RangeMapRow(std::string_view service);
--- a/src/eelgrassbridge/node/feeds.cpp
+++ b/src/eelgrassbridge/node/feeds.cpp
@@ -13,6 +13,7 @@
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/request.hpp"
 #include "eelgrassbridge/node/rows.hpp"
+#include "eelgrassbridge/node/store_era.hpp"
 
 namespace eelgrassbridge::node {
 
@@ -73,14 +74,8 @@
   }
 }
 
-awaitable<base::Result<RowPage>> ReadPartition(Node& node,
-                                               std::string table,
-                                               std::string partition) {
-  const base::TimePoint sent_at = base::BootClock::now();
-  auto page =
-      co_await node.port.store.read(std::move(table), std::move(partition));
-  RecordReadResult(node, page, sent_at);
-  co_return page;
+auto RestoredMeanwhile(ErrorKind kind) {
+  return base::Fail(kind, "the store was restored from an older copy");
 }
 
 struct PendingPoll {
@@ -102,35 +97,24 @@
                                            : node.store.fleet_rows;
 }
 
-/// Forgets a version that was reported before the call and that the store does
-/// not have: it was given out before the store was restored.
-void DropVoidReport(Node& node,
-                    std::string_view name,
-                    const RowPage& page,
-                    base::TimePoint sent_at) {
-  TableProgress& table = name == node.port.operator_table
-                             ? node.store.operator_rows
-                             : node.store.fleet_rows;
-  if (table.peer_version > page.state.version &&
-      table.peer_version_at < sent_at) {
-    table.peer_version = 0;
-  }
-}
-
 /// Waits until the poll has ended or is to be abandoned. Returns the reason to
 /// abandon it, or an empty string.
 ///
-/// A poll is abandoned if the store may have lost it: another call has failed,
-/// or another daemon has reported a change that the poll should have returned.
-/// It is kept while its answer arrives, because the next one would have to send
-/// all of it again.
+/// A poll is abandoned if the store was restored, or may have lost it: another
+/// call has failed, or another daemon has reported a change that the poll
+/// should have returned. It is kept while its answer arrives, because the next
+/// one would have to send all of it again.
 awaitable<std::string_view> AwaitPage(Node& node,
                                       const FeedPosition& position,
                                       const PendingPoll& pending,
                                       base::Duration grace) {
   const std::uint64_t losses = node.store.losses;
+  const std::uint64_t era = node.store.era;
   const base::TimePoint started_at = base::BootClock::now();
   while (!pending.page) {
+    if (node.store.era != era || IsEraOutdated(node)) {
+      co_return "the store was restored";
+    }
     const TableProgress& table = ProgressOf(node, position.table);
     const bool lost = node.store.losses != losses;
     const bool behind = table.peer_version > position.after;
@@ -156,6 +140,7 @@
                                       FeedPosition position,
                                       Backoff& backoff) {
   const base::TimePoint sent_at = base::BootClock::now();
+  const auto sent_in = EraOfCall(node);
   auto pending = std::make_shared<PendingPoll>();
   asio::co_spawn(node.io, RunPoll(node, position, pending), asio::detached);
   const std::string_view cause =
@@ -175,8 +160,10 @@
     co_return base::Fail(ErrorKind::kStoreUnavailable, std::string(cause));
   }
   if (*pending->page) {
+    if (!AcceptEra(node, pending->page->value().state.era, sent_in)) {
+      co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
+    }
     RecordStoreAnswer(node, nullptr, sent_at);
-    DropVoidReport(node, position.table, pending->page->value(), sent_at);
     Count(node, "store_poll_bytes_total",
           fmt::format("table=\"{}\"", position.table),
           pending->progress->received_bytes);
@@ -190,19 +177,33 @@
                                                       FeedPosition,
                                                       Backoff&);
 
+/// Reads the operator's rows from the store. After a restore they are first
+/// asked from the relays, because all daemons need them at the same time.
+awaitable<base::Result<RowPage>> ReadOperatorTable(Node& node) {
+  const std::uint64_t era = node.store.era;
+  if (node.store.restored && node.operator_copy.version == 0 &&
+      !IsEraOutdated(node) && !IsOperatorRelay(node)) {
+    auto page = co_await FetchFromRelays(node, 0, 1);
+    if (page && node.store.era == era) {
+      co_return page;
+    }
+  }
+  co_return co_await ReadPartition(node, node.port.operator_table, "");
+}
+
 /// Reads the operator's rows. Returns the version from which to follow them.
 awaitable<base::Result<std::uint64_t>> ReadOperatorRows(Node& node) {
-  auto page = co_await ReadPartition(node, node.port.operator_table, "");
+  auto page = co_await ReadOperatorTable(node);
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
-  ResetOperatorCopy(node);
+  node.operator_copy.rows.clear();
   KeepOperatorPage(node, page.value());
   std::set<std::string> out;
   for (const StoredRow& row : page.value().rows) {
     ApplyOperatorRow(node, row);
     const OperatorRow meaning = node.port.operator_row(row.name);
-    if (meaning.kind == OperatorRow::Kind::kOutOfService) {
+    if (meaning.kind == OperatorRow::Kind::kOutOfService && !row.removed) {
       out.insert(meaning.data_centre);
     }
   }
@@ -240,11 +241,13 @@
     present.insert(row.name.key);
   }
   // Members whose rows were removed in a part of the history that this daemon
-  // has not seen.
+  // has not seen. A row that it has not seen in this era of the store may only
+  // have been lost in a restore; its daemon writes it again.
   std::vector<StoredRow> removed;
   for (const auto& [address, member] : node.fleet.members) {
     RowName name = MemberRow(service, address);
-    if (member.service == service && !present.contains(name.key)) {
+    if (member.service == service && node.fleet.versions.contains(address) &&
+        !present.contains(name.key)) {
       removed.push_back(
           {std::move(name), {}, page.value().state.version, true});
     }
@@ -253,6 +256,10 @@
     ApplyFleetRow(node, row);
   }
   RebuildStaleTargetTables(node);
+  if (service == node.settings.service) {
+    node.fleet.own_rows_read = true;
+    http::Notify(node.member_inputs_changed);
+  }
   co_return page.value().state.version;
 }
 
@@ -262,11 +269,15 @@
     Node& node,
     std::set<std::string>& services_read) {
   std::uint64_t from = UINT64_MAX;
+  const std::uint64_t era = node.store.era;
   for (const std::string& service : KnownServices(node)) {
     auto version = co_await ReadServiceRows(node, service);
     if (!version) {
       co_return base::Fail(version.error().kind, version.error().detail);
     }
+    if (node.store.era != era) {
+      co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
+    }
     services_read.insert(service);
     from = std::min(from, version.value());
   }
@@ -301,12 +312,15 @@
 }
 
 /// Waits until another daemon reports a change of the operator's rows, this
-/// daemon becomes a relay, or the time for a read without a report has come.
+/// daemon becomes a relay, the store was restored, or the time for a read
+/// without a report has come.
 awaitable<void> AwaitOperatorChange(Node& node, const FeedPosition& position) {
   std::uniform_real_distribution<double> distribution(0.75, 1);
   const double jitter = distribution(node.random);
   const base::TimePoint started_at = base::BootClock::now();
-  while (!IsOperatorRelay(node) && !node.operator_copy.must_read_again &&
+  const std::uint64_t era = node.store.era;
+  while (!IsOperatorRelay(node) && node.store.era == era &&
+         !IsEraOutdated(node) &&
          node.store.operator_rows.peer_version <= position.after) {
     const base::TimePoint now = base::BootClock::now();
     const bool doubtful =
@@ -327,16 +341,17 @@
 awaitable<base::Result<RowPage>> NextOperatorPage(Node& node,
                                                   FeedPosition position,
                                                   Backoff& backoff) {
+  const std::uint64_t era = node.store.era;
   if (!IsOperatorRelay(node)) {
     co_await AwaitOperatorChange(node, position);
   }
-  if (node.operator_copy.must_read_again) {
-    co_return base::Fail(ErrorKind::kNotFound, "the history was lost");
-  }
   if (!IsOperatorRelay(node)) {
     const std::uint64_t reported = node.store.operator_rows.peer_version;
     if (reported > position.after) {
       auto page = co_await FetchFromRelays(node, position.after, reported);
+      if (node.store.era != era) {
+        co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
+      }
       if (page) {
         KeepOperatorPage(node, page.value());
         co_return page;
@@ -355,27 +370,34 @@
 }
 
 /// Applies the changes of a table until the feed no longer has the changes from
-/// the current position.
+/// the current position, or the store may have been restored.
 awaitable<void> FollowTable(Node& node,
                             FeedPosition position,
                             Backoff& backoff,
                             NextPage next_page,
                             void (*apply)(Node&, const StoredRow&),
                             std::function<awaitable<void>()> after_page) {
-  const std::chrono::milliseconds wait = position.wait;
-  while (true) {
-    auto page = co_await next_page(node, position, backoff);
+  const std::uint64_t era = node.store.era;
+  bool failed = false;
+  while (node.store.era == era && !IsEraOutdated(node)) {
+    FeedPosition next = position;
+    if (failed) {
+      // The store may have been restored while it was away. Only an answer
+      // tells, and a poll might wait for long before it gets one.
+      next.wait = std::chrono::milliseconds{0};
+    }
+    auto page = co_await next_page(node, std::move(next), backoff);
+    failed = !page;
     if (!page && page.error().kind == ErrorKind::kNotFound) {
       co_return;
     }
+    if (node.store.era != era) {
+      co_return;
+    }
     if (!page) {
-      // Only an answer shows that a reported version is void, so the next poll
-      // does not wait for a change.
-      position.wait = std::chrono::milliseconds{0};
       co_await Pause(node, backoff);
       continue;
     }
-    position.wait = wait;
     backoff = Backoff{};
     for (const StoredRow& row : page.value().rows) {
       apply(node, row);
@@ -388,6 +410,25 @@
 
 }  // namespace
 
+awaitable<base::Result<RowPage>> ReadPartition(Node& node,
+                                               std::string table,
+                                               std::string partition) {
+  const base::TimePoint sent_at = base::BootClock::now();
+  const auto sent_in = EraOfCall(node);
+  const bool outdated = IsEraOutdated(node);
+  auto page =
+      co_await node.port.store.read(std::move(table), std::move(partition));
+  if (page && !AcceptEra(node, page.value().state.era, sent_in)) {
+    co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
+  }
+  if (page && outdated) {
+    // The store itself has no later era than the answer tells.
+    node.store.peer_era = node.store.era;
+  }
+  RecordReadResult(node, page, sent_at);
+  co_return page;
+}
+
 awaitable<void> FollowOperator(Node& node) {
   Backoff backoff;
   while (true) {
@@ -412,7 +453,6 @@
   }
   while (true) {
     std::set<std::string> services_read;
-    node.store.fleet_rows = TableProgress{};
     auto start = co_await ReadFleetRows(node, services_read);
     if (!start) {
       co_await Pause(node, backoff);
@@ -425,15 +465,17 @@
                          ApplyFleetRow, [&node, &services_read] {
                            return AfterFleetPage(node, services_read);
                          });
-    node.operator_copy.must_read_again = true;
-    http::Notify(node.store.changed);
   }
 }
 
 awaitable<base::Result<CommitResult>> Commit(Node& node,
                                              RowTransaction transaction) {
   const base::TimePoint sent_at = base::BootClock::now();
+  const auto sent_in = EraOfCall(node);
   auto result = co_await node.port.store.commit(std::move(transaction));
+  if (result && !AcceptEra(node, result.value().state.era, sent_in)) {
+    co_return RestoredMeanwhile(ErrorKind::kStoreResultUnknown);
+  }
   if (result) {
     RecordStoreAnswer(node, &result.value().state, sent_at);
   } else {
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -34,7 +34,9 @@
 
 bool IsMemberRowCurrent(const Node& node) {
   const auto found = node.fleet.members.find(node.settings.peers);
-  return found != node.fleet.members.end() && found->second == OwnMember(node);
+  return found != node.fleet.members.end() &&
+         node.fleet.versions.contains(node.settings.peers) &&
+         found->second == OwnMember(node);
 }
 
 std::uint64_t MemberVersion(const Node& node) {
@@ -86,16 +88,13 @@
   }
 }
 
-/// Reads the version of the lease row, once per process.
+/// Reads the version of the lease row, once in each era of the store.
 awaitable<bool> ReadLeaseRow(Node& node) {
-  const base::TimePoint sent_at = base::BootClock::now();
-  auto page = co_await node.port.store.read(std::string(kLeaseTable),
-                                            node.settings.service);
+  auto page = co_await ReadPartition(node, std::string(kLeaseTable),
+                                     node.settings.service);
   if (!page) {
-    RecordStoreFailure(node, page.error());
     co_return false;
   }
-  RecordStoreAnswer(node, &page.value().state, sent_at);
   const RowName own = LeaseRow(node.settings.service, node.settings.peers);
   node.lease.version = 0;
   for (const StoredRow& row : page.value().rows) {
@@ -109,10 +108,9 @@
 
 /// Reads the rows of the service, including its range map.
 awaitable<bool> ReadMap(Node& node) {
-  auto page = co_await node.port.store.read(std::string(kFleetTable),
-                                            node.settings.service);
+  auto page = co_await ReadPartition(node, std::string(kFleetTable),
+                                     node.settings.service);
   if (!page) {
-    RecordStoreFailure(node, page.error());
     co_return false;
   }
   for (const StoredRow& row : page.value().rows) {
@@ -192,7 +190,7 @@
 awaitable<void> PublishMember(Node& node) {
   while (true) {
     if (node.target.id.empty() || !node.fleet.loaded ||
-        IsMemberRowCurrent(node)) {
+        !node.fleet.own_rows_read || IsMemberRowCurrent(node)) {
       co_await http::Wait(node.member_inputs_changed);
       continue;
     }
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -10,6 +10,7 @@
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/request.hpp"
 #include "eelgrassbridge/node/rows.hpp"
+#include "eelgrassbridge/node/store_era.hpp"
 
 namespace eelgrassbridge::node {
 
@@ -72,9 +73,9 @@
   http::BufferedRequest request;
   request.method = "GET";
   request.target = "/operator-rows";
-  request.headers = {
-      {"Host", address},
-      {std::string(kRowsHeader), fmt::format("{};{}", after, needed)}};
+  request.headers = {{"Host", address},
+                     {std::string(kRowsHeader),
+                      fmt::format("{};{};{}", after, needed, node.store.era)}};
   request.timeout =
       std::chrono::duration_cast<std::chrono::milliseconds>(kRelayWait) +
       kRelayAnswerTime;
@@ -122,16 +123,6 @@
          std::ranges::find(relays, node.settings.peers) != relays.end();
 }
 
-void ResetOperatorCopy(Node& node) {
-  OperatorCopy& copy = node.operator_copy;
-  copy.rows.clear();
-  copy.version = 0;
-  copy.announced_version = 0;
-  copy.announcement_row_version = 0;
-  copy.must_read_again = false;
-  node.store.operator_rows = TableProgress{};
-}
-
 void KeepOperatorPage(Node& node, const RowPage& page) {
   OperatorCopy& copy = node.operator_copy;
   for (const StoredRow& row : page.rows) {
@@ -142,15 +133,16 @@
 }
 
 awaitable<void> AnnounceOperatorRows(Node& node) {
+  const std::uint64_t era = node.store.era;
   const auto relays = OperatorRelays(node);
   const auto rank =
       std::ranges::find(relays, node.settings.peers) - relays.begin();
   co_await http::Sleep(node.io, kAnnouncementDelay * rank);
   OperatorCopy& copy = node.operator_copy;
   // The condition keeps a relay that is behind from replacing a later version.
-  while (copy.announced_version < LatestChange(copy)) {
+  while (node.store.era == era && copy.announced_version < LatestChange(copy)) {
     const RowName name = OperatorVersionRow();
-    const std::string value = fmt::format("{}", LatestChange(copy));
+    const std::string value = fmt::format("{};{}", LatestChange(copy), era);
     RowTransaction transaction;
     transaction.conditions.push_back({name, copy.announcement_row_version});
     transaction.writes.push_back({name, value});
@@ -200,20 +192,19 @@
 
 awaitable<void> HandleOperatorRowsRequest(Node& node,
                                           http::Exchange& exchange) {
-  const std::string_view versions =
+  std::string_view versions =
       http::HeaderValue(exchange.head.headers, kRowsHeader);
-  const auto separator = versions.find(';');
-  const auto after = http::ParseNumber(versions.substr(0, separator));
-  const auto needed = separator == std::string_view::npos
-                          ? std::nullopt
-                          : http::ParseNumber(versions.substr(separator + 1));
+  const auto after = http::ParseNumber(TakePart(versions));
+  const auto needed = http::ParseNumber(TakePart(versions));
+  const auto era = http::ParseNumber(TakePart(versions));
+  RecordPeerEra(node, era.value_or(0));
   const base::TimePoint latest = base::BootClock::now() + kRelayWait;
   OperatorCopy& copy = node.operator_copy;
-  while (after && needed && copy.version < *needed &&
+  while (after && needed && era >= node.store.era && copy.version < *needed &&
          base::BootClock::now() < latest) {
     co_await http::WaitUntil(copy.changed, latest);
   }
-  if (!after || !needed || copy.version < *needed) {
+  if (!after || !needed || era != node.store.era || copy.version < *needed) {
     co_await http::Respond(exchange, kUnavailable, {}, {});
     co_return;
   }
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "eelgrassbridge/node/operator_relay.hpp"
+#include "eelgrassbridge/node/store_era.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
 #include "eelgrassbridge/node/transmit.hpp"
 
@@ -58,23 +59,31 @@
   http::Notify(body.node.admission.body_arrived);
 }
 
-/// Tells the other daemon how far this one has read the store's tables.
+/// Tells the other daemon how far this one has read the store's tables, and in
+/// which era of the store.
 void AddSeenHeader(const Node& node, http::Headers& headers) {
   headers.push_back(
       {std::string(kSeenHeader),
-       fmt::format("{};{}", node.store.operator_rows.applied_version,
-                   node.store.fleet_rows.applied_version)});
+       fmt::format("{};{};{}", node.store.operator_rows.applied_version,
+                   node.store.fleet_rows.applied_version, node.store.era)});
 }
 
-/// Notes how far the other daemon has read the store's tables.
+/// Notes how far the other daemon has read the store's tables, unless that was
+/// in another era of the store. A header without an era counts as of the era
+/// known here.
 void ReadSeenHeader(Node& node, const http::Headers& headers) {
-  const std::string_view seen = http::HeaderValue(headers, kSeenHeader);
-  const auto separator = seen.find(';');
-  if (separator == std::string_view::npos) {
+  std::string_view seen = http::HeaderValue(headers, kSeenHeader);
+  if (seen.empty() || !node.store.era_known) {
+    return;
+  }
+  const auto operator_version = http::ParseNumber(TakePart(seen));
+  const auto fleet_version = http::ParseNumber(TakePart(seen));
+  const std::uint64_t era =
+      http::ParseNumber(TakePart(seen)).value_or(node.store.era);
+  RecordPeerEra(node, era);
+  if (era != node.store.era) {
     return;
   }
-  const auto operator_version = http::ParseNumber(seen.substr(0, separator));
-  const auto fleet_version = http::ParseNumber(seen.substr(separator + 1));
   RecordPeerVersion(node, node.store.operator_rows,
                     operator_version.value_or(0));
   RecordPeerVersion(node, node.store.fleet_rows, fleet_version.value_or(0));
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -39,15 +39,12 @@
 };
 
 awaitable<base::Result<LeaseRows>> ReadLeases(Node& node) {
-  const base::TimePoint sent_at = base::BootClock::now();
-  auto page = co_await node.port.store.read(std::string(kLeaseTable),
-                                            node.settings.service);
+  auto page = co_await ReadPartition(node, std::string(kLeaseTable),
+                                     node.settings.service);
   if (!page) {
-    RecordStoreFailure(node, page.error());
     co_return base::Fail(page.error().kind, page.error().detail);
   }
   const StoreState& state = page.value().state;
-  RecordStoreAnswer(node, &state, sent_at);
   LeaseRows rows;
   for (const StoredRow& row : page.value().rows) {
     rows.versions[row.name.key] = row.version;
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -4,6 +4,7 @@
 
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/rows.hpp"
+#include "eelgrassbridge/node/store_era.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
 
 namespace eelgrassbridge::node {
@@ -122,13 +123,20 @@
 /// Notes that the operator's rows have changed, which makes this daemon fetch
 /// them.
 void ApplyOperatorVersion(Node& node, const StoredRow& row) {
-  const auto version = http::ParseNumber(row.value);
-  if (!version) {
+  // The next announcement replaces the row, whatever it says.
+  node.operator_copy.announcement_row_version = row.removed ? 0 : row.version;
+  std::string_view value = row.value;
+  const auto version = http::ParseNumber(TakePart(value));
+  const auto era = http::ParseNumber(TakePart(value));
+  if (era && era != node.store.era) {
+    return;
+  }
+  if (!version || !era) {
     Log(node.log, EventKind::kRowRejected,
-        {{"row", row.name.key}, {"cause", "the value is not a version"}});
+        {{"row", row.name.key},
+         {"cause", "the value is not a version with an era"}});
     return;
   }
-  node.operator_copy.announcement_row_version = row.version;
   std::uint64_t& announced = node.operator_copy.announced_version;
   announced = std::max(announced, *version);
   RecordPeerVersion(node, node.store.operator_rows, *version);
--- a/standins/platform/row_standin.cpp
+++ b/standins/platform/row_standin.cpp
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "base64.hpp"
 #include "eelgrassbridge/base/time.hpp"
@@ -177,8 +178,11 @@
   return rows;
 }
 
-awaitable<Reply> FollowRows(RowStandin& standin, std::string target) {
+/// Returns nothing if the store was restored while the poll was waiting.
+awaitable<std::optional<Reply>> FollowRows(RowStandin& standin,
+                                           std::string target) {
   auto query = QueryOf(target);
+  const std::uint64_t era = standin.era;
   const std::uint64_t after = http::ParseNumber(query["after"]).value_or(0);
   const auto wait = base::milliseconds{static_cast<std::int64_t>(
       http::ParseNumber(query["wait_ms"]).value_or(0))};
@@ -189,8 +193,8 @@
   json rows = ChangedRows(standin, query["table"], after);
   while (rows.empty() && base::BootClock::now() < end) {
     co_await http::WaitUntil(standin.changed, end);
-    if (after > standin.version) {
-      co_return Reply{kGone, State(standin)};
+    if (standin.era != era) {
+      co_return std::nullopt;
     }
     rows = ChangedRows(standin, query["table"], after);
   }
@@ -206,9 +210,10 @@
   ApplyTransaction(standin, request);
 }
 
-awaitable<Reply> Dispatch(RowStandin& standin,
-                          std::string target,
-                          std::string body) {
+/// Returns nothing if the call gets no response.
+awaitable<std::optional<Reply>> Dispatch(RowStandin& standin,
+                                         std::string target,
+                                         std::string body) {
   const std::string_view path = http::PathWithoutQuery(target);
   if (path == "/api/rows-tx") {
     if (standin.fault == StoreFault::kRefusesWrites) {
@@ -231,6 +236,10 @@
   co_return Reply{kBadRequest, json::object()};
 }
 
+http::Headers EraHeader(const RowStandin& standin) {
+  return {{"Store-Era", std::to_string(standin.era)}};
+}
+
 /// Sends a response over the shared link, after those that were there before.
 /// Stops when the caller has closed the connection.
 awaitable<void> SendOverLink(RowStandin& standin,
@@ -242,8 +251,8 @@
     co_await http::Wait(standin.link_free);
   }
   bool sending = !exchange.connection->caller_disconnected;
-  sending = sending &&
-            co_await http::StartResponse(exchange, status, {}, text.size());
+  sending = sending && co_await http::StartResponse(
+                           exchange, status, EraHeader(standin), text.size());
   while (sending && !text.empty() &&
          !exchange.connection->caller_disconnected) {
     const std::string_view piece = text.substr(0, kLinkPieceBytes);
@@ -274,7 +283,8 @@
     co_await http::Sleep(standin.server.io, standin.delay);
   }
   if (standin.fault == StoreFault::kUnavailable) {
-    co_await http::Respond(exchange, kServiceUnavailable, {}, {});
+    co_await http::Respond(exchange, kServiceUnavailable, EraHeader(standin),
+                           {});
     co_return;
   }
   if (standin.fault == StoreFault::kUnresponsive) {
@@ -282,18 +292,19 @@
     co_return;
   }
   const std::string target = exchange.head.target;
-  const Reply reply = co_await Dispatch(standin, target, body);
-  if (standin.fault != StoreFault::kNone &&
-      standin.fault != StoreFault::kRefusesWrites) {
+  const auto reply = co_await Dispatch(standin, target, body);
+  const bool faulty = standin.fault != StoreFault::kNone &&
+                      standin.fault != StoreFault::kRefusesWrites;
+  if (!reply || faulty) {
     http::Abort(exchange);
     co_return;
   }
-  const std::string text = reply.body.dump();
+  const std::string text = reply->body.dump();
   if (standin.link_rate > 0) {
-    co_await SendOverLink(standin, exchange, reply.status, text);
+    co_await SendOverLink(standin, exchange, reply->status, text);
     co_return;
   }
-  co_await http::Respond(exchange, reply.status, {}, text);
+  co_await http::Respond(exchange, reply->status, EraHeader(standin), text);
 }
 
 }  // namespace
@@ -340,6 +351,7 @@
 void Restore(RowStandin& standin, const StoreCopy& copy) {
   standin.rows = copy.rows;
   standin.version = copy.version;
+  ++standin.era;
   http::Notify(standin.changed);
 }
 
--- a/standins/platform/row_standin.hpp
+++ b/standins/platform/row_standin.hpp
@@ -49,6 +49,8 @@
   http::Event changed;
   std::map<Name, Row> rows;
   std::uint64_t version = 1;
+  /// Sent with each response; incremented by each restore.
+  std::uint64_t era = 1;
   /// Oldest version from which the feed can be read; older ones get 410.
   std::uint64_t history_from = 0;
   StoreFault fault = StoreFault::kNone;
@@ -88,8 +90,9 @@
 
 StoreCopy CopyOf(const RowStandin& standin);
 
-/// @brief Puts the store back to a copy: what was written since is lost, and
-/// versions are given out again. Feeds from later versions get 410.
+/// @brief Replaces all rows and the version by those of the copy, begins a new
+/// era and closes the connections of waiting polls. Feeds from versions that
+/// the copy does not have get 410.
 void Restore(RowStandin& standin, const StoreCopy& copy);
 
 /// @brief Returns the decoded value of a row; empty if the row does not exist.
