Give each era of the store its own leases and range map

What callers saw: after the store had been restored from an older copy, two targets held the same keys, and fencing tokens went back.

Cause: a move of keys since the copy was in the daemons' memory but no longer in the store. A daemon that knew only the store planned on the former map. Its conditions held, because versions are given out again.

Change: the names of leases and range maps contain the era. In a new era a daemon whose right is still valid claims the ranges of its target in its lease; once all rights of former eras have ended, the collection of claims is closed and the map is made from them. All other keys get new owners, with fencing tokens above those of all former eras. Until then nobody plans or hands over. A renewal whose answer was lost extends the right only of a daemon that has read the map. At the first start of the system nobody waits (setting first_start).

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -28,6 +28,7 @@
 #include "eelgrassbridge/node/settings.hpp"
 #include "eelgrassbridge/ranges/lease.hpp"
 #include "eelgrassbridge/ranges/planning.hpp"
+#include "eelgrassbridge/ranges/recovery.hpp"
 #include "eelgrassbridge/routing/target_choice.hpp"
 
 namespace eelgrassbridge::node {
@@ -79,16 +80,36 @@
 struct LeaseState {
   ranges::LeaseOptions options;
   ranges::LeaseRight right;
+  /// Right under the renewals since this era has no range map; takes effect
+  /// with its first map.
+  ranges::LeaseRight pending_right;
   /// Version of the row that the next renewal replaces.
   std::uint64_t version = 0;
   /// This process has read the row, so `version` is valid.
   bool version_known = false;
   std::uint64_t sequence = 0;
+  /// The right is extended with each renewal.
   bool held = false;
+  /// Era of the store in which the lease was last confirmed: the claims of this
+  /// daemon were recorded, or the map was read under its lease.
+  std::uint64_t held_era = 0;
+  /// Content of the row at `version`, as far as it is known.
+  ranges::LeaseRecord recorded;
+  /// The service had no lease rows of any era when they were read.
+  bool no_rows_found = false;
   /// Time of the last plan that balanced load.
   base::TimePoint balanced_at{};
 };
 
+/// @brief Recovery of the ownership of keys in the present era of the store;
+/// see ranges/recovery.hpp.
+struct RecoveryState {
+  ranges::RecoveryRecord record;
+  /// Version of the row; 0 if it has not been read.
+  std::uint64_t version = 0;
+  base::TimePoint received_at{};
+};
+
 /// @brief A request that waits for a slot of the target.
 struct SlotWaiter {
   explicit SlotWaiter(asio::io_context& io) : event(io) {}
@@ -187,6 +208,7 @@
   std::map<std::string, ServiceRanges, std::less<>> ranges;
   OwnTarget target;
   LeaseState lease;
+  RecoveryState recovery;
   StoreView store;
   OperatorCopy operator_copy;
   KeyDemand demand;
@@ -202,8 +224,8 @@
 
   /// Notified when the target's grants or readiness may have changed.
   http::Event target_changed;
-  /// Notified when an input of the lease row has changed, and when the routes
-  /// have changed.
+  /// Notified when an input of the lease row has changed, when the routes have
+  /// changed, and when a range map arrives that this daemon's lease waits for.
   http::Event lease_inputs_changed;
   /// Notified when an input of this daemon's member row has changed.
   http::Event member_inputs_changed;
@@ -232,6 +254,11 @@
 /// key.
 bool IsDividedByKey(const Node& node);
 
+/// @brief Whether the range map that the own service has in the present era of
+/// the store has been read. Until then, the former map serves only for routing
+/// and for the daemon's own claims.
+bool HasOwnMap(const Node& node);
+
 /// @brief Version of a service's range map, for log lines; zero if there is
 /// none.
 std::int64_t RangesVersion(const Node& node, std::string_view service);
--- a/include/eelgrassbridge/node/settings.hpp
+++ b/include/eelgrassbridge/node/settings.hpp
@@ -49,6 +49,9 @@
   std::uint32_t max_descriptors = 1024;
   /// Rate of the VM's link in Mbit/s; 0 if unknown.
   double link_mbps = 0;
+  /// The whole system starts for the first time, so no process holds a lease
+  /// that the store does not know.
+  bool first_start = false;
   Bounds bounds;
 
   bool operator==(const NodeSettings&) const = default;
--- a/include/eelgrassbridge/ranges/lease.hpp
+++ b/include/eelgrassbridge/ranges/lease.hpp
@@ -63,6 +63,15 @@
   std::vector<std::uint32_t> quantiles;
 };
 
+/// @brief A range that a daemon keeps after the store was restored; see
+/// recovery.hpp.
+struct Claim {
+  KeyRange keys;
+  std::uint64_t fencing_token = 0;
+
+  bool operator==(const Claim&) const = default;
+};
+
 /// @brief A lease row in the store.
 struct LeaseRecord {
   OwnerId owner;
@@ -75,6 +84,8 @@
   /// Whether the target accepts requests and is not leaving.
   bool accepting = false;
   OwnerLoad load;
+  /// Empty once the present era of the store has a range map.
+  std::vector<Claim> claims;
 };
 
 /// @brief Encodes a lease row as JSON.
--- a/include/eelgrassbridge/ranges/range_map.hpp
+++ b/include/eelgrassbridge/ranges/range_map.hpp
@@ -7,6 +7,7 @@
 #define EELGRASSBRIDGE_RANGES_RANGE_MAP_HPP
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +24,11 @@
 /// is invalid.
 inline constexpr std::uint32_t kMaxSlots = 65536;
 
+/// @brief Maximum of RangeMap::next_token: far above any token in use, and far
+/// below the number after which tokens would start again from 0.
+inline constexpr auto kMaxNextToken =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+
 /// @brief Keys from first to last, inclusive.
 struct KeyRange {
   std::uint32_t first = 0;
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -4,6 +4,7 @@
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/key_demand.hpp"
 #include "eelgrassbridge/node/ownership.hpp"
+#include "eelgrassbridge/node/range_recovery.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 
 namespace eelgrassbridge::node {
@@ -44,6 +45,29 @@
   return found == node.fleet.versions.end() ? 0 : found->second;
 }
 
+/// The lease was confirmed in the present era of the store.
+bool IsConfirmed(const Node& node) {
+  return node.lease.held && node.lease.held_era == node.store.era;
+}
+
+/// Claims for the lease row until the present era has a map. A daemon without a
+/// right keeps those that its row has: an earlier process may have extended its
+/// right under them, so no other target may get the keys yet.
+std::vector<ranges::Claim> NextClaims(const Node& node,
+                                      const ranges::OwnerId& owner) {
+  if (HasOwnMap(node)) {
+    return {};
+  }
+  if (!node.lease.held) {
+    return node.lease.recorded.owner == owner ? node.lease.recorded.claims
+                                              : std::vector<ranges::Claim>{};
+  }
+  const auto found = node.ranges.find(node.settings.service);
+  return found == node.ranges.end()
+             ? std::vector<ranges::Claim>{}
+             : ranges::ClaimsOf(found->second.map, owner);
+}
+
 ranges::LeaseRecord NextRecord(Node& node, base::TimePoint now) {
   ranges::LeaseRecord record;
   record.owner = OwnerIdOf(node.target, node.settings.peers);
@@ -53,6 +77,7 @@
                    node.lease.options.length;
   record.accepting = TargetTakesRequests(node);
   record.load = ComputeLoad(node.demand, node.target.slots, now);
+  record.claims = NextClaims(node, record.owner);
   return record;
 }
 
@@ -64,6 +89,11 @@
   }
 }
 
+void Confirm(Node& node, base::TimePoint sent_at) {
+  ranges::Extend(node.lease.right, sent_at, node.lease.options);
+  node.lease.held_era = node.store.era;
+}
+
 /// Processes the current row after a renewal whose condition did not hold. If
 /// this process wrote the row in a renewal whose answer was lost, that renewal
 /// counts as successful.
@@ -72,19 +102,25 @@
                    const StoredRow& row,
                    const std::map<std::uint64_t, base::TimePoint>& sent) {
   node.lease.version = row.version;
+  node.lease.recorded = {};
+  node.lease.pending_right = {};
   if (row.version == 0) {
     LoseLease(node, "another daemon removed the lease row");
     return;
   }
   const auto record = ranges::DecodeLease(row.value);
-  if (!record || record.value().process != node.process) {
+  if (!record) {
+    return;
+  }
+  node.lease.recorded = record.value();
+  if (record.value().process != node.process) {
     // Written by an earlier process of this daemon on the same VM. Its lease
     // ended with that process, and the next renewal overwrites the row.
     return;
   }
   const auto found = sent.find(record.value().sequence);
-  if (found != sent.end()) {
-    ranges::Extend(node.lease.right, found->second, node.lease.options);
+  if (found != sent.end() && node.lease.held) {
+    Confirm(node, found->second);
   }
 }
 
@@ -95,19 +131,25 @@
   if (!page) {
     co_return false;
   }
-  const RowName own = LeaseRow(node.settings.service, node.settings.peers);
+  const RowName own =
+      LeaseRow(node.settings.service, node.store.era, node.settings.peers);
   node.lease.version = 0;
+  node.lease.no_rows_found = page.value().rows.empty();
   for (const StoredRow& row : page.value().rows) {
     if (row.name == own) {
       node.lease.version = row.version;
+      if (auto record = ranges::DecodeLease(row.value)) {
+        node.lease.recorded = std::move(record.value());
+      }
     }
   }
   node.lease.version_known = true;
   co_return true;
 }
 
-/// Reads the rows of the service, including its range map.
-awaitable<bool> ReadMap(Node& node) {
+/// Reads the rows of the service, including its range map. `no_map_found` is
+/// set if no era has a range map or a recovery row.
+awaitable<bool> ReadMap(Node& node, bool& no_map_found) {
   auto page = co_await ReadPartition(node, std::string(kFleetTable),
                                      node.settings.service);
   if (!page) {
@@ -117,6 +159,10 @@
     ApplyFleetRow(node, row);
   }
   RebuildStaleTargetTables(node);
+  no_map_found =
+      std::ranges::all_of(page.value().rows, [](const StoredRow& row) {
+        return row.name.key.starts_with(kMemberPrefix);
+      });
   co_return true;
 }
 
@@ -131,22 +177,90 @@
   return {name, {}, 0, false};
 }
 
-/// Renews the lease once. Returns false if the renewal has to be retried soon.
-awaitable<bool> Renew(Node& node,
-                      std::map<std::uint64_t, base::TimePoint>& sent) {
+/// Applies the rows whose versions a renewal did not meet.
+void ApplyConflict(Node& node,
+                   const CommitResult& result,
+                   const RowName& name,
+                   const std::map<std::uint64_t, base::TimePoint>& sent) {
+  for (const StoredRow& row : result.current_rows) {
+    if (row.name.table == kFleetTable) {
+      ApplyFleetRow(node, row);
+    }
+  }
+  const StoredRow current = CurrentRow(result, name);
+  if (current.version != node.lease.version) {
+    ApplyLeaseRow(node, current, sent);
+  }
+}
+
+/// Reads what a renewal needs to know of the present era of the store: the
+/// version of the lease row, and the range map or else the recovery row, which
+/// is created if there is neither. Returns whether all of it is known.
+awaitable<bool> PrepareRenewal(Node& node) {
   if (!node.lease.version_known || !node.store.clock.known) {
     const bool read = co_await ReadLeaseRow(node);
     if (!read) {
       co_return false;
     }
   }
-  const base::TimePoint now = base::BootClock::now();
-  const ranges::LeaseRecord record = NextRecord(node, now);
-  const RowName name = LeaseRow(node.settings.service, node.settings.peers);
-  sent[record.sequence] = now;
+  if (HasOwnMap(node) || node.recovery.version > 0) {
+    co_return true;
+  }
+  // Read after the lease rows: a daemon writes its lease row only after it has
+  // seen a recovery row.
+  bool no_map_found = false;
+  const bool read = co_await ReadMap(node, no_map_found);
+  if (!read) {
+    co_return false;
+  }
+  if (!HasOwnMap(node) && node.recovery.version == 0) {
+    co_await BeginRecovery(node, node.settings.first_start &&
+                                     !node.store.restored && no_map_found &&
+                                     node.lease.no_rows_found);
+  }
+  co_return node.lease.version_known &&
+      (HasOwnMap(node) || node.recovery.version > 0);
+}
+
+/// Ends a lease of a former era if its ranges can no longer be claimed.
+void EndFormerLease(Node& node, base::TimePoint now) {
+  const bool may_claim =
+      !HasOwnMap(node) && ranges::IsValid(node.lease.right, now) &&
+      node.recovery.record.phase == ranges::RecoveryPhase::kCollecting;
+  if (node.lease.held && !IsConfirmed(node) && !may_claim) {
+    LoseLease(node, "the store was restored from an older copy");
+  }
+}
+
+RowTransaction ComposeRenewal(const Node& node,
+                              const RowName& name,
+                              const ranges::LeaseRecord& record) {
   RowTransaction transaction;
   transaction.conditions.push_back({name, node.lease.version});
+  if (node.lease.held && !IsConfirmed(node)) {
+    // New claims are void once their collection is closed.
+    transaction.conditions.push_back(
+        {RecoveryRow(node.settings.service, node.store.era),
+         node.recovery.version});
+  }
   transaction.writes.push_back({name, ranges::EncodeLease(record)});
+  return transaction;
+}
+
+/// Renews the lease once. Returns false if the renewal has to be retried soon.
+awaitable<bool> Renew(Node& node,
+                      std::map<std::uint64_t, base::TimePoint>& sent) {
+  const bool prepared = co_await PrepareRenewal(node);
+  if (!prepared) {
+    co_return false;
+  }
+  const base::TimePoint now = base::BootClock::now();
+  EndFormerLease(node, now);
+  const ranges::LeaseRecord record = NextRecord(node, now);
+  const RowName name =
+      LeaseRow(node.settings.service, node.store.era, node.settings.peers);
+  sent[record.sequence] = now;
+  RowTransaction transaction = ComposeRenewal(node, name, record);
   auto result = co_await Commit(node, std::move(transaction));
   if (!result) {
     co_return false;
@@ -155,20 +269,27 @@
     return entry.first < record.sequence;
   });
   if (!result.value().committed) {
-    ApplyLeaseRow(node, CurrentRow(result.value(), name), sent);
+    ApplyConflict(node, result.value(), name, sent);
     co_return false;
   }
   node.lease.version = result.value().state.version;
+  node.lease.recorded = record;
+  if (!node.lease.held && !HasOwnMap(node)) {
+    // This daemon gets its right with the first map of the era.
+    ranges::Extend(node.lease.pending_right, now, node.lease.options);
+    co_return true;
+  }
   if (!node.lease.held) {
     // Other daemons may have taken over ranges while there was no lease. They
     // cannot do so from now on, so the map read here stays valid during the
     // lease.
-    const bool read = co_await ReadMap(node);
+    bool no_map_found = false;
+    const bool read = co_await ReadMap(node, no_map_found);
     if (!read) {
       co_return false;
     }
   }
-  ranges::Extend(node.lease.right, now, node.lease.options);
+  Confirm(node, now);
   if (!node.lease.held) {
     node.lease.held = true;
     Log(node.log, EventKind::kLeaseAcquired,
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -109,6 +109,11 @@
   return service != nullptr && service->divided_by_key;
 }
 
+bool HasOwnMap(const Node& node) {
+  const auto found = node.ranges.find(node.settings.service);
+  return found != node.ranges.end() && found->second.version > 0;
+}
+
 std::int64_t RangesVersion(const Node& node, std::string_view service) {
   const auto found = node.ranges.find(service);
   return found == node.ranges.end()
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -2,7 +2,9 @@
 #include <algorithm>
 
 #include "eelgrassbridge/node/feeds.hpp"
+#include "eelgrassbridge/node/lease_rows.hpp"
 #include "eelgrassbridge/node/ownership.hpp"
+#include "eelgrassbridge/node/range_recovery.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/ranges/map_size.hpp"
 
@@ -27,40 +29,8 @@
 /// Minimum interval between plans that move keys to balance load, so that the
 /// effect of a move is visible before the next one.
 constexpr base::Duration kBalanceInterval = base::milliseconds{3000};
-/// Added to the expiry of a lease before its ranges are reassigned, to allow
-/// for clock drift.
-constexpr base::Duration kExpiryMargin = base::milliseconds{100};
 constexpr base::Duration kReleaseCheckInterval = base::milliseconds{500};
 
-struct LeaseRows {
-  std::vector<ranges::LeaseRecord> live;
-  /// Versions of all lease rows, by daemon address.
-  std::map<std::string, std::uint64_t, std::less<>> versions;
-};
-
-awaitable<base::Result<LeaseRows>> ReadLeases(Node& node) {
-  auto page = co_await ReadPartition(node, std::string(kLeaseTable),
-                                     node.settings.service);
-  if (!page) {
-    co_return base::Fail(page.error().kind, page.error().detail);
-  }
-  const StoreState& state = page.value().state;
-  LeaseRows rows;
-  for (const StoredRow& row : page.value().rows) {
-    rows.versions[row.name.key] = row.version;
-    auto record = ranges::DecodeLease(row.value);
-    if (!record) {
-      Log(node.log, EventKind::kRowRejected,
-          {{"row", row.name.key}, {"cause", record.error().detail}});
-      continue;
-    }
-    if (state.time < record.value().expires + kExpiryMargin) {
-      rows.live.push_back(std::move(record.value()));
-    }
-  }
-  co_return rows;
-}
-
 /// Rank of this daemon, by address, among those with a live lease.
 std::size_t RankOf(const Node& node, const LeaseRows& rows) {
   return static_cast<std::size_t>(
@@ -74,20 +44,17 @@
 /// they were read.
 void AddLostOwners(const ranges::RangeMap& before,
                    const LeaseRows& rows,
-                   std::string_view service,
+                   const Node& node,
                    RowTransaction& transaction) {
   std::set<std::string> lost;
   for (const ranges::RangeEntry& entry : before.entries) {
-    const bool live =
-        std::ranges::any_of(rows.live, [&entry](const auto& record) {
-          return record.owner.daemon == entry.owner.daemon;
-        });
-    if (!live) {
+    if (!IsLive(rows, entry.owner.daemon)) {
       lost.insert(entry.owner.daemon);
     }
   }
   for (const std::string& daemon : lost) {
-    const RowName name = LeaseRow(service, daemon);
+    const RowName name =
+        LeaseRow(node.settings.service, node.store.era, daemon);
     const auto found = rows.versions.find(daemon);
     const std::uint64_t version =
         found == rows.versions.end() ? 0 : found->second;
@@ -104,7 +71,7 @@
                          const ranges::RangeMap& map,
                          RowTransaction transaction) {
   const std::string service = node.settings.service;
-  const RowName name = RangeMapRow(service);
+  const RowName name = RangeMapRow(service, node.store.era);
   transaction.conditions.push_back({name, node.ranges[service].version});
   transaction.writes.push_back({name, ranges::EncodeMap(map)});
   auto result = co_await Commit(node, std::move(transaction));
@@ -140,7 +107,7 @@
   const auto planned = ranges::Plan(before, input);
   if (planned) {
     RowTransaction transaction;
-    AddLostOwners(before, rows, node.settings.service, transaction);
+    AddLostOwners(before, rows, node, transaction);
     if (input.balance) {
       node.lease.balanced_at = now;
     }
@@ -202,7 +169,16 @@
 awaitable<void> PlanRanges(Node& node) {
   co_await http::Sleep(node.io, kFirstPlanDelay);
   while (true) {
-    if (!node.lease.held || !node.fleet.loaded || !IsDividedByKey(node)) {
+    if (!node.fleet.loaded || !IsDividedByKey(node)) {
+      co_await http::Sleep(node.io, kPlanInterval);
+      continue;
+    }
+    if (!HasOwnMap(node)) {
+      const base::Duration wait = co_await RecoverRanges(node);
+      co_await http::Sleep(node.io, wait);
+      continue;
+    }
+    if (!node.lease.held) {
       co_await http::Sleep(node.io, kPlanInterval);
       continue;
     }
@@ -219,7 +195,8 @@
     } else {
       co_await http::Wait(node.release_possible);
     }
-    if (!IsDividedByKey(node) || node.target.id.empty() || !node.lease.held) {
+    if (!IsDividedByKey(node) || node.target.id.empty() || !node.lease.held ||
+        !HasOwnMap(node)) {
       continue;
     }
     ranges::RangeMap map = node.ranges[node.settings.service].map;
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -1,6 +1,7 @@
 // Applies rows of the operator and of the fleet to the node's state. Invalid
 // rows and older versions change nothing.
 #include <algorithm>
+#include <utility>
 
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/rows.hpp"
@@ -97,6 +98,24 @@
   node.fleet.target_tables_stale = true;
 }
 
+/// Acquires the lease with the first map of an era. A map that was written
+/// after the last renewal stays valid during the lease, because no other daemon
+/// can take over ranges meanwhile; any other map is read again under the lease.
+void AcquireLease(Node& node, std::uint64_t map_version) {
+  LeaseState& lease = node.lease;
+  if (map_version <= lease.version ||
+      !ranges::IsValid(lease.pending_right, base::BootClock::now())) {
+    http::Notify(node.lease_inputs_changed);
+    return;
+  }
+  lease.right = std::exchange(lease.pending_right, {});
+  lease.held = true;
+  lease.held_era = node.store.era;
+  Log(node.log, EventKind::kLeaseAcquired,
+      {{"target", node.target.id},
+       {"version", static_cast<std::int64_t>(lease.version)}});
+}
+
 void ApplyRangeMap(Node& node, const StoredRow& row) {
   ServiceRanges& ranges = node.ranges[row.name.partition];
   if (row.version <= ranges.version || row.removed) {
@@ -118,6 +137,22 @@
   http::Notify(node.ranges_changed);
   http::Notify(node.target_changed);
   http::Notify(node.release_possible);
+  if (row.name.partition == node.settings.service && !node.lease.held) {
+    AcquireLease(node, row.version);
+  }
+}
+
+void ApplyRecovery(Node& node, const StoredRow& row) {
+  if (row.version <= node.recovery.version || row.removed) {
+    return;
+  }
+  const auto record = ranges::DecodeRecovery(row.value);
+  if (!record) {
+    Log(node.log, EventKind::kRowRejected,
+        {{"row", row.name.key}, {"cause", record.error().detail}});
+    return;
+  }
+  node.recovery = {record.value(), row.version, base::BootClock::now()};
 }
 
 /// Notes that the operator's rows have changed, which makes this daemon fetch
@@ -182,8 +217,13 @@
 void ApplyFleetRow(Node& node, const StoredRow& row) {
   std::uint64_t& applied_version = node.store.fleet_rows.applied_version;
   applied_version = std::max(applied_version, row.version);
-  if (row.name.key == kRangeMapKey) {
+  // Maps and recovery rows of former eras are ignored: an older copy of the
+  // store may hold a former version of them.
+  const std::uint64_t era = node.store.era;
+  if (row.name == RangeMapRow(row.name.partition, era)) {
     ApplyRangeMap(node, row);
+  } else if (row.name == RecoveryRow(node.settings.service, era)) {
+    ApplyRecovery(node, row);
   } else if (row.name.key.starts_with(kMemberPrefix)) {
     ApplyMember(node, row);
   } else if (row.name.key == kOperatorVersionKey) {
--- a/src/eelgrassbridge/node/rows.cpp
+++ b/src/eelgrassbridge/node/rows.cpp
@@ -3,9 +3,14 @@
 
 namespace eelgrassbridge::node {
 
-RowName RangeMapRow(std::string_view service) {
+RowName RangeMapRow(std::string_view service, std::uint64_t era) {
   return {std::string(kFleetTable), std::string(service),
-          std::string(kRangeMapKey)};
+          std::string(kRangeMapPrefix) + std::to_string(era)};
+}
+
+RowName RecoveryRow(std::string_view service, std::uint64_t era) {
+  return {std::string(kFleetTable), std::string(service),
+          std::string(kRecoveryPrefix) + std::to_string(era)};
 }
 
 RowName MemberRow(std::string_view service, std::string_view address) {
@@ -17,8 +22,15 @@
   return {std::string(kFleetTable), {}, std::string(kOperatorVersionKey)};
 }
 
-RowName LeaseRow(std::string_view service, std::string_view address) {
-  return {std::string(kLeaseTable), std::string(service), std::string(address)};
+RowName LeaseRow(std::string_view service,
+                 std::uint64_t era,
+                 std::string_view address) {
+  return {std::string(kLeaseTable), std::string(service),
+          LeasePrefix(era).append(address)};
+}
+
+std::string LeasePrefix(std::uint64_t era) {
+  return std::to_string(era) + "/";
 }
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -111,6 +111,7 @@
   ReadAddress(reader, "store_address", settings.store_address);
   ReadOptional(reader, "max_descriptors", settings.max_descriptors);
   ReadOptional(reader, "link_mbps", settings.link_mbps);
+  ReadOptional(reader, "first_start", settings.first_start);
   ReadBounds(reader, settings.bounds);
   return settings;
 }
--- a/src/eelgrassbridge/node/store_era.cpp
+++ b/src/eelgrassbridge/node/store_era.cpp
@@ -23,6 +23,9 @@
   }
   node.lease.version = 0;
   node.lease.version_known = false;
+  node.lease.recorded = {};
+  node.lease.pending_right = {};
+  node.recovery = {};
   Log(node.log, EventKind::kStoreRestored,
       {{"era", static_cast<std::int64_t>(era)}});
   http::Notify(store.changed);
--- a/src/eelgrassbridge/ranges/lease.cpp
+++ b/src/eelgrassbridge/ranges/lease.cpp
@@ -37,6 +37,27 @@
   return quantiles;
 }
 
+json EncodeClaims(const std::vector<Claim>& claims) {
+  json rows = json::array();
+  for (const Claim& claim : claims) {
+    rows.push_back({claim.keys.first, claim.keys.last, claim.fencing_token});
+  }
+  return rows;
+}
+
+std::vector<Claim> DecodeClaims(const json& rows) {
+  std::vector<Claim> claims;
+  for (const json& row : rows) {
+    const KeyRange keys{base::JsonInteger(row.at(0), kLastKey),
+                        base::JsonInteger(row.at(1), kLastKey)};
+    if (keys.last < keys.first) {
+      throw base::InvalidJsonValue("a claim has no valid range");
+    }
+    claims.push_back({keys, base::JsonInteger(row.at(2), kMaxNextToken - 1)});
+  }
+  return claims;
+}
+
 }  // namespace
 
 base::Duration LatestStoreTime(const StoreClock& clock, base::TimePoint now) {
@@ -44,18 +65,21 @@
 }
 
 std::string EncodeLease(const LeaseRecord& record) {
-  return json{{"daemon", record.owner.daemon},
-              {"target", record.owner.target},
-              {"born", record.owner.born},
-              {"process", record.process},
-              {"sequence", record.sequence},
-              {"expires_us", record.expires.count()},
-              {"accepting", record.accepting},
-              {"rate", record.load.requests_per_second},
-              {"run_s", record.load.run_seconds},
-              {"slots", record.load.slots},
-              {"quantiles", record.load.quantiles}}
-      .dump();
+  json value = {{"daemon", record.owner.daemon},
+                {"target", record.owner.target},
+                {"born", record.owner.born},
+                {"process", record.process},
+                {"sequence", record.sequence},
+                {"expires_us", record.expires.count()},
+                {"accepting", record.accepting},
+                {"rate", record.load.requests_per_second},
+                {"run_s", record.load.run_seconds},
+                {"slots", record.load.slots},
+                {"quantiles", record.load.quantiles}};
+  if (!record.claims.empty()) {
+    value["claims"] = EncodeClaims(record.claims);
+  }
+  return value.dump();
 }
 
 base::Result<LeaseRecord> DecodeLease(std::string_view text) {
@@ -74,6 +98,9 @@
                    base::JsonNumber(value.at("run_s"), kMaxRunSeconds),
                    base::JsonInteger(value.at("slots"), kMaxSlots),
                    DecodeQuantiles(value.at("quantiles"))};
+    if (value.contains("claims")) {
+      record.claims = DecodeClaims(value["claims"]);
+    }
     return record;
   } catch (const json::exception& error) {
     return base::Fail(base::ErrorKind::kFrameInvalid, error.what());
--- a/src/eelgrassbridge/ranges/map_size.cpp
+++ b/src/eelgrassbridge/ranges/map_size.cpp
@@ -9,9 +9,10 @@
 namespace {
 
 /// Longest encoded entry without a handover, with its comma: a first key of 5
-/// digits, a token of 10, an owner and a next daemon of 4 each, and the marks
-/// between them. More than 10^10 assignments don't happen in a fleet's life.
-constexpr std::size_t kMaxEntryBytes = 32;
+/// digits, a token of 16, an owner and a next daemon of 4 each, and the marks
+/// between them. Tokens start at 2^32 times the era of the store, and 16 digits
+/// are enough for a million eras.
+constexpr std::size_t kMaxEntryBytes = 38;
 /// Length of an encoded map beside its owners and entries.
 constexpr std::size_t kFrameBytes = 80;
 /// Marks around an owner, and a start time of 13 digits.
--- a/src/eelgrassbridge/ranges/range_map.cpp
+++ b/src/eelgrassbridge/ranges/range_map.cpp
@@ -2,7 +2,6 @@
 #include "eelgrassbridge/ranges/range_map.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -14,11 +13,6 @@
 
 using nlohmann::json;
 
-/// Far above any token in use, and far below the number after which tokens
-/// would start again from 0.
-constexpr auto kMaxNextToken =
-    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
-
 bool SatisfiesInvariants(const RangeMap& map) {
   std::uint32_t expected = 0;
   for (const RangeEntry& entry : map.entries) {
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -44,7 +44,8 @@
       "data_centres: {{a1: a, a2: a, b1: b}}\n"
       "callers: {}\npeers: {}\npeers_listen: {}\nreadiness: {}\nreports: {}\n"
       "target_address: {}\nservice: {}\nstore_address: {}\n"
-      "max_descriptors: 1024\ngrace_seconds: 6\nretry_ratio: 0.2\n"
+      "max_descriptors: 1024\nfirst_start: true\ngrace_seconds: 6\n"
+      "retry_ratio: 0.2\n"
       "retry_extra: 60\nretry_window_seconds: 10\nlongest_hold_seconds: 10\n",
       vm.name, vm.data_centre, vm.data_centre.substr(0, 1), vm.callers_address,
       vm.daemon_link.address, peers_listen, readiness,
