Parse addresses in a file of their own

That file has coroutines that clang 14 does not compile, so it cannot be one of the sources of the fuzz target.

No logic is changed.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -66,10 +66,6 @@
   std::uint64_t opened = 0;
 };
 
-/// @brief Parses an address such as "10.0.0.1:80". Returns nothing for other
-/// text, including host names and port 0.
-std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text);
-
 /// @brief Returns an idle connection from the pool, or opens one. Fails with
 /// kPeerUnreachable, in which case nothing was sent.
 asio::awaitable<base::Result<ClientConnectionPtr>> Acquire(
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -167,21 +167,6 @@
 ClientConnection::ClientConnection(asio::io_context& io, tcp::endpoint server)
     : endpoint(std::move(server)), socket(io) {}
 
-std::optional<tcp::endpoint> ParseEndpoint(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::error_code error;
-  const auto address =
-      asio::ip::make_address(std::string(text.substr(0, colon)), error);
-  const auto port = ParseNumber(text.substr(colon + 1));
-  if (error || !port || *port == 0 || *port > UINT16_MAX) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(address, static_cast<std::uint16_t>(*port));
-}
-
 awaitable<base::Result<ClientConnectionPtr>> Acquire(ConnectionPool& pool,
                                                      tcp::endpoint endpoint) {
   if (ClientConnectionPtr idle = TakeIdle(pool, endpoint)) {
--- a/src/eelgrassbridge/node/member.cpp
+++ b/src/eelgrassbridge/node/member.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "eelgrassbridge/base/json_value.hpp"
-#include "eelgrassbridge/http/client.hpp"
+#include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/ranges/range_map.hpp"
 
 namespace eelgrassbridge::node {
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/request.hpp"
 #include "eelgrassbridge/node/rows.hpp"
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <system_error>
 
+#include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/entry.hpp"
 #include "eelgrassbridge/node/feeds.hpp"
 #include "eelgrassbridge/node/node.hpp"
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -6,7 +6,7 @@
 
 #include "eelgrassbridge/base/file.hpp"
 #include "eelgrassbridge/base/problem.hpp"
-#include "eelgrassbridge/http/client.hpp"
+#include "eelgrassbridge/http/endpoint.hpp"
 
 namespace eelgrassbridge::node {
 
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/key_demand.hpp"
 #include "eelgrassbridge/node/transmit.hpp"
 
--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -9,6 +9,8 @@
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include "eelgrassbridge/http/endpoint.hpp"
+
 namespace eelgrassbridge::standins {
 
 namespace {
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -7,6 +7,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
+#include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/ranges/range_map.hpp"
 
 namespace eelgrassbridge::soak {
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 
 #include "eelgrassbridge/http/client.hpp"
+#include "eelgrassbridge/http/endpoint.hpp"
 
 namespace eelgrassbridge::soak {
 
