Keep a data centre out of service while its row may be lost

What callers saw: nothing yet; found by reading. After a restore that lost the row by which the operator had evacuated a data centre, requests are sent there again until the operator has written the row again.

Cause: the rows that are read in a new era counted as all there are, so a missing row counted as a removed one.

Evidence: the test "a data centre stays out of service though a restore lost its row" on the code before: restore_test.cpp:108 CHECK( stayed_out ) is NOT correct!

Change: a data centre whose row was not seen in the new era stays out of service for 10 s, in which the operator writes lost rows again. A removal that the feed reports counts at once.

Result: the test passes, in both of its cases. The comment of the more frequent reads after a failed call no longer names the restore as the reason.

--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -26,11 +26,14 @@
 /// daemon reports a later version.
 constexpr std::chrono::milliseconds kOperatorPollTime{8000};
 /// After a failed call, daemons that are no relays read the operator's rows
-/// this often for this time: announcements may be missed while the store is
-/// disturbed or after it was restored, and a change has to be in force
-/// within 2.5 s.
+/// this often for this time: a relay cannot announce a change while the store
+/// refuses its commits, and a change has to be in force within 2.5 s.
 constexpr std::chrono::milliseconds kDoubtfulReadInterval{1500};
 constexpr base::Duration kDoubtfulTime = base::seconds{15};
+/// Time after a restore of the store for which a data centre stays out of
+/// service although its row is missing. The row may be lost, and the operator
+/// writes lost rows again within seconds.
+constexpr std::chrono::milliseconds kLostRowTime{10000};
 
 /// Reads the operator's rows from the store. After a restore they are first
 /// asked from the relays, because all daemons need them at the same time.
@@ -46,28 +49,63 @@
   co_return co_await ReadPartition(node, node.port.operator_table, "");
 }
 
+/// Data centres that rows of the present era take out of service.
+std::set<std::string> DataCentresOutByRows(const Node& node) {
+  std::set<std::string> out;
+  for (const auto& [key, row] : node.operator_copy.rows) {
+    const OperatorRow meaning = node.port.operator_row(row.name);
+    if (meaning.kind == OperatorRow::Kind::kOutOfService && !row.removed) {
+      out.insert(meaning.data_centre);
+    }
+  }
+  return out;
+}
+
+/// Puts data centres back in service whose rows are still missing after the
+/// time in which the operator writes lost rows again.
+awaitable<void> AwaitLostRows(Node& node, std::set<std::string> missing) {
+  const std::uint64_t era = node.store.era;
+  co_await http::Sleep(node.io, kLostRowTime);
+  if (node.store.era != era) {
+    co_return;
+  }
+  const auto out = DataCentresOutByRows(node);
+  for (const std::string& data_centre : missing) {
+    if (!out.contains(data_centre)) {
+      SetOutOfService(node, data_centre, false);
+    }
+  }
+}
+
 /// Reads the operator's rows. Returns the version from which to follow them.
 awaitable<base::Result<std::uint64_t>> ReadOperatorRows(Node& node) {
   auto page = co_await ReadOperatorTable(node);
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
+  const auto out_before = DataCentresOutByRows(node);
   node.operator_copy.rows.clear();
   KeepOperatorPage(node, page.value());
-  std::set<std::string> out;
   for (const StoredRow& row : page.value().rows) {
     ApplyOperatorRow(node, row);
-    const OperatorRow meaning = node.port.operator_row(row.name);
-    if (meaning.kind == OperatorRow::Kind::kOutOfService && !row.removed) {
-      out.insert(meaning.data_centre);
-    }
   }
+  const auto out = DataCentresOutByRows(node);
   const auto known = node.data_centres_out;
+  std::set<std::string> maybe_lost;
   for (const std::string& data_centre : known) {
-    if (!out.contains(data_centre)) {
+    if (out.contains(data_centre)) {
+      continue;
+    }
+    if (node.store.restored && !out_before.contains(data_centre)) {
+      maybe_lost.insert(data_centre);
+    } else {
       SetOutOfService(node, data_centre, false);
     }
   }
+  if (!maybe_lost.empty()) {
+    asio::co_spawn(node.io, AwaitLostRows(node, std::move(maybe_lost)),
+                   asio::detached);
+  }
   co_return page.value().state.version;
 }
 
