Write the first map of an era only with an owner for each key

Seen by reading: if some keys are claimed after a restore and no live target accepts the others, for example because the last one leaves, the first map has owners without a name. No daemon can decode it, and each further first map fails on the condition that there is none, so the service has no map until the next restore.

Change: RecoverMap returns nothing in this case, and the first map is tried again until a target accepts keys. Claimants keep their rights.

--- a/include/eelgrassbridge/ranges/recovery.hpp
+++ b/include/eelgrassbridge/ranges/recovery.hpp
@@ -11,6 +11,7 @@
 #define EELGRASSBRIDGE_RANGES_RECOVERY_HPP
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -56,8 +57,10 @@
 
 /// @brief Makes the first map of an era. Claims of live leases keep their owner
 /// and fencing token; if two overlap, the higher token counts. All other keys
-/// are assigned to the targets that accept keys.
-RangeMap RecoverMap(std::span<const LeaseRecord> live, std::uint64_t era);
+/// are assigned to the targets that accept keys. Returns nothing if some keys
+/// are claimed and no target accepts the others.
+std::optional<RangeMap> RecoverMap(std::span<const LeaseRecord> live,
+                                   std::uint64_t era);
 
 }  // namespace eelgrassbridge::ranges
 
--- a/src/eelgrassbridge/node/range_recovery.cpp
+++ b/src/eelgrassbridge/node/range_recovery.cpp
@@ -161,9 +161,11 @@
     co_return false;
   }
   const RowName name = RangeMapRow(node.settings.service, node.store.era);
-  const ranges::RangeMap map =
-      ranges::RecoverMap(rows.value().live, node.store.era);
-  const std::string value = ranges::EncodeMap(map);
+  const auto map = ranges::RecoverMap(rows.value().live, node.store.era);
+  if (!map) {
+    co_return false;
+  }
+  const std::string value = ranges::EncodeMap(*map);
   RowTransaction transaction;
   transaction.conditions.push_back({name, 0});
   transaction.writes.push_back({name, value});
@@ -172,7 +174,7 @@
   Log(node.log, EventKind::kRangesPlanned,
       {{"written", std::int64_t{written}},
        {"live", static_cast<std::int64_t>(rows.value().live.size())},
-       {"entries", static_cast<std::int64_t>(map.entries.size())}});
+       {"entries", static_cast<std::int64_t>(map->entries.size())}});
   if (written) {
     ApplyFleetRow(node, {name, value, result.value().state.version, false});
     co_await RemoveFormerRows(node, std::move(rows.value().former));
--- a/src/eelgrassbridge/ranges/recovery.cpp
+++ b/src/eelgrassbridge/ranges/recovery.cpp
@@ -107,7 +107,8 @@
   return claims;
 }
 
-RangeMap RecoverMap(std::span<const LeaseRecord> live, std::uint64_t era) {
+std::optional<RangeMap> RecoverMap(std::span<const LeaseRecord> live,
+                                   std::uint64_t era) {
   const std::vector<OwnedClaim> claims = SortedClaims(live);
   RangeMap map;
   map.next_token = std::max<std::uint64_t>(1, era << kTokenBits);
@@ -117,7 +118,13 @@
     map.entries = EntriesOf(claims);
   }
   if (auto planned = Plan(map, {live, false})) {
-    return std::move(*planned);
+    return planned;
+  }
+  const bool all_owned = std::ranges::none_of(
+      map.entries,
+      [](const RangeEntry& entry) { return entry.owner.daemon.empty(); });
+  if (!all_owned) {
+    return std::nullopt;
   }
   LimitEncodedSize(map);
   return map;
--- a/src/eelgrassbridge/ranges/recovery_test.cpp
+++ b/src/eelgrassbridge/ranges/recovery_test.cpp
@@ -25,7 +25,7 @@
   const std::vector<LeaseRecord> live = {
       MakeLease(1, {{{0, 999}, 7}, {{2000, 2999}, 12}}),
       MakeLease(2, {{{1000, 1999}, 9}})};
-  const RangeMap map = RecoverMap(live, 3);
+  const RangeMap map = RecoverMap(live, 3).value();
   CHECK(FindEntry(map, 500)->owner == live[0].owner);
   CHECK(FindEntry(map, 500)->fencing_token == 7);
   CHECK(FindEntry(map, 1000)->owner == live[1].owner);
@@ -38,7 +38,7 @@
   // since the store was restored.
   const std::vector<LeaseRecord> live = {MakeLease(1, {{{0, 999}, 7}}),
                                          MakeLease(2)};
-  const RangeMap map = RecoverMap(live, 3);
+  const RangeMap map = RecoverMap(live, 3).value();
   for (std::uint32_t key = 1000; key <= kLastKey; key += 100) {
     const RangeEntry* const entry = FindEntry(map, key);
     REQUIRE(entry != nullptr);
@@ -51,7 +51,7 @@
 TEST_CASE("without claims all keys are divided among the targets") {
   const std::vector<LeaseRecord> live = {MakeLease(1), MakeLease(2),
                                          MakeLease(3)};
-  const RangeMap map = RecoverMap(live, 1);
+  const RangeMap map = RecoverMap(live, 1).value();
   REQUIRE(map.entries.size() == 3);
   for (std::size_t i = 0; i < live.size(); ++i) {
     CHECK(map.entries[i].owner == live[i].owner);
@@ -59,11 +59,31 @@
   }
 }
 
+TEST_CASE("no map is made while keys without a claim have no recipient") {
+  // Guards against a first map with owners that have no name: no daemon can
+  // read it, and it keeps a valid one from being written.
+  std::vector<LeaseRecord> live = {MakeLease(1, {{{0, 999}, 7}})};
+  live[0].accepting = false;
+  CHECK(!RecoverMap(live, 3));
+  live.push_back(MakeLease(2));
+  const auto map = RecoverMap(live, 3);
+  REQUIRE(map.has_value());
+  CHECK(DecodeMap(EncodeMap(*map)));
+}
+
+TEST_CASE("a target that leaves keeps its claims if no other accepts keys") {
+  std::vector<LeaseRecord> live = {MakeLease(1, {{{0, kLastKey}, 7}})};
+  live[0].accepting = false;
+  const auto map = RecoverMap(live, 3);
+  REQUIRE(map.has_value());
+  CHECK(FindEntry(*map, 0)->owner == live[0].owner);
+}
+
 TEST_CASE("of two claims of a key the higher fencing token counts") {
   const std::vector<LeaseRecord> live = {
       MakeLease(1, {{{0, kLastKey}, 20}}),
       MakeLease(2, {{{100, 200}, 10}, {{300, 400}, 30}})};
-  const RangeMap map = RecoverMap(live, 1);
+  const RangeMap map = RecoverMap(live, 1).value();
   CHECK(FindEntry(map, 150)->owner == live[0].owner);
   CHECK(FindEntry(map, 350)->owner == live[1].owner);
   CHECK(FindEntry(map, 401)->owner == live[0].owner);
@@ -84,7 +104,7 @@
       }
       live.push_back(MakeLease(i, std::move(claims)));
     }
-    const RangeMap map = RecoverMap(live, 1);
+    const RangeMap map = RecoverMap(live, 1).value();
     const auto decoded = DecodeMap(EncodeMap(map));
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(decoded.value() == map);
@@ -100,7 +120,7 @@
 TEST_CASE("a range that is moving is not claimed") {
   // Guards against two claims of a range whose next owner was written to the
   // store although the answer to that write was lost.
-  RangeMap map = RecoverMap({{MakeLease(1)}}, 1);
+  RangeMap map = RecoverMap({{MakeLease(1)}}, 1).value();
   SplitAt(map, 100);
   map.entries[0].next_daemon = "10.0.0.2:1";
   const auto claims = ClaimsOf(map, MakeLease(1).owner);
