Reassign the keys of at most 48 lost owners in one plan

Seen by reading: a plan has two entries for each lost owner and two for the map, and a transaction of the store has at most 100. When 50 owners of a service are lost at once, each plan is refused with 400, and none of their keys gets an owner again.

Change: a plan leaves the ranges of further lost owners as they are; the next one takes them. The stand-in of the store refuses transactions with more than 100 entries, as the platform does.

--- a/include/eelgrassbridge/ranges/planning.hpp
+++ b/include/eelgrassbridge/ranges/planning.hpp
@@ -42,6 +42,8 @@
   std::span<const LeaseRecord> live;
   /// Whether keys may move to balance load.
   bool balance = false;
+  /// Daemons without a lease whose ranges this plan leaves as they are.
+  std::span<const std::string> kept = {};
 };
 
 /// @brief Returns the map to write, or nothing if no change is needed or no
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -1,5 +1,7 @@
 // Plans the range map and hands released ranges over to their next owners.
 #include <algorithm>
+#include <set>
+#include <span>
 
 #include "eelgrassbridge/node/lease_rows.hpp"
 #include "eelgrassbridge/node/ownership.hpp"
@@ -31,6 +33,10 @@
 /// effect of a move is visible before the next one.
 constexpr base::Duration kBalanceInterval = base::milliseconds{3000};
 constexpr base::Duration kReleaseCheckInterval = base::milliseconds{500};
+/// Owners whose ranges one plan reassigns because they are lost. A transaction
+/// of the store has at most 100 entries: two for each of them, and two for the
+/// map.
+constexpr std::size_t kMaxLostOwners = 48;
 
 /// Rank of this daemon, by address, among those with a live lease.
 std::size_t RankOf(const Node& node, const LeaseRows& rows) {
@@ -40,19 +46,24 @@
       }));
 }
 
-/// Adds conditions and removals for the lease rows of daemons without a live
-/// lease, whose ranges the plan reassigns: the rows must be unchanged since
-/// they were read.
-void AddLostOwners(const ranges::RangeMap& before,
-                   const LeaseRows& rows,
-                   const Node& node,
-                   RowTransaction& transaction) {
+/// Addresses of owners without a live lease.
+std::vector<std::string> LostOwners(const ranges::RangeMap& map,
+                                    const LeaseRows& rows) {
   std::set<std::string> lost;
-  for (const ranges::RangeEntry& entry : before.entries) {
+  for (const ranges::RangeEntry& entry : map.entries) {
     if (!IsLive(rows, entry.owner.daemon)) {
       lost.insert(entry.owner.daemon);
     }
   }
+  return {lost.begin(), lost.end()};
+}
+
+/// Adds conditions and removals for the lease rows of lost owners, whose ranges
+/// the plan reassigns: the rows must be unchanged since they were read.
+void AddLostOwners(std::span<const std::string> lost,
+                   const LeaseRows& rows,
+                   const Node& node,
+                   RowTransaction& transaction) {
   for (const std::string& daemon : lost) {
     const RowName name =
         LeaseRow(node.settings.service, node.store.era, daemon);
@@ -101,14 +112,18 @@
   const LeaseRows rows = std::move(read.value());
   const std::size_t rank = RankOf(node, rows);
   const base::TimePoint now = base::BootClock::now();
+  const ranges::RangeMap before = node.ranges[node.settings.service].map;
+  const auto all_lost = LostOwners(before, rows);
+  const std::span<const std::string> lost(
+      all_lost.data(), std::min(all_lost.size(), kMaxLostOwners));
   ranges::PlanningInput input;
   input.live = rows.live;
+  input.kept = std::span(all_lost).subspan(lost.size());
   input.balance = rank == 0 && now - node.lease.balanced_at >= kBalanceInterval;
-  const ranges::RangeMap before = node.ranges[node.settings.service].map;
   const auto planned = ranges::Plan(before, input);
   if (planned) {
     RowTransaction transaction;
-    AddLostOwners(before, rows, node, transaction);
+    AddLostOwners(lost, rows, node, transaction);
     if (input.balance) {
       node.lease.balanced_at = now;
     }
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -170,7 +170,9 @@
 }
 
 bool IsLost(const Planner& planner, const RangeEntry& entry) {
-  return !planner.leases.contains(entry.owner.daemon);
+  return !planner.leases.contains(entry.owner.daemon) &&
+         std::ranges::find(planner.input.kept, entry.owner.daemon) ==
+             planner.input.kept.end();
 }
 
 /// Merges the adjacent entries of each lost owner. All of them are about to
--- a/standins/platform/row_standin.cpp
+++ b/standins/platform/row_standin.cpp
@@ -64,12 +64,21 @@
              : found->second.version;
 }
 
+/// Conditions, writes and removals of one transaction.
+constexpr std::size_t kMaxEntries = 100;
+
 struct Reply {
   int status = kOk;
   json body;
 };
 
 Reply ApplyTransaction(RowStandin& standin, const json& request) {
+  const std::size_t entries = request.at("expect").size() +
+                              request.at("writes").size() +
+                              request.at("delete").size();
+  if (entries > kMaxEntries) {
+    return {kBadRequest, json::object()};
+  }
   Reply reply{kOk, State(standin)};
   json present = json::array();
   bool all_match = true;
