Take no keys from a daemon whose lease row was spoiled

Seen by reading: a lease row that cannot be decoded counted as an expired lease at once. Its owner learns of it at its next renewal, and its target holds the keys for up to 4 s more, while the planner has given them away. A row with the lease of another daemon, or with an end far ahead, kept the keys of a lost daemon for good.

Change: such a row hides a lease that may be valid for one lease length from when its version was first seen. Until then nobody takes over its keys and no first map is made; afterwards it counts as expired. No renewal was acknowledged while the version stood, so the right has ended.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -97,6 +97,9 @@
   ranges::LeaseRecord recorded;
   /// The service had no lease rows of any era when they were read.
   bool no_rows_found = false;
+  /// Versions of lease rows that cannot be read, and the store time at which
+  /// they were first seen, by daemon address.
+  std::map<std::string, std::pair<std::uint64_t, base::Duration>> unreadable;
   /// Time of the last plan that balanced load.
   base::TimePoint balanced_at{};
 };
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -46,12 +46,12 @@
       }));
 }
 
-/// Addresses of owners without a live lease.
+/// Addresses of owners whose leases have ended.
 std::vector<std::string> LostOwners(const ranges::RangeMap& map,
                                     const LeaseRows& rows) {
   std::set<std::string> lost;
   for (const ranges::RangeEntry& entry : map.entries) {
-    if (!IsLive(rows, entry.owner.daemon)) {
+    if (!MayBeLive(rows, entry.owner.daemon)) {
       lost.insert(entry.owner.daemon);
     }
   }
@@ -116,9 +116,13 @@
   const auto all_lost = LostOwners(before, rows);
   const std::span<const std::string> lost(
       all_lost.data(), std::min(all_lost.size(), kMaxLostOwners));
+  std::vector<std::string> kept = rows.unknown;
+  kept.insert(kept.end(),
+              all_lost.begin() + static_cast<std::ptrdiff_t>(lost.size()),
+              all_lost.end());
   ranges::PlanningInput input;
   input.live = rows.live;
-  input.kept = std::span(all_lost).subspan(lost.size());
+  input.kept = kept;
   input.balance = rank == 0 && now - node.lease.balanced_at >= kBalanceInterval;
   const auto planned = ranges::Plan(before, input);
   if (planned) {
--- a/src/eelgrassbridge/node/range_recovery.cpp
+++ b/src/eelgrassbridge/node/range_recovery.cpp
@@ -103,7 +103,8 @@
 awaitable<bool> RemoveExpired(Node& node, const LeaseRows& rows) {
   RowTransaction transaction;
   for (const auto& [daemon, version] : rows.versions) {
-    if (IsLive(rows, daemon) || transaction.removals.size() >= kMaxRemovals) {
+    if (MayBeLive(rows, daemon) ||
+        transaction.removals.size() >= kMaxRemovals) {
       continue;
     }
     const RowName name =
@@ -157,7 +158,7 @@
     co_return false;
   }
   const bool expired = co_await RemoveExpired(node, rows.value());
-  if (expired) {
+  if (expired || !rows.value().unknown.empty()) {
     co_return false;
   }
   const RowName name = RangeMapRow(node.settings.service, node.store.era);
--- a/src/eelgrassbridge/node/store_era.cpp
+++ b/src/eelgrassbridge/node/store_era.cpp
@@ -25,6 +25,7 @@
   node.lease.version_known = false;
   node.lease.recorded = {};
   node.lease.pending_right = {};
+  node.lease.unreadable.clear();
   node.recovery = {};
   Log(node.log, EventKind::kStoreRestored,
       {{"era", static_cast<std::int64_t>(era)}});
