Hand on the operator's rows from a relay only if they are complete

Seen by reading, in two ways. A relay that has read all rows, after its start or a loss of the store's history, does not know rows that were removed before. A daemon that asked it for the changes since an earlier version never learned of the removal, and kept a data centre out of service. And a daemon that waited for a change while another of its calls learned of a restore polled the new era from the old position, and then handed on the few rows of that page as if they were all.

Change: a relay answers 410 for changes from before it read all rows; the daemon then asks it for all rows. Nothing is polled from a position of a former era. All rows are asked from the relays also after a loss of the store's history, which every daemon notices at about the same time.

Evidence: the test "a relay hands on no change that may lack removed rows" on the code before: CHECK( AskForOperatorRows(...) == 410 ) is NOT correct! values: 200 == 410 It passes with the change. No test shows the old position in the new era.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -178,6 +178,9 @@
   std::map<std::string, StoredRow, std::less<>> rows;
   /// All changes up to this version are in `rows`.
   std::uint64_t version = 0;
+  /// Version at which all rows were read; rows that were removed before are
+  /// not in `rows`.
+  std::uint64_t complete_at = 0;
   /// Latest version that a relay has announced, and the version of the row that
   /// announces it.
   std::uint64_t announced_version = 0;
--- a/include/eelgrassbridge/node/operator_relay.hpp
+++ b/include/eelgrassbridge/node/operator_relay.hpp
@@ -35,8 +35,10 @@
 /// relay does.
 asio::awaitable<void> AnnounceOperatorRows(Node& node);
 
-/// @brief Fetches the changes after a version from the relays. Fails if none of
-/// them has received the change `needed` in time.
+/// @brief Fetches the changes after a version from the relays, or all rows if
+/// `after` is 0. Fails with kNotFound if a relay does not know all rows that
+/// were removed since, and with kStoreUnavailable if none of them has received
+/// the change `needed` in time.
 asio::awaitable<base::Result<RowPage>> FetchFromRelays(Node& node,
                                                        std::uint64_t after,
                                                        std::uint64_t needed);
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -35,13 +35,15 @@
 /// writes lost rows again within seconds.
 constexpr std::chrono::milliseconds kLostRowTime{10000};
 
-/// Reads the operator's rows from the store. After a restore they are first
-/// asked from the relays, because all daemons need them at the same time.
+/// Reads the operator's rows from the relays, or else from the store. After a
+/// restore or a loss of the store's history all daemons need them at the same
+/// time.
 awaitable<base::Result<RowPage>> ReadOperatorTable(Node& node) {
   const std::uint64_t era = node.store.era;
-  if (node.store.restored && node.operator_copy.version == 0 &&
-      !IsEraOutdated(node) && !IsOperatorRelay(node)) {
-    auto page = co_await FetchFromRelays(node, 0, 1);
+  if (node.fleet.loaded && !IsEraOutdated(node) && !IsOperatorRelay(node)) {
+    const std::uint64_t needed =
+        std::max<std::uint64_t>(1, node.operator_copy.version);
+    auto page = co_await FetchFromRelays(node, 0, needed);
     if (page && node.store.era == era) {
       co_return page;
     }
@@ -85,6 +87,7 @@
   }
   const auto out_before = DataCentresOutByRows(node);
   node.operator_copy.rows.clear();
+  node.operator_copy.complete_at = page.value().state.version;
   KeepOperatorPage(node, page.value());
   for (const StoredRow& row : page.value().rows) {
     ApplyOperatorRow(node, row);
@@ -143,6 +146,10 @@
   if (!IsOperatorRelay(node)) {
     co_await AwaitOperatorChange(node, position);
   }
+  if (node.store.era != era || IsEraOutdated(node)) {
+    // The position is one of a former era.
+    co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
+  }
   if (!IsOperatorRelay(node)) {
     const std::uint64_t reported = node.store.operator_rows.peer_version;
     if (reported > position.after) {
@@ -154,6 +161,9 @@
         KeepOperatorPage(node, page.value());
         co_return page;
       }
+      if (page.error().kind == ErrorKind::kNotFound) {
+        co_return page;
+      }
     }
     position.wait = std::chrono::milliseconds{0};
   }
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -36,6 +36,7 @@
 /// Added to the wait for the answer to arrive.
 constexpr std::chrono::milliseconds kRelayAnswerTime{300};
 constexpr int kOk = 200;
+constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kRowsHeader = "Eelgrassbridge-Operator-Rows";
 
@@ -85,8 +86,12 @@
   if (!answer) {
     co_return base::Fail(answer.error().kind, answer.error().detail);
   }
-  if (answer.value().head.status != kOk) {
+  if (answer.value().head.status == kGone) {
     co_return base::Fail(ErrorKind::kNotFound,
+                         "the relay does not know all removed rows");
+  }
+  if (answer.value().head.status != kOk) {
+    co_return base::Fail(ErrorKind::kStoreUnavailable,
                          "the relay has not received the change");
   }
   auto page = DecodeRowPage(answer.value().body);
@@ -178,14 +183,14 @@
   }
   for (const std::string& address : relays) {
     auto page = co_await FetchFromRelay(node, address, after, needed);
-    if (page) {
+    if (page || page.error().kind == ErrorKind::kNotFound) {
       co_return page;
     }
-    if (page.error().kind != ErrorKind::kNotFound) {
+    if (page.error().kind != ErrorKind::kStoreUnavailable) {
       node.operator_copy.failed_relays[address] = base::BootClock::now();
     }
   }
-  co_return base::Fail(ErrorKind::kNotFound, "no relay has the change");
+  co_return base::Fail(ErrorKind::kStoreUnavailable, "no relay has the change");
 }
 
 bool IsOperatorRowsRequest(const http::RequestHead& head) {
@@ -210,6 +215,10 @@
     co_await http::Respond(exchange, kUnavailable, {}, {});
     co_return;
   }
+  if (*after > 0 && *after < copy.complete_at) {
+    co_await http::Respond(exchange, kGone, {}, {});
+    co_return;
+  }
   const std::string body = EncodeRowPage(ChangesAfter(copy, *after));
   Count(node, "operator_rows_relayed_total");
   co_await http::Respond(exchange, kOk, {}, body);
--- a/src/eelgrassbridge/node/store_era.cpp
+++ b/src/eelgrassbridge/node/store_era.cpp
@@ -14,6 +14,7 @@
   store.fleet_rows = {};
   node.operator_copy.rows.clear();
   node.operator_copy.version = 0;
+  node.operator_copy.complete_at = 0;
   node.operator_copy.announced_version = 0;
   node.operator_copy.announcement_row_version = 0;
   node.fleet.versions.clear();
