Let relays read the rows of a new era before they refuse

Seen by reading: after a restore, a relay that is asked before it has learned of the new era answers 503 at once, because the version that it has of the former era is above the one asked for. Daemons that know of the era first then all read the routes from the store, over the link that the relays are to spare.

Change: the relay waits until it has read the rows of the era that it was told of, within the time that it has for any change.

Evidence: the test "a relay that does not know of a restore yet reads the rows first" on the code before: CHECK( AskForOperatorRows(...) == 200 ) is NOT correct! values: 503 == 200 It passes with the change.

--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -207,7 +207,9 @@
   RecordPeerEra(node, era.value_or(0));
   const base::TimePoint latest = base::BootClock::now() + kRelayWait;
   OperatorCopy& copy = node.operator_copy;
-  while (after && needed && era >= node.store.era && copy.version < *needed &&
+  // A relay that learns of a later era here has to read the rows first.
+  while (after && needed && era >= node.store.era &&
+         (era > node.store.era || copy.version < *needed) &&
          base::BootClock::now() < latest) {
     co_await http::WaitUntil(copy.changed, latest);
   }
