Announce changes that a relay finds when it reads all rows

Seen by reading: only changes that a poll returned were announced. What the operator wrote while the relays could not follow the store, during a restore, a loss of the history or their own start, they found by reading all rows, and other daemons learned of it up to 8 s later. The bound is 2.5 s.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -185,7 +185,7 @@
   /// announces it.
   std::uint64_t announced_version = 0;
   std::uint64_t announcement_row_version = 0;
-  /// When a call to the store last failed.
+  /// When a call to the store last failed, or a restore was noticed.
   base::TimePoint store_failed_at{};
   /// When daemons did not answer as relays, by address.
   std::map<std::string, base::TimePoint, std::less<>> failed_relays;
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -25,9 +25,10 @@
 /// have lost is abandoned sooner: when another call fails, or when another
 /// daemon reports a later version.
 constexpr std::chrono::milliseconds kOperatorPollTime{8000};
-/// After a failed call, daemons that are no relays read the operator's rows
-/// this often for this time: a relay cannot announce a change while the store
-/// refuses its commits, and a change has to be in force within 2.5 s.
+/// After a failed call or a restore, daemons that are no relays read the
+/// operator's rows this often for this time: a relay cannot announce a change
+/// while the store refuses its commits, and a change has to be in force
+/// within 2.5 s.
 constexpr std::chrono::milliseconds kDoubtfulReadInterval{1500};
 constexpr base::Duration kDoubtfulTime = base::seconds{15};
 /// Time after a restore of the store for which a data centre stays out of
@@ -79,6 +80,17 @@
   }
 }
 
+/// Announces what this daemon has found in the store if it is a relay: a change
+/// that no relay has received by a poll is announced by nobody else.
+awaitable<void> AnnounceReadRows(Node& node) {
+  while (!node.fleet.loaded) {
+    co_await http::Wait(node.lease_inputs_changed);
+  }
+  if (IsOperatorRelay(node)) {
+    co_await AnnounceOperatorRows(node);
+  }
+}
+
 /// Reads the operator's rows. Returns the version from which to follow them.
 awaitable<base::Result<std::uint64_t>> ReadOperatorRows(Node& node) {
   auto page = co_await ReadOperatorTable(node);
@@ -109,6 +121,7 @@
     asio::co_spawn(node.io, AwaitLostRows(node, std::move(maybe_lost)),
                    asio::detached);
   }
+  asio::co_spawn(node.io, AnnounceReadRows(node), asio::detached);
   co_return page.value().state.version;
 }
 
