Ignore an announced version that the store cannot have

Seen by reading: an announcement that another writer has spoiled, with a version above all that exist, makes every daemon ask the relays and the store for it without end, and hides later announcements of the era.

Change: versions come from one counter of the store, so an announced one above that of its own row is rejected.

--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -167,7 +167,9 @@
   if (era && era != node.store.era) {
     return;
   }
-  if (!version || !era) {
+  // The change was in the store before its announcement, which has a version of
+  // the same counter.
+  if (!version || !era || *version > row.version) {
     Log(node.log, EventKind::kRowRejected,
         {{"row", row.name.key},
          {"cause", "the value is not a version with an era"}});
