Keep a later era that is reported while a partition is read

Seen by reading: after a read, the era that other daemons had reported was set to that of the answer, also if a later one was reported meanwhile. The daemon then went on in the former era until it heard of the later one again, or for up to 8 s.

Change: the report is dropped only if it is the one from before the read.

No test shows the fault.

--- a/src/eelgrassbridge/node/store_calls.cpp
+++ b/src/eelgrassbridge/node/store_calls.cpp
@@ -98,13 +98,13 @@
                                                std::string partition) {
   const base::TimePoint sent_at = base::BootClock::now();
   const auto sent_in = EraOfCall(node);
-  const bool outdated = IsEraOutdated(node);
+  const std::uint64_t reported_era = node.store.peer_era;
   auto page =
       co_await node.port.store.read(std::move(table), std::move(partition));
   if (page && !AcceptEra(node, page.value().state.era, sent_in)) {
     co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
   }
-  if (page && outdated) {
+  if (page && node.store.peer_era == reported_era) {
     // The store itself has no later era than the answer tells.
     node.store.peer_era = node.store.era;
   }
