Send nothing for a call that was cancelled while it connected

Seen by reading: a poll that is given up could be closed only once it had a connection. On a full link, connecting takes longer than the 400 ms after which a poll is given up; the poll then connected nevertheless and waited at the store beside the next one, so the store sent each change to both.

Change: Cancel() marks the call as well as it closes its connection, and a call that is marked sends nothing.

Evidence: the test "a call that is cancelled while it connects sends nothing" needs the new function; with the check in Call() left out, the call gets the answer of the server.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -111,11 +111,15 @@
 struct CallProgress {
   /// Body bytes of the response received so far.
   std::uint64_t received_bytes = 0;
-  /// Ends the call with an error and closes its connection, so that the server
-  /// stops sending. Empty while the call has no connection.
-  std::function<void()> cancel;
+  /// Closes the connection. Empty while the call has none.
+  std::function<void()> close;
+  bool cancelled = false;
 };
 
+/// @brief Ends the call with an error and closes its connection, so that the
+/// server stops sending. A call that has no connection yet sends nothing.
+void Cancel(CallProgress& progress);
+
 /// @brief A request whose body is held in memory.
 struct BufferedRequest {
   std::string method;
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -276,6 +276,13 @@
       : ResponseRead::kMore;
 }
 
+void Cancel(CallProgress& progress) {
+  progress.cancelled = true;
+  if (progress.close) {
+    progress.close();
+  }
+}
+
 awaitable<base::Result<Response>> Call(ConnectionPool& pool,
                                        tcp::endpoint endpoint,
                                        BufferedRequest request) {
@@ -284,6 +291,11 @@
     co_return base::Fail(acquired.error().kind, acquired.error().detail);
   }
   const ClientConnectionPtr connection = std::move(acquired.value());
+  if (request.progress && request.progress->cancelled) {
+    Close(*connection);
+    co_return base::Fail(ErrorKind::kCancelled,
+                         "cancelled while the connection was opened");
+  }
   bool timed_out = false;
   const auto time_out = [connection, &timed_out] {
     timed_out = true;
@@ -297,13 +309,13 @@
   Arm(stalled, request.timeout, time_out);
   Arm(too_long, std::max(request.timeout, request.total_timeout), time_out);
   if (request.progress) {
-    request.progress->cancel = [connection] { Close(*connection); };
+    request.progress->close = [connection] { Close(*connection); };
   }
   auto response = co_await SendAndReceive(*connection, request, restart);
   Disarm(stalled);
   Disarm(too_long);
   if (request.progress) {
-    request.progress->cancel = nullptr;
+    request.progress->close = nullptr;
   }
   if (!response) {
     Close(*connection);
--- a/src/eelgrassbridge/http/client_test.cpp
+++ b/src/eelgrassbridge/http/client_test.cpp
@@ -95,6 +95,22 @@
   CHECK(response.error().kind == ErrorKind::kPeerLost);
 }
 
+TEST_CASE("a call that is cancelled while it connects sends nothing") {
+  // Guards against a poll that was given up on a full link and waits at the
+  // server beside the next one, so that each change is sent twice.
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true);
+  BufferedRequest request = Get();
+  request.progress = std::make_shared<CallProgress>();
+  Cancel(*request.progress);
+  const auto response =
+      Await(loop.io, Call(pool, Loopback(server.port), std::move(request)));
+  REQUIRE(!response);
+  CHECK(response.error().kind == ErrorKind::kCancelled);
+  CHECK(IdleCount(pool) == 0);
+}
+
 TEST_CASE("a refused connection is reported as unreachable") {
   LoopThread loop;
   ConnectionPool pool(loop.io, {});
--- a/src/eelgrassbridge/node/store_calls.cpp
+++ b/src/eelgrassbridge/node/store_calls.cpp
@@ -124,9 +124,7 @@
   const std::string_view cause =
       co_await AwaitPage(node, position, *pending, backoff.grace);
   if (!cause.empty()) {
-    if (pending->progress->cancel) {
-      pending->progress->cancel();
-    }
+    http::Cancel(*pending->progress);
     backoff.grace = std::min(backoff.grace * 2, kMaxGrace);
     Count(node, "store_polls_abandoned_total",
           fmt::format("table=\"{}\"", position.table));
