Take all rows from a relay only for a change that was reported

Cause: one relay of daegu-a was cut off from the store, the other had read all rows after the store had forgotten its history. It answered 410 to a third daemon, which then took the old rows of the first relay for all rows, and so on until the cut ended.

Change: a daemon that reads all rows asks the relays for the change that was reported to it, which a relay that is behind refuses. Without such a report, and outside a restore, it reads the store.

--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -36,15 +36,19 @@
 /// writes lost rows again within seconds.
 constexpr std::chrono::milliseconds kLostRowTime{10000};
 
-/// Reads the operator's rows from the relays, or else from the store. After a
-/// restore or a loss of the store's history all daemons need them at the same
-/// time.
+/// Reads the operator's rows. They are first asked from the relays if all
+/// daemons need them at the same time: after a restore, or for a change that
+/// was reported. Otherwise a relay that is cut off from the store might give
+/// rows that are older than those in the store.
 awaitable<base::Result<RowPage>> ReadOperatorTable(Node& node) {
   const std::uint64_t era = node.store.era;
-  if (node.fleet.loaded && !IsEraOutdated(node) && !IsOperatorRelay(node)) {
-    const std::uint64_t needed =
-        std::max<std::uint64_t>(1, node.operator_copy.version);
-    auto page = co_await FetchFromRelays(node, 0, needed);
+  const std::uint64_t reported = node.store.operator_rows.peer_version;
+  const bool of_new_era =
+      node.store.restored && node.operator_copy.version == 0;
+  if ((of_new_era || reported > node.operator_copy.version) &&
+      !IsEraOutdated(node) && !IsOperatorRelay(node)) {
+    auto page =
+        co_await FetchFromRelays(node, 0, std::max<std::uint64_t>(1, reported));
     if (page && node.store.era == era) {
       co_return page;
     }
