Name the limit of conditional removals once

Planning and recovery each had a constant of 48 for the same reason: a transaction of the store has at most 100 entries, and a row that is removed under a condition takes two. The value is unchanged.

--- a/include/eelgrassbridge/node/row_store.hpp
+++ b/include/eelgrassbridge/node/row_store.hpp
@@ -17,6 +17,11 @@
 
 namespace eelgrassbridge::node {
 
+/// Rows that one transaction removes under conditions. A transaction of the
+/// store has at most 100 entries; each of these rows takes two, and the rest is
+/// left for a range map.
+inline constexpr std::size_t kMaxConditionalRemovals = 48;
+
 struct RowName {
   std::string table;
   /// Rows of the same partition can be changed in one transaction.
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -33,10 +33,6 @@
 /// effect of a move is visible before the next one.
 constexpr base::Duration kBalanceInterval = base::milliseconds{3000};
 constexpr base::Duration kReleaseCheckInterval = base::milliseconds{500};
-/// Owners whose ranges one plan reassigns because they are lost. A transaction
-/// of the store has at most 100 entries: two for each of them, and two for the
-/// map.
-constexpr std::size_t kMaxLostOwners = 48;
 
 /// Rank of this daemon, by address, among those with a live lease.
 std::size_t RankOf(const Node& node, const LeaseRows& rows) {
@@ -115,7 +111,7 @@
   const ranges::RangeMap before = node.ranges[node.settings.service].map;
   const auto all_lost = LostOwners(before, rows);
   const std::span<const std::string> lost(
-      all_lost.data(), std::min(all_lost.size(), kMaxLostOwners));
+      all_lost.data(), std::min(all_lost.size(), kMaxConditionalRemovals));
   std::vector<std::string> kept = rows.unknown;
   kept.insert(kept.end(),
               all_lost.begin() + static_cast<std::ptrdiff_t>(lost.size()),
--- a/src/eelgrassbridge/node/range_recovery.cpp
+++ b/src/eelgrassbridge/node/range_recovery.cpp
@@ -26,9 +26,6 @@
 /// All other daemons spread their attempts over a time that grows with their
 /// number, so that few of them try at the same time.
 constexpr base::Duration kOtherTurn = base::milliseconds{250};
-/// A transaction of the store has at most 100 entries; each row that is removed
-/// under a condition takes two.
-constexpr std::size_t kMaxRemovals = 48;
 
 /// Delay of this daemon's turn behind that of the first one.
 base::Duration DelayOfTurn(const Node& node) {
@@ -104,7 +101,7 @@
   RowTransaction transaction;
   for (const auto& [daemon, version] : rows.versions) {
     if (MayBeLive(rows, daemon) ||
-        transaction.removals.size() >= kMaxRemovals) {
+        transaction.removals.size() >= kMaxConditionalRemovals) {
       continue;
     }
     const RowName name =
@@ -140,7 +137,7 @@
   }
   while (!names.empty() && node.store.era == era) {
     RowTransaction transaction;
-    const std::size_t count = std::min(names.size(), kMaxRemovals);
+    const std::size_t count = std::min(names.size(), kMaxConditionalRemovals);
     transaction.removals.assign(
         names.end() - static_cast<std::ptrdiff_t>(count), names.end());
     names.resize(names.size() - count);
