--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -61,7 +61,6 @@
   /// Version of the row in the present era of the store; 0 if it has not been
   /// read in this era.
   std::uint64_t version = 0;
-  base::TimePoint received_at{};
 };
 
 /// @brief Exponentially decaying counts of requests by key, for planning.
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -130,7 +130,6 @@
   }
   ranges.map = std::move(map.value());
   ranges.version = row.version;
-  ranges.received_at = base::BootClock::now();
   Log(node.log, EventKind::kRangesChanged,
       {{"service", row.name.partition},
        {"entries", static_cast<std::int64_t>(ranges.map.entries.size())},
