Count the calls to the store and their bytes by purpose

Cause: nothing told what the calls to the store are for, which are the dearest price of the large sites. Each call names its purpose now; the metrics store_calls_total and store_row_bytes_total have it as a label.

--- a/include/eelgrassbridge/node/store_calls.hpp
+++ b/include/eelgrassbridge/node/store_calls.hpp
@@ -1,11 +1,13 @@
 // Calls to the store. Each updates what the node knows of the store: whether it
-// is reachable, its clock and its era.
+// is reachable, its clock and its era. Each is counted by its purpose, because
+// the store bounds the calls that all daemons may make together.
 #ifndef EELGRASSBRIDGE_NODE_STORE_CALLS_HPP
 #define EELGRASSBRIDGE_NODE_STORE_CALLS_HPP
 
 #include <asio/awaitable.hpp>
 #include <chrono>
 #include <string>
+#include <string_view>
 
 #include "eelgrassbridge/node/node.hpp"
 
@@ -22,6 +24,30 @@
 /// maximum.
 constexpr std::chrono::milliseconds kInitialPause{100};
 constexpr std::chrono::milliseconds kMaxPause{800};
+
+/// @brief What a call to the store is for.
+enum class StorePurpose : std::uint8_t {
+  /// Reads and polls of the operator's rows.
+  kOperatorRows,
+  /// Reads and polls of the members and range maps.
+  kFleetRows,
+  /// Renewals of this daemon's lease, and reads that precede its first one.
+  kLease,
+  /// Reads of all leases of the service, for planning.
+  kLeaseRead,
+  /// Commits of range maps.
+  kRangeMap,
+  /// Commits of this daemon's member row.
+  kMember,
+  /// Recovery of the ownership of keys after a restore or at the first start.
+  kRecovery,
+  /// Announcements of the operator's changes.
+  kAnnouncement,
+};
+
+/// @brief Value of the label "purpose" of the store's metrics.
+std::string_view PurposeName(StorePurpose purpose);
+
 /// @brief Delays of a loop that calls the store, which grow with each failure.
 struct Backoff {
   std::chrono::milliseconds next = kInitialPause;
@@ -35,6 +61,7 @@
 /// @brief Reads all rows of a partition. Fails with kStoreUnavailable if the
 /// store was restored meanwhile.
 asio::awaitable<base::Result<RowPage>> ReadPartition(Node& node,
+                                                     StorePurpose purpose,
                                                      std::string table,
                                                      std::string partition);
 
@@ -46,6 +73,7 @@
 
 /// @brief Commits a transaction. Fails as RowStore::commit does.
 asio::awaitable<base::Result<CommitResult>> Commit(Node& node,
+                                                   StorePurpose purpose,
                                                    RowTransaction transaction);
 
 /// @brief Error of a call during which the store was restored.
--- a/src/eelgrassbridge/node/fleet_feed.cpp
+++ b/src/eelgrassbridge/node/fleet_feed.cpp
@@ -40,7 +40,8 @@
 awaitable<base::Result<std::uint64_t>> ReadServiceRows(
     Node& node,
     const std::string& service) {
-  auto page = co_await ReadPartition(node, std::string(kFleetTable), service);
+  auto page = co_await ReadPartition(node, StorePurpose::kFleetRows,
+                                     std::string(kFleetTable), service);
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -127,8 +127,9 @@
 
 /// Reads the version of the lease row, once in each era of the store.
 awaitable<bool> ReadLeaseRow(Node& node) {
-  auto page = co_await ReadPartition(node, std::string(kLeaseTable),
-                                     node.settings.service);
+  auto page =
+      co_await ReadPartition(node, StorePurpose::kLease,
+                             std::string(kLeaseTable), node.settings.service);
   if (!page) {
     co_return false;
   }
@@ -151,8 +152,9 @@
 /// Reads the rows of the service, including its range map. `no_map_found` is
 /// set if no era has a range map or a recovery row.
 awaitable<bool> ReadMap(Node& node, bool& no_map_found) {
-  auto page = co_await ReadPartition(node, std::string(kFleetTable),
-                                     node.settings.service);
+  auto page =
+      co_await ReadPartition(node, StorePurpose::kLease,
+                             std::string(kFleetTable), node.settings.service);
   if (!page) {
     co_return false;
   }
@@ -262,7 +264,8 @@
       LeaseRow(node.settings.service, node.store.era, node.settings.peers);
   sent[record.sequence] = now;
   RowTransaction transaction = ComposeRenewal(node, name, record);
-  auto result = co_await Commit(node, std::move(transaction));
+  auto result =
+      co_await Commit(node, StorePurpose::kLease, std::move(transaction));
   if (!result) {
     co_return false;
   }
@@ -321,7 +324,8 @@
     RowTransaction transaction;
     transaction.conditions.push_back({name, MemberVersion(node)});
     transaction.writes.push_back({name, EncodeMember(member)});
-    auto result = co_await Commit(node, std::move(transaction));
+    auto result =
+        co_await Commit(node, StorePurpose::kMember, std::move(transaction));
     if (!result) {
       co_await http::Sleep(node.io, kMemberRetryPause);
     } else if (result.value().committed) {
--- a/src/eelgrassbridge/node/lease_rows.cpp
+++ b/src/eelgrassbridge/node/lease_rows.cpp
@@ -56,8 +56,9 @@
 }  // namespace
 
 asio::awaitable<base::Result<LeaseRows>> ReadLeases(Node& node) {
-  auto page = co_await ReadPartition(node, std::string(kLeaseTable),
-                                     node.settings.service);
+  auto page =
+      co_await ReadPartition(node, StorePurpose::kLeaseRead,
+                             std::string(kLeaseTable), node.settings.service);
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -53,7 +53,8 @@
       co_return page;
     }
   }
-  co_return co_await ReadPartition(node, node.port.operator_table, "");
+  co_return co_await ReadPartition(node, StorePurpose::kOperatorRows,
+                                   node.port.operator_table, "");
 }
 
 /// Data centres that rows of the present era take out of service.
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -153,7 +153,8 @@
     RowTransaction transaction;
     transaction.conditions.push_back({name, copy.announcement_row_version});
     transaction.writes.push_back({name, value});
-    const auto result = co_await Commit(node, std::move(transaction));
+    const auto result = co_await Commit(node, StorePurpose::kAnnouncement,
+                                        std::move(transaction));
     if (!result) {
       // Another relay announces the change, or the daemons find it themselves.
       co_return;
--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -82,7 +82,8 @@
   const RowName name = RangeMapRow(service, node.store.era);
   transaction.conditions.push_back({name, node.ranges[service].version});
   transaction.writes.push_back({name, ranges::EncodeMap(map)});
-  auto result = co_await Commit(node, std::move(transaction));
+  auto result =
+      co_await Commit(node, StorePurpose::kRangeMap, std::move(transaction));
   if (!result) {
     co_return false;
   }
--- a/src/eelgrassbridge/node/range_recovery.cpp
+++ b/src/eelgrassbridge/node/range_recovery.cpp
@@ -66,7 +66,8 @@
   RowTransaction transaction;
   transaction.conditions.push_back({name, node.recovery.version});
   transaction.writes.push_back({name, value});
-  auto result = co_await Commit(node, std::move(transaction));
+  auto result =
+      co_await Commit(node, StorePurpose::kRecovery, std::move(transaction));
   if (!result) {
     co_return false;
   }
@@ -113,7 +114,8 @@
     co_return false;
   }
   // The rows are read again whatever the result is.
-  std::ignore = co_await Commit(node, std::move(transaction));
+  std::ignore =
+      co_await Commit(node, StorePurpose::kRecovery, std::move(transaction));
   co_return true;
 }
 
@@ -122,8 +124,8 @@
 awaitable<void> RemoveFormerRows(Node& node, std::vector<RowName> names) {
   const std::string service = node.settings.service;
   const std::uint64_t era = node.store.era;
-  const auto page =
-      co_await ReadPartition(node, std::string(kFleetTable), service);
+  const auto page = co_await ReadPartition(node, StorePurpose::kRecovery,
+                                           std::string(kFleetTable), service);
   if (!page) {
     co_return;
   }
@@ -141,7 +143,8 @@
     transaction.removals.assign(
         names.end() - static_cast<std::ptrdiff_t>(count), names.end());
     names.resize(names.size() - count);
-    const auto result = co_await Commit(node, std::move(transaction));
+    const auto result =
+        co_await Commit(node, StorePurpose::kRecovery, std::move(transaction));
     if (!result) {
       co_return;
     }
@@ -167,7 +170,8 @@
   RowTransaction transaction;
   transaction.conditions.push_back({name, 0});
   transaction.writes.push_back({name, value});
-  const auto result = co_await Commit(node, std::move(transaction));
+  const auto result =
+      co_await Commit(node, StorePurpose::kRecovery, std::move(transaction));
   const bool written = result && result.value().committed;
   Log(node.log, EventKind::kRangesPlanned,
       {{"written", std::int64_t{written}},
--- a/src/eelgrassbridge/node/store_calls.cpp
+++ b/src/eelgrassbridge/node/store_calls.cpp
@@ -18,6 +18,31 @@
 using asio::awaitable;
 using base::ErrorKind;
 
+/// Counts a call to the store by its kind and purpose.
+void CountCall(Node& node, std::string_view call, StorePurpose purpose) {
+  Count(node, "store_calls_total",
+        fmt::format("call=\"{}\",purpose=\"{}\"", call, PurposeName(purpose)));
+}
+
+/// Counts the bytes of row values that were sent to the store or received.
+void CountBytes(Node& node,
+                std::string_view direction,
+                StorePurpose purpose,
+                std::uint64_t bytes) {
+  Count(node, "store_row_bytes_total",
+        fmt::format("direction=\"{}\",purpose=\"{}\"", direction,
+                    PurposeName(purpose)),
+        bytes);
+}
+
+std::uint64_t SizeOf(const RowPage& page) {
+  std::uint64_t bytes = 0;
+  for (const StoredRow& row : page.rows) {
+    bytes += row.value.size();
+  }
+  return bytes;
+}
+
 void RecordReadResult(Node& node,
                       const base::Result<RowPage>& answer,
                       base::TimePoint sent_at) {
@@ -85,6 +110,28 @@
 
 }  // namespace
 
+std::string_view PurposeName(StorePurpose purpose) {
+  switch (purpose) {
+    case StorePurpose::kOperatorRows:
+      return "operator_rows";
+    case StorePurpose::kFleetRows:
+      return "fleet_rows";
+    case StorePurpose::kLease:
+      return "lease";
+    case StorePurpose::kLeaseRead:
+      return "lease_read";
+    case StorePurpose::kRangeMap:
+      return "range_map";
+    case StorePurpose::kMember:
+      return "member";
+    case StorePurpose::kRecovery:
+      return "recovery";
+    case StorePurpose::kAnnouncement:
+      return "announcement";
+  }
+  return "unknown";
+}
+
 awaitable<void> Pause(Node& node, Backoff& backoff) {
   std::uniform_real_distribution<double> jitter(0.5, 1);
   const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -94,13 +141,18 @@
 }
 
 awaitable<base::Result<RowPage>> ReadPartition(Node& node,
+                                               StorePurpose purpose,
                                                std::string table,
                                                std::string partition) {
   const base::TimePoint sent_at = base::BootClock::now();
   const auto sent_in = EraOfCall(node);
   const std::uint64_t reported_era = node.store.peer_era;
+  CountCall(node, "read", purpose);
   auto page =
       co_await node.port.store.read(std::move(table), std::move(partition));
+  if (page) {
+    CountBytes(node, "received", purpose, SizeOf(page.value()));
+  }
   if (page && !AcceptEra(node, page.value().state.era, sent_in)) {
     co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
   }
@@ -119,6 +171,10 @@
                                       Backoff& backoff) {
   const base::TimePoint sent_at = base::BootClock::now();
   const auto sent_in = EraOfCall(node);
+  const StorePurpose purpose = position.table == node.port.operator_table
+                                   ? StorePurpose::kOperatorRows
+                                   : StorePurpose::kFleetRows;
+  CountCall(node, "poll", purpose);
   auto pending = std::make_shared<PendingPoll>();
   asio::co_spawn(node.io, RunPoll(node, position, pending), asio::detached);
   const std::string_view cause =
@@ -136,6 +192,7 @@
     co_return base::Fail(ErrorKind::kStoreUnavailable, std::string(cause));
   }
   if (*pending->page) {
+    CountBytes(node, "received", purpose, SizeOf(pending->page->value()));
     if (!AcceptEra(node, pending->page->value().state.era, sent_in)) {
       co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
     }
@@ -150,9 +207,14 @@
 }
 
 awaitable<base::Result<CommitResult>> Commit(Node& node,
+                                             StorePurpose purpose,
                                              RowTransaction transaction) {
   const base::TimePoint sent_at = base::BootClock::now();
   const auto sent_in = EraOfCall(node);
+  CountCall(node, "commit", purpose);
+  for (const RowWrite& write : transaction.writes) {
+    CountBytes(node, "sent", purpose, write.value.size());
+  }
   auto result = co_await node.port.store.commit(std::move(transaction));
   if (result && !AcceptEra(node, result.value().state.era, sent_in)) {
     co_return RestoredMeanwhile(ErrorKind::kStoreResultUnknown);
