Read the fleet's rows through a relay of the data centre

Each daemon also read the operator's rows every 6 to 8 s though nobody had reported a change.

Change: one of 64 daemons of a data centre, by link, polls the store; the others poll it (fleet_relay.hpp; choice in relay_choice.hpp, kept rows in table_copy.hpp, without I/O). A daemon that is asked becomes a relay. A follower reads the store if its relay fails, is a second behind what other daemons report, or if the interval of unreported reads has passed, which grows with the daemons of the data centre. The operator's copy uses the same table copy.

Tests: relay_choice_test at 1, 30, 300 and 3,000 daemons, table_copy_test, fleet_relay_test (a member's row was sent to each of ten daemons before, to two now; relay lost, cut off, restored, stopped, malformed requests).

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -8,10 +8,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "eelgrassbridge/base/counters.hpp"
 #include "eelgrassbridge/catalogue/route_table.hpp"
@@ -26,6 +29,7 @@
 #include "eelgrassbridge/node/own_target.hpp"
 #include "eelgrassbridge/node/platform_port.hpp"
 #include "eelgrassbridge/node/settings.hpp"
+#include "eelgrassbridge/node/table_copy.hpp"
 #include "eelgrassbridge/ranges/lease.hpp"
 #include "eelgrassbridge/ranges/planning.hpp"
 #include "eelgrassbridge/ranges/recovery.hpp"
@@ -53,6 +57,8 @@
   /// all rows of a page are applied, because each rebuild takes time linear in
   /// the number of members.
   bool target_tables_stale = false;
+  /// When daemons did not answer as relays, by address.
+  std::map<std::string, base::TimePoint, std::less<>> failed_relays;
 };
 
 /// @brief Latest known range map of a service.
@@ -169,26 +175,38 @@
   TableProgress fleet_rows;
 };
 
-/// @brief The operator's rows as this daemon has received them in the present
-/// era of the store, for other daemons of the data centre.
+/// @brief The operator's rows, for other daemons of the data centre.
 struct OperatorCopy {
   explicit OperatorCopy(asio::io_context& io) : changed(io) {}
-  /// By key; removed rows stay with their versions.
-  std::map<std::string, StoredRow, std::less<>> rows;
-  /// All changes up to this version are in `rows`.
-  std::uint64_t version = 0;
-  /// Version at which all rows were read; rows that were removed before are
-  /// not in `rows`.
-  std::uint64_t complete_at = 0;
+  TableCopy table;
   /// Latest version that a relay has announced, and the version of the row that
   /// announces it.
   std::uint64_t announced_version = 0;
   std::uint64_t announcement_row_version = 0;
   /// When a call to the store last failed, or a restore was noticed.
   base::TimePoint store_failed_at{};
-  /// When daemons did not answer as relays, by address.
-  std::map<std::string, base::TimePoint, std::less<>> failed_relays;
-  /// Notified when `version` has risen.
+  /// Notified when the version of the copy has risen.
+  http::Event changed;
+};
+
+/// @brief Changes of the fleet's rows, for other daemons of the data centre.
+struct FleetCopy {
+  explicit FleetCopy(asio::io_context& io) : changed(io) {}
+  TableCopy table;
+  /// When this daemon last received changes, and when it last received an
+  /// answer of the store itself.
+  base::TimePoint received_at{};
+  base::TimePoint store_read_at{};
+  /// When another daemon last asked for changes.
+  base::TimePoint asked_at{};
+  /// The last answer that was encoded, which most followers get alike.
+  struct Encoded {
+    std::uint64_t after = 0;
+    std::uint64_t version = 0;
+    std::string text;
+  };
+  Encoded encoded;
+  /// Notified when changes have arrived, and when a planned stop begins.
   http::Event changed;
 };
 
@@ -216,6 +234,7 @@
   RecoveryState recovery;
   StoreView store;
   OperatorCopy operator_copy;
+  FleetCopy fleet_copy;
   KeyDemand demand;
   Admission admission;
   limits::ServiceRetryBudget retries;
--- a/include/eelgrassbridge/node/operator_relay.hpp
+++ b/include/eelgrassbridge/node/operator_relay.hpp
@@ -13,7 +13,6 @@
 
 #include <asio/awaitable.hpp>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "eelgrassbridge/node/node.hpp"
@@ -51,11 +50,6 @@
 asio::awaitable<void> HandleOperatorRowsRequest(Node& node,
                                                 http::Exchange& exchange);
 
-/// @brief Encodes the rows and the version of a page as CBOR.
-std::string EncodeRowPage(const RowPage& page);
-/// @brief Decodes a page; fails with kFrameInvalid if it is malformed.
-base::Result<RowPage> DecodeRowPage(std::string_view text);
-
 }  // namespace eelgrassbridge::node
 
 #endif  // EELGRASSBRIDGE_NODE_OPERATOR_RELAY_HPP
--- /dev/null
+++ b/include/eelgrassbridge/node/row_relay.hpp
@@ -0,0 +1,52 @@
+// What relays and the daemons that ask them have in common: who is a relay, and
+// how pages of rows are encoded between daemons.
+//
+// Most daemons do not poll the store. They get rows from a relay of their data
+// centre, which polls it for them, so calls to the store and bytes over the
+// links between regions grow with the data centres and not with the daemons.
+// See operator_relay.hpp for the operator's rows, of which a version is large,
+// and fleet_relay.hpp for the rows of the fleet, which change often.
+#ifndef EELGRASSBRIDGE_NODE_ROW_RELAY_HPP
+#define EELGRASSBRIDGE_NODE_ROW_RELAY_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "eelgrassbridge/http/client.hpp"
+#include "eelgrassbridge/node/node.hpp"
+#include "eelgrassbridge/node/relay_choice.hpp"
+
+namespace eelgrassbridge::node {
+
+/// @brief Members of this daemon's data centre that may serve as relays: those
+/// whose targets are serving, apart from those that have failed to answer
+/// lately. The views are valid until the members change.
+std::vector<RelayCandidate> RelayCandidates(const Node& node);
+
+/// @brief Number of members in this daemon's data centre.
+std::size_t DaemonsOfDataCentre(const Node& node);
+
+/// @brief Notes that a daemon did not answer as a relay.
+void RecordRelayFailure(Node& node, const std::string& address);
+
+/// Statuses of a relay's answer.
+inline constexpr int kRelayOk = 200;
+/// The relay does not have all changes after the position.
+inline constexpr int kRelayGone = 410;
+/// The relay cannot answer now.
+inline constexpr int kRelayUnavailable = 503;
+
+/// @brief Rows in a relay's answer. Fails with kNotFound if the relay does not
+/// have all changes after the position, with kStoreUnavailable if it cannot
+/// answer now, and with kFrameInvalid if the page is malformed.
+base::Result<RowPage> PageOfAnswer(const http::Response& answer);
+
+/// @brief Encodes the rows and the version of a page as CBOR.
+std::string EncodeRowPage(const RowPage& page);
+/// @brief Decodes a page; fails with kFrameInvalid if it is malformed.
+base::Result<RowPage> DecodeRowPage(std::string_view text);
+
+}  // namespace eelgrassbridge::node
+
+#endif  // EELGRASSBRIDGE_NODE_ROW_RELAY_HPP
--- a/src/eelgrassbridge/node/fleet_feed.cpp
+++ b/src/eelgrassbridge/node/fleet_feed.cpp
@@ -6,9 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "eelgrassbridge/node/fleet_relay.hpp"
 #include "eelgrassbridge/node/row_intake.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/store_calls.hpp"
+#include "eelgrassbridge/node/store_era.hpp"
 #include "eelgrassbridge/node/table_feed.hpp"
 
 namespace eelgrassbridge::node {
@@ -21,9 +23,10 @@
 /// The poll for the fleet's rows may wait longer, because an outage detected by
 /// the poll for the operator's rows ends it as well.
 constexpr std::chrono::milliseconds kFleetPollTime{20000};
-/// Pause between polls, so that changes in quick succession, for example while
-/// keys move, are fetched in one call; every call of every daemon has a cost.
-constexpr std::chrono::milliseconds kFleetPollPause{300};
+/// Pause before the next poll of the store after changes were received, so that
+/// changes in quick succession, for example while keys move, are fetched in one
+/// call; every call has a cost.
+constexpr base::Duration kFleetPollPause = base::milliseconds{300};
 
 std::vector<std::string> KnownServices(const Node& node) {
   std::vector<std::string> services = {node.settings.service};
@@ -111,10 +114,46 @@
   }
 }
 
-awaitable<void> AfterFleetPage(Node& node,
-                               std::set<std::string>& services_read) {
-  co_await ReadNewServices(node, services_read);
-  co_await http::Sleep(node.io, kFleetPollPause);
+/// Polls the store, and keeps what it returns for other daemons.
+awaitable<base::Result<RowPage>> PollStore(Node& node,
+                                           FeedPosition position,
+                                           Backoff& backoff) {
+  auto page = co_await Poll(node, std::move(position), backoff);
+  if (page) {
+    node.fleet_copy.store_read_at = base::BootClock::now();
+    KeepFleetPage(node, page.value());
+  }
+  co_return page;
+}
+
+/// Returns the next changes of the fleet's rows: a relay polls the store, other
+/// daemons poll their relay.
+awaitable<base::Result<RowPage>> NextFleetPage(Node& node,
+                                               FeedPosition position,
+                                               Backoff& backoff) {
+  const std::uint64_t era = node.store.era;
+  const std::string relay = FleetRelayOf(node);
+  if (!relay.empty() && position.wait.count() > 0) {
+    if (!IsUnreportedReadDue(node)) {
+      auto page = co_await PollRelay(node, relay, position.after);
+      if (page && node.store.era == era) {
+        KeepFleetPage(node, page.value());
+        co_return page;
+      }
+    }
+    // The store tells what the relay did not, and the next poll is one of a
+    // relay again.
+    position.wait = std::chrono::milliseconds{0};
+  }
+  if (position.wait.count() > 0) {
+    co_await http::Sleep(node.io, node.fleet_copy.received_at +
+                                      kFleetPollPause - base::BootClock::now());
+  }
+  if (node.store.era != era || IsEraOutdated(node)) {
+    // The position is one of a former era.
+    co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
+  }
+  co_return co_await PollStore(node, std::move(position), backoff);
 }
 
 }  // namespace
@@ -127,10 +166,10 @@
   }
   while (true) {
     std::set<std::string> services_read;
-    const TableFeed feed{.next_page = Poll,
+    const TableFeed feed{.next_page = NextFleetPage,
                          .apply = ApplyFleetRow,
                          .after_page = [&node, &services_read] {
-                           return AfterFleetPage(node, services_read);
+                           return ReadNewServices(node, services_read);
                          }};
     auto start = co_await ReadFleetRows(node, services_read);
     if (!start) {
@@ -138,6 +177,8 @@
       continue;
     }
     backoff = Backoff{};
+    RestartCopy(node.fleet_copy.table, start.value());
+    node.fleet_copy.store_read_at = base::BootClock::now();
     FeedPosition position{std::string(kFleetTable), start.value(),
                           kFleetPollTime};
     co_await FollowTable(node, std::move(position), backoff, feed);
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -10,6 +10,7 @@
 
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/row_intake.hpp"
+#include "eelgrassbridge/node/row_relay.hpp"
 #include "eelgrassbridge/node/store_calls.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
 #include "eelgrassbridge/node/table_feed.hpp"
@@ -29,7 +30,7 @@
 /// operator's rows this often for this time: a relay cannot announce a change
 /// while the store refuses its commits, and a change has to be in force
 /// within 2.5 s.
-constexpr std::chrono::milliseconds kDoubtfulReadInterval{1500};
+constexpr base::Duration kDoubtfulReadInterval = base::milliseconds{1500};
 constexpr base::Duration kDoubtfulTime = base::seconds{15};
 /// Time after a restore of the store for which a data centre stays out of
 /// service although its row is missing. The row may be lost, and the operator
@@ -44,8 +45,8 @@
   const std::uint64_t era = node.store.era;
   const std::uint64_t reported = node.store.operator_rows.peer_version;
   const bool of_new_era =
-      node.store.restored && node.operator_copy.version == 0;
-  if ((of_new_era || reported > node.operator_copy.version) &&
+      node.store.restored && node.operator_copy.table.version == 0;
+  if ((of_new_era || reported > node.operator_copy.table.version) &&
       !IsEraOutdated(node) && !IsOperatorRelay(node)) {
     auto page =
         co_await FetchFromRelays(node, 0, std::max<std::uint64_t>(1, reported));
@@ -60,8 +61,8 @@
 /// Data centres that rows of the present era take out of service.
 std::set<std::string> DataCentresOutByRows(const Node& node) {
   std::set<std::string> out;
-  for (const auto& [key, row] : node.operator_copy.rows) {
-    const OperatorRow meaning = node.port.operator_row(row.name);
+  for (const auto& [name, row] : node.operator_copy.table.rows) {
+    const OperatorRow meaning = node.port.operator_row(name);
     if (meaning.kind == OperatorRow::Kind::kOutOfService && !row.removed) {
       out.insert(meaning.data_centre);
     }
@@ -103,9 +104,8 @@
     co_return base::Fail(page.error().kind, page.error().detail);
   }
   const auto out_before = DataCentresOutByRows(node);
-  node.operator_copy.rows.clear();
-  node.operator_copy.complete_at = page.value().state.version;
-  KeepOperatorPage(node, page.value());
+  RestartCopy(node.operator_copy.table, page.value());
+  http::Notify(node.operator_copy.changed);
   for (const StoredRow& row : page.value().rows) {
     ApplyOperatorRow(node, row);
   }
@@ -147,7 +147,9 @@
     const base::TimePoint end =
         started_at +
         std::chrono::duration_cast<base::Duration>(
-            (doubtful ? kDoubtfulReadInterval : kOperatorPollTime) * jitter);
+            (doubtful ? kDoubtfulReadInterval
+                      : UnreportedReadInterval(DaemonsOfDataCentre(node))) *
+            jitter);
     if (now >= end) {
       break;
     }
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -5,11 +5,11 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/request.hpp"
 #include "eelgrassbridge/node/row_intake.hpp"
+#include "eelgrassbridge/node/row_relay.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/store_calls.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
@@ -20,12 +20,9 @@
 
 using asio::awaitable;
 using base::ErrorKind;
-using nlohmann::json;
 
 /// Relays of a data centre. With two, the loss of one delays no change.
 constexpr std::size_t kRelayCount = 2;
-/// Time for which a daemon that did not answer is not used as a relay.
-constexpr base::Duration kRelayFailureTime = base::seconds{10};
 /// Delay of an announcement by the relay of the next rank, so that mostly one
 /// relay makes it.
 constexpr std::chrono::milliseconds kAnnouncementDelay{100};
@@ -35,36 +32,8 @@
 constexpr base::Duration kRelayWait = base::milliseconds{400};
 /// Added to the wait for the answer to arrive.
 constexpr std::chrono::milliseconds kRelayAnswerTime{300};
-constexpr int kOk = 200;
-constexpr int kGone = 410;
-constexpr int kUnavailable = 503;
 constexpr std::string_view kRowsHeader = "Eelgrassbridge-Operator-Rows";
 
-bool HasFailedLately(const Node& node, const std::string& address) {
-  const auto found = node.operator_copy.failed_relays.find(address);
-  return found != node.operator_copy.failed_relays.end() &&
-         base::BootClock::now() < found->second + kRelayFailureTime;
-}
-
-std::uint64_t LatestChange(const OperatorCopy& copy) {
-  std::uint64_t latest = 0;
-  for (const auto& [key, row] : copy.rows) {
-    latest = std::max(latest, row.version);
-  }
-  return latest;
-}
-
-RowPage ChangesAfter(const OperatorCopy& copy, std::uint64_t after) {
-  RowPage page;
-  page.state.version = copy.version;
-  for (const auto& [key, row] : copy.rows) {
-    if (row.version > after) {
-      page.rows.push_back(row);
-    }
-  }
-  return page;
-}
-
 awaitable<base::Result<RowPage>> FetchFromRelay(Node& node,
                                                 const std::string& address,
                                                 std::uint64_t after,
@@ -86,15 +55,7 @@
   if (!answer) {
     co_return base::Fail(answer.error().kind, answer.error().detail);
   }
-  if (answer.value().head.status == kGone) {
-    co_return base::Fail(ErrorKind::kNotFound,
-                         "the relay does not know all removed rows");
-  }
-  if (answer.value().head.status != kOk) {
-    co_return base::Fail(ErrorKind::kStoreUnavailable,
-                         "the relay has not received the change");
-  }
-  auto page = DecodeRowPage(answer.value().body);
+  auto page = PageOfAnswer(answer.value());
   if (page && page.value().state.version < needed) {
     co_return base::Fail(ErrorKind::kFrameInvalid,
                          "the relay's rows are older than requested");
@@ -105,23 +66,7 @@
 }  // namespace
 
 std::vector<std::string> OperatorRelays(const Node& node) {
-  std::vector<const Member*> candidates;
-  for (const auto& [address, member] : node.fleet.members) {
-    if (member.data_centre == node.settings.data_centre && member.serving &&
-        !HasFailedLately(node, address)) {
-      candidates.push_back(&member);
-    }
-  }
-  std::ranges::stable_sort(candidates, [](const Member* a, const Member* b) {
-    return a->link_mbps > b->link_mbps;
-  });
-  std::vector<std::string> relays;
-  for (const Member* member : candidates) {
-    if (relays.size() < kRelayCount) {
-      relays.push_back(member->address);
-    }
-  }
-  return relays;
+  return RankRelays(RelayCandidates(node), kRelayCount);
 }
 
 bool IsOperatorRelay(const Node& node) {
@@ -131,12 +76,8 @@
 }
 
 void KeepOperatorPage(Node& node, const RowPage& page) {
-  OperatorCopy& copy = node.operator_copy;
-  for (const StoredRow& row : page.rows) {
-    copy.rows[row.name.key] = row;
-  }
-  copy.version = std::max(copy.version, page.state.version);
-  http::Notify(copy.changed);
+  KeepChanges(node.operator_copy.table, page);
+  http::Notify(node.operator_copy.changed);
 }
 
 awaitable<void> AnnounceOperatorRows(Node& node) {
@@ -147,9 +88,11 @@
   co_await http::Sleep(node.io, kAnnouncementDelay * rank);
   OperatorCopy& copy = node.operator_copy;
   // The condition keeps a relay that is behind from replacing a later version.
-  while (node.store.era == era && copy.announced_version < LatestChange(copy)) {
+  while (node.store.era == era &&
+         copy.announced_version < copy.table.latest_change) {
     const RowName name = OperatorVersionRow();
-    const std::string value = fmt::format("{};{}", LatestChange(copy), era);
+    const std::string value =
+        fmt::format("{};{}", copy.table.latest_change, era);
     RowTransaction transaction;
     transaction.conditions.push_back({name, copy.announcement_row_version});
     transaction.writes.push_back({name, value});
@@ -188,7 +131,7 @@
       co_return page;
     }
     if (page.error().kind != ErrorKind::kStoreUnavailable) {
-      node.operator_copy.failed_relays[address] = base::BootClock::now();
+      RecordRelayFailure(node, address);
     }
   }
   co_return base::Fail(ErrorKind::kStoreUnavailable, "no relay has the change");
@@ -210,61 +153,22 @@
   OperatorCopy& copy = node.operator_copy;
   // A relay that learns of a later era here has to read the rows first.
   while (after && needed && era >= node.store.era &&
-         (era > node.store.era || copy.version < *needed) &&
+         (era > node.store.era || copy.table.version < *needed) &&
          base::BootClock::now() < latest) {
     co_await http::WaitUntil(copy.changed, latest);
   }
-  if (!after || !needed || era != node.store.era || copy.version < *needed) {
-    co_await http::Respond(exchange, kUnavailable, {}, {});
+  if (!after || !needed || era != node.store.era ||
+      copy.table.version < *needed) {
+    co_await http::Respond(exchange, kRelayUnavailable, {}, {});
     co_return;
   }
-  if (*after > 0 && *after < copy.complete_at) {
-    co_await http::Respond(exchange, kGone, {}, {});
+  if (*after > 0 && *after < copy.table.complete_at) {
+    co_await http::Respond(exchange, kRelayGone, {}, {});
     co_return;
   }
-  const std::string body = EncodeRowPage(ChangesAfter(copy, *after));
+  const std::string body = EncodeRowPage(ChangesAfter(copy.table, *after));
   Count(node, "operator_rows_relayed_total");
-  co_await http::Respond(exchange, kOk, {}, body);
-}
-
-std::string EncodeRowPage(const RowPage& page) {
-  json rows = json::array();
-  for (const StoredRow& row : page.rows) {
-    rows.push_back(
-        {{"table", row.name.table},
-         {"partition", row.name.partition},
-         {"key", row.name.key},
-         {"version", row.version},
-         {"removed", row.removed},
-         {"value", json::binary({row.value.begin(), row.value.end()})}});
-  }
-  const json value = {{"version", page.state.version},
-                      {"rows", std::move(rows)}};
-  std::string text;
-  json::to_cbor(value, text);
-  return text;
-}
-
-base::Result<RowPage> DecodeRowPage(std::string_view text) {
-  try {
-    const json value = json::from_cbor(text);
-    RowPage page;
-    page.state.version = value.at("version").get<std::uint64_t>();
-    for (const json& item : value.at("rows")) {
-      StoredRow row;
-      row.name = {item.at("table").get<std::string>(),
-                  item.at("partition").get<std::string>(),
-                  item.at("key").get<std::string>()};
-      row.version = item.at("version").get<std::uint64_t>();
-      row.removed = item.at("removed").get<bool>();
-      const auto& bytes = item.at("value").get_binary();
-      row.value.assign(bytes.begin(), bytes.end());
-      page.rows.push_back(std::move(row));
-    }
-    return page;
-  } catch (const json::exception& error) {
-    return base::Fail(ErrorKind::kFrameInvalid, error.what());
-  }
+  co_await http::Respond(exchange, kRelayOk, {}, body);
 }
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "eelgrassbridge/http/endpoint.hpp"
+#include "eelgrassbridge/node/fleet_relay.hpp"
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
@@ -345,9 +346,13 @@
 }
 
 awaitable<void> HandlePeerRequest(Node& node, http::Exchange& exchange) {
-  return IsOperatorRowsRequest(exchange.head)
-             ? HandleOperatorRowsRequest(node, exchange)
-             : HandleForwardedRequest(node, exchange);
+  if (IsOperatorRowsRequest(exchange.head)) {
+    return HandleOperatorRowsRequest(node, exchange);
+  }
+  if (IsFleetRowsRequest(exchange.head)) {
+    return HandleFleetRowsRequest(node, exchange);
+  }
+  return HandleForwardedRequest(node, exchange);
 }
 
 }  // namespace eelgrassbridge::node
--- /dev/null
+++ b/src/eelgrassbridge/node/row_relay.cpp
@@ -0,0 +1,99 @@
+// Candidates for relays, and the encoding of pages.
+#include "eelgrassbridge/node/row_relay.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using base::ErrorKind;
+using nlohmann::json;
+
+/// Time for which a daemon that did not answer is not used as a relay.
+constexpr base::Duration kRelayFailureTime = base::seconds{10};
+
+bool HasFailedLately(const Node& node, const std::string& address) {
+  const auto found = node.fleet.failed_relays.find(address);
+  return found != node.fleet.failed_relays.end() &&
+         base::BootClock::now() < found->second + kRelayFailureTime;
+}
+
+}  // namespace
+
+std::vector<RelayCandidate> RelayCandidates(const Node& node) {
+  std::vector<RelayCandidate> candidates;
+  for (const auto& [address, member] : node.fleet.members) {
+    if (member.data_centre == node.settings.data_centre && member.serving &&
+        !HasFailedLately(node, address)) {
+      candidates.push_back({member.address, member.link_mbps});
+    }
+  }
+  return candidates;
+}
+
+std::size_t DaemonsOfDataCentre(const Node& node) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(node.fleet.members, [&node](const auto& entry) {
+        return entry.second.data_centre == node.settings.data_centre;
+      }));
+}
+
+void RecordRelayFailure(Node& node, const std::string& address) {
+  node.fleet.failed_relays[address] = base::BootClock::now();
+}
+
+base::Result<RowPage> PageOfAnswer(const http::Response& answer) {
+  if (answer.head.status == kRelayGone) {
+    return base::Fail(ErrorKind::kNotFound,
+                      "the relay does not have all changes");
+  }
+  if (answer.head.status != kRelayOk) {
+    return base::Fail(ErrorKind::kStoreUnavailable,
+                      "the relay cannot answer now");
+  }
+  return DecodeRowPage(answer.body);
+}
+
+std::string EncodeRowPage(const RowPage& page) {
+  json rows = json::array();
+  for (const StoredRow& row : page.rows) {
+    rows.push_back(
+        {{"table", row.name.table},
+         {"partition", row.name.partition},
+         {"key", row.name.key},
+         {"version", row.version},
+         {"removed", row.removed},
+         {"value", json::binary({row.value.begin(), row.value.end()})}});
+  }
+  const json value = {{"version", page.state.version},
+                      {"rows", std::move(rows)}};
+  std::string text;
+  json::to_cbor(value, text);
+  return text;
+}
+
+base::Result<RowPage> DecodeRowPage(std::string_view text) {
+  try {
+    const json value = json::from_cbor(text);
+    RowPage page;
+    page.state.version = value.at("version").get<std::uint64_t>();
+    for (const json& item : value.at("rows")) {
+      StoredRow row;
+      row.name = {item.at("table").get<std::string>(),
+                  item.at("partition").get<std::string>(),
+                  item.at("key").get<std::string>()};
+      row.version = item.at("version").get<std::uint64_t>();
+      row.removed = item.at("removed").get<bool>();
+      const auto& bytes = item.at("value").get_binary();
+      row.value.assign(bytes.begin(), bytes.end());
+      page.rows.push_back(std::move(row));
+    }
+    return page;
+  } catch (const json::exception& error) {
+    return base::Fail(ErrorKind::kFrameInvalid, error.what());
+  }
+}
+
+}  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/operator_relay_test.cpp
+++ b/src/eelgrassbridge/node/row_relay_test.cpp
@@ -1,5 +1,5 @@
-// Tests of the encoding of the operator's rows between daemons.
-#include "eelgrassbridge/node/operator_relay.hpp"
+// Tests of the encoding of rows between daemons.
+#include "eelgrassbridge/node/row_relay.hpp"
 
 #include <doctest/doctest.h>
 
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -176,6 +176,8 @@
   node.stopping = true;
   node.callers_server.draining = true;
   node.peers_server.draining = true;
+  // Followers choose another relay.
+  http::Notify(node.fleet_copy.changed);
   Log(node.log, EventKind::kStopping,
       {{"active", std::int64_t{ActiveRequests(node)}}});
   Flush(node.log);
--- a/src/eelgrassbridge/node/store_era.cpp
+++ b/src/eelgrassbridge/node/store_era.cpp
@@ -12,9 +12,9 @@
   store.clock = {};
   store.operator_rows = {};
   store.fleet_rows = {};
-  node.operator_copy.rows.clear();
-  node.operator_copy.version = 0;
-  node.operator_copy.complete_at = 0;
+  node.operator_copy.table = {};
+  node.fleet_copy.table = {};
+  node.fleet_copy.encoded = {};
   node.operator_copy.announced_version = 0;
   node.operator_copy.store_failed_at = base::BootClock::now();
   node.operator_copy.announcement_row_version = 0;
