Renew the leases of a data centre in common transactions

Change: owners send their renewals to the relay, which joins those of 200 ms into one transaction (lease_delegate.hpp; batches in renewal_batch.hpp, without I/O). Each row keeps its own condition, and the right counts from before the owner sent the renewal. An owner whose delegate fails renews itself at once; one that fails too asks other daemons. Failed renewals are repeated later while much time is left: during an outage all owners make them.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -28,6 +28,7 @@
 #include "eelgrassbridge/node/member.hpp"
 #include "eelgrassbridge/node/own_target.hpp"
 #include "eelgrassbridge/node/platform_port.hpp"
+#include "eelgrassbridge/node/renewal_batch.hpp"
 #include "eelgrassbridge/node/settings.hpp"
 #include "eelgrassbridge/node/table_copy.hpp"
 #include "eelgrassbridge/ranges/lease.hpp"
@@ -210,6 +211,29 @@
   http::Event changed;
 };
 
+/// @brief A renewal of a lease that waits for the next batch.
+struct WaitingRenewal {
+  WaitingRenewal(asio::io_context& io, Renewal waiting)
+      : renewal(std::move(waiting)), done(io) {}
+  Renewal renewal;
+  std::optional<base::Result<CommitResult>> result;
+  /// Notified when `result` is set.
+  http::Event done;
+};
+
+/// @brief Renewals of this daemon and of those whose delegate it is.
+struct RenewalQueue {
+  std::vector<std::shared_ptr<WaitingRenewal>> waiting;
+  /// A coroutine commits batches until none is waiting.
+  bool running = false;
+  /// Until then this daemon renews its lease itself, because its delegate could
+  /// not.
+  base::TimePoint own_until{};
+  /// Delegate in place of the relay, after neither the relay nor this daemon
+  /// could renew the lease; else empty.
+  std::string substitute;
+};
+
 struct RequestWatch;
 
 struct Node {
@@ -235,6 +259,7 @@
   StoreView store;
   OperatorCopy operator_copy;
   FleetCopy fleet_copy;
+  RenewalQueue renewals;
   KeyDemand demand;
   Admission admission;
   limits::ServiceRetryBudget retries;
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "eelgrassbridge/node/key_demand.hpp"
+#include "eelgrassbridge/node/lease_delegate.hpp"
 #include "eelgrassbridge/node/ownership.hpp"
 #include "eelgrassbridge/node/range_recovery.hpp"
 #include "eelgrassbridge/node/row_intake.hpp"
@@ -15,9 +16,6 @@
 using asio::awaitable;
 
 constexpr std::chrono::milliseconds kMemberRetryPause{200};
-/// Pause after a failed renewal; short compared with the lease, so that several
-/// attempts fit before it expires.
-constexpr base::Duration kRenewRetryPause = base::milliseconds{250};
 /// Minimum interval between renewals that are triggered by events.
 constexpr base::Duration kMinRenewInterval = base::milliseconds{100};
 
@@ -235,19 +233,22 @@
   }
 }
 
-RowTransaction ComposeRenewal(const Node& node,
-                              const RowName& name,
-                              const ranges::LeaseRecord& record) {
-  RowTransaction transaction;
-  transaction.conditions.push_back({name, node.lease.version});
-  if (node.lease.held && !IsConfirmed(node)) {
-    // New claims are void once their collection is closed.
-    transaction.conditions.push_back(
-        {RecoveryRow(node.settings.service, node.store.era),
-         node.recovery.version});
+/// Sends a renewal to the store, or to the delegate that joins it with others.
+/// A claim goes to the store alone, since it has a condition of its own.
+awaitable<base::Result<CommitResult>> SendRenewal(
+    Node& node,
+    const RowName& name,
+    const ranges::LeaseRecord& record) {
+  Renewal renewal{name, node.lease.version, ranges::EncodeLease(record)};
+  if (!node.lease.held || IsConfirmed(node)) {
+    co_return co_await CommitRenewal(node, std::move(renewal));
   }
-  transaction.writes.push_back({name, ranges::EncodeLease(record)});
-  return transaction;
+  RowTransaction transaction = JoinRenewals({&renewal, 1});
+  // New claims are void once their collection is closed.
+  transaction.conditions.push_back(
+      {RecoveryRow(node.settings.service, node.store.era),
+       node.recovery.version});
+  co_return co_await Commit(node, StorePurpose::kLease, std::move(transaction));
 }
 
 /// Renews the lease once. Returns false if the renewal has to be retried soon.
@@ -263,9 +264,7 @@
   const RowName name =
       LeaseRow(node.settings.service, node.store.era, node.settings.peers);
   sent[record.sequence] = now;
-  RowTransaction transaction = ComposeRenewal(node, name, record);
-  auto result =
-      co_await Commit(node, StorePurpose::kLease, std::move(transaction));
+  auto result = co_await SendRenewal(node, name, record);
   if (!result) {
     co_return false;
   }
@@ -357,7 +356,8 @@
     }
     co_await WaitForRenewal(
         node, renewed ? node.lease.options.renew_interval - kMinRenewInterval
-                      : kRenewRetryPause);
+                      : RenewRetryPause(node.lease.right.ends -
+                                        base::BootClock::now()));
   }
 }
 
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -7,6 +7,7 @@
 
 #include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/fleet_relay.hpp"
+#include "eelgrassbridge/node/lease_delegate.hpp"
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
@@ -352,6 +353,9 @@
   if (IsFleetRowsRequest(exchange.head)) {
     return HandleFleetRowsRequest(node, exchange);
   }
+  if (IsRenewalRequest(exchange.head)) {
+    return HandleRenewalRequest(node, exchange);
+  }
   return HandleForwardedRequest(node, exchange);
 }
 
