--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -87,12 +87,15 @@
 }
 
 /// Announces what this daemon has found in the store if it is a relay: a change
-/// that no relay has received by a poll is announced by nobody else.
+/// that no relay has received by a poll is announced by nobody else. A daemon
+/// that knows no relay announces nothing, since at the first start of a site
+/// all daemons read the rows themselves.
 awaitable<void> AnnounceReadRows(Node& node) {
   while (!node.fleet.loaded) {
     co_await http::Wait(node.lease_inputs_changed);
   }
-  if (IsOperatorRelay(node)) {
+  const auto relays = OperatorRelays(node);
+  if (std::ranges::find(relays, node.settings.peers) != relays.end()) {
     co_await AnnounceOperatorRows(node);
   }
 }
