Tell the demand of a hot key apart from that of its neighbours

Cause: the load in a lease row had each quantile once, so a key with nearly all requests looked like a sixteenth of them, together with all keys before it.

Change: a bucket that takes several parts of the demand has one quantile at its start and one for each further part at its end (ranges/demand.hpp), so a plan splits it off and moves its neighbours.

Tests: demand_test; planning_test, "the neighbours of a hot key move away from it, and it stays".

--- a/src/eelgrassbridge/node/key_demand.cpp
+++ b/src/eelgrassbridge/node/key_demand.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cmath>
 
+#include "eelgrassbridge/ranges/demand.hpp"
+
 namespace eelgrassbridge::node {
 
 namespace {
@@ -66,17 +68,8 @@
           : demand.total * factor / (kDecaySeconds * std::max(coverage, 0.1));
   load.run_seconds = demand.run_seconds;
   load.slots = slots;
-  double cumulative = 0;
-  for (std::uint32_t i = 0; i < KeyDemand::kBuckets; ++i) {
-    const double threshold = demand.total *
-                             static_cast<double>(load.quantiles.size() + 1) /
-                             kLoadParts;
-    if (i > 0 && demand.total > 0 && cumulative >= threshold &&
-        load.quantiles.size() + 1 < kLoadParts) {
-      load.quantiles.push_back(i * kKeysPerBucket);
-    }
-    cumulative += demand.counts[i];
-  }
+  load.quantiles =
+      ranges::QuantileKeys(demand.counts, kKeysPerBucket, kLoadParts);
   return load;
 }
 
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -5,35 +5,21 @@
 #include <algorithm>
 #include <map>
 
+#include "eelgrassbridge/ranges/planner.hpp"
+
 namespace eelgrassbridge::ranges {
 
 namespace {
 
-/// An owner that may receive keys, with its load under the plan.
-struct Candidate {
-  OwnerId owner;
-  /// Requests per second that all its slots can serve.
-  double capacity = 0;
-  /// Requests per second for its keys, planned moves included.
-  double demand = 0;
-  /// Entries that it owns or that are moving to it.
-  std::uint32_t entries = 0;
-};
-
-double Utilization(const Candidate& candidate) {
-  return candidate.demand / candidate.capacity;
-}
-
-struct Planner {
-  const PlanningInput& input;
-  const PlanningOptions& options;
-  RangeMap map;
-  bool changed = false;
-  std::vector<Candidate> candidates;
-  std::map<std::string, const LeaseRecord*> leases;
-  /// Entries up to which the plan splits others.
-  std::size_t max_entries = 0;
-};
+using detail::Candidate;
+using detail::EstimateDemand;
+using detail::FindCandidate;
+using detail::FindLeastLoaded;
+using detail::MoveForLoad;
+using detail::Planner;
+using detail::SplitAtQuantiles;
+using detail::SplitWithinRoom;
+using detail::Utilization;
 
 double RunSeconds(const OwnerLoad& load, const PlanningOptions& options) {
   return load.run_seconds > 0 ? load.run_seconds : options.default_run_seconds;
@@ -61,30 +47,6 @@
   return planner;
 }
 
-Candidate* FindCandidate(Planner& planner, const std::string& daemon) {
-  const auto found = std::ranges::find_if(
-      planner.candidates, [&daemon](const Candidate& candidate) {
-        return candidate.owner.daemon == daemon;
-      });
-  return found == planner.candidates.end() ? nullptr : &*found;
-}
-
-bool MayTakeEntry(const Planner& planner, const Candidate& candidate) {
-  return candidate.entries < planner.options.max_entries_per_owner;
-}
-
-/// Finds the least loaded candidate that may take another entry.
-Candidate* FindLeastLoaded(Planner& planner, const std::string& except) {
-  Candidate* best = nullptr;
-  for (Candidate& candidate : planner.candidates) {
-    if (candidate.owner.daemon != except && MayTakeEntry(planner, candidate) &&
-        (best == nullptr || Utilization(candidate) < Utilization(*best))) {
-      best = &candidate;
-    }
-  }
-  return best;
-}
-
 /// Finds the recipient of an entry that can't stay with its owner. If no
 /// candidate may take another entry, the owner of the neighbouring keys takes
 /// it, since the two entries can be merged, or else the least loaded one.
@@ -129,46 +91,6 @@
   }
 }
 
-/// Splits an entry unless the map has no room for another one.
-void SplitWithinRoom(Planner& planner, std::uint32_t key) {
-  if (planner.map.entries.size() < planner.max_entries) {
-    SplitAt(planner.map, key);
-  }
-}
-
-/// Splits the owner's entries at its quantile keys, so that each entry lies
-/// within one of the equal parts of its demand.
-void SplitAtQuantiles(Planner& planner, const std::string& daemon) {
-  const auto lease = planner.leases.find(daemon);
-  if (lease == planner.leases.end()) {
-    return;
-  }
-  for (const std::uint32_t key : lease->second->load.quantiles) {
-    const RangeEntry* const entry = FindEntry(planner.map, key);
-    if (entry != nullptr && entry->owner.daemon == daemon &&
-        entry->next_daemon.empty()) {
-      SplitWithinRoom(planner, key);
-    }
-  }
-}
-
-/// Estimates the demand of an entry in requests per second. The quantiles
-/// divide the owner's demand into equal parts; the entry counts with each part
-/// that it touches.
-double EstimateDemand(const Planner& planner, const RangeEntry& entry) {
-  const auto found = planner.leases.find(entry.owner.daemon);
-  if (found == planner.leases.end()) {
-    return 0;
-  }
-  const OwnerLoad& load = found->second->load;
-  const auto parts = static_cast<double>(load.quantiles.size() + 1);
-  const auto inside =
-      std::ranges::count_if(load.quantiles, [&entry](std::uint32_t key) {
-        return entry.keys.first < key && key <= entry.keys.last;
-      });
-  return load.requests_per_second * static_cast<double>(inside + 1) / parts;
-}
-
 bool IsLost(const Planner& planner, const RangeEntry& entry) {
   return !planner.leases.contains(entry.owner.daemon) &&
          std::ranges::find(planner.input.kept, entry.owner.daemon) ==
@@ -292,59 +214,6 @@
   });
 }
 
-/// Plans the move of one entry from the most loaded owner to the least loaded
-/// one. Returns whether it found one to move.
-bool MoveForLoad(Planner& planner) {
-  const PlanningOptions& options = planner.options;
-  double demand = 0;
-  double capacity = 0;
-  Candidate* donor = nullptr;
-  for (Candidate& candidate : planner.candidates) {
-    demand += candidate.demand;
-    capacity += candidate.capacity;
-    if (donor == nullptr || Utilization(candidate) > Utilization(*donor)) {
-      donor = &candidate;
-    }
-  }
-  if (donor == nullptr || capacity <= 0) {
-    return false;
-  }
-  const double mean = demand / capacity;
-  Candidate* const recipient = FindLeastLoaded(planner, donor->owner.daemon);
-  if (recipient == nullptr || Utilization(*donor) < options.min_utilization ||
-      Utilization(*donor) < mean * options.max_imbalance ||
-      Utilization(*recipient) >= mean) {
-    return false;
-  }
-  const double excess =
-      std::min(donor->demand - mean * donor->capacity,
-               mean * recipient->capacity - recipient->demand);
-  SplitAtQuantiles(planner, donor->owner.daemon);
-  RangeEntry* best = nullptr;
-  double best_demand = 0;
-  for (RangeEntry& entry : planner.map.entries) {
-    if (entry.owner.daemon != donor->owner.daemon ||
-        !entry.next_daemon.empty()) {
-      continue;
-    }
-    const double moved = EstimateDemand(planner, entry);
-    // Moving twice the excess would only swap the two owners' utilization.
-    if (moved < excess * 1.5 && moved > best_demand) {
-      best = &entry;
-      best_demand = moved;
-    }
-  }
-  if (best == nullptr) {
-    return false;
-  }
-  best->next_daemon = recipient->owner.daemon;
-  donor->demand -= best_demand;
-  recipient->demand += best_demand;
-  ++recipient->entries;
-  planner.changed = true;
-  return true;
-}
-
 std::vector<OwnerId> CandidateOwners(const Planner& planner) {
   std::vector<OwnerId> owners;
   for (const Candidate& candidate : planner.candidates) {
--- a/src/eelgrassbridge/ranges/planning_test.cpp
+++ b/src/eelgrassbridge/ranges/planning_test.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <map>
 
+#include "eelgrassbridge/ranges/demand.hpp"
+
 namespace eelgrassbridge::ranges {
 namespace {
 
@@ -153,6 +155,38 @@
   CHECK(!Plan(map, {all, true}));
 }
 
+/// Demand of an owner, nearly all of it for one key in the middle of its range.
+void MakeHot(LeaseRecord& lease, const KeyRange& keys, double rate) {
+  constexpr std::uint32_t kKeysPerBucket = 64;
+  std::vector<float> counts((kLastKey + 1) / kKeysPerBucket, 0);
+  for (std::uint32_t key = keys.first; key <= keys.last;
+       key += kKeysPerBucket) {
+    counts[key / kKeysPerBucket] = 1;
+  }
+  const std::uint32_t hot = (keys.first + keys.last) / 2 / kKeysPerBucket;
+  counts[hot] = static_cast<float>(counts.size()) * 4;
+  lease.load.requests_per_second = rate;
+  lease.load.quantiles = QuantileKeys(counts, kKeysPerBucket, 16);
+}
+
+TEST_CASE("the neighbours of a hot key move away from it, and it stays") {
+  // Guards against requests for other keys that are refused because the slots
+  // of their owner are taken for the hot key, and against a hot key that moves
+  // from one owner to the next, none of which can serve it.
+  std::vector<LeaseRecord> all = {MakeLease(1), MakeLease(2, 5),
+                                  MakeLease(3, 5), MakeLease(4, 5)};
+  const RangeMap before = MakeDividedMap(all);
+  const KeyRange keys = before.entries[0].keys;
+  const std::uint32_t hot = (keys.first + keys.last) / 2;
+  constexpr double kHotRate = 400;
+  MakeHot(all[0], keys, kHotRate);
+  const auto after = Plan(before, {all, true});
+  REQUIRE(after);
+  CHECK(FindEntry(*after, hot)->next_daemon.empty());
+  CHECK(!FindEntry(*after, keys.first)->next_daemon.empty());
+  CHECK(!FindEntry(*after, keys.last)->next_daemon.empty());
+}
+
 TEST_CASE("idle targets exchange no keys") {
   // Guards against moves that cost more availability than they gain.
   const std::vector<LeaseRecord> all = {MakeLease(1, 5), MakeLease(2, 0.1)};
