Balance the other owners while a hot key outgrows its owner

Cause: a plan looked for moves only from the most loaded owner. Its demand also raised the mean above which an owner gives load away.

Change: an owner without a movable entry is left out, also of the mean, and the next most loaded one is looked at.

Test: planning_test, "a hot key keeps no other owner from moving load away", which failed before.

--- a/include/eelgrassbridge/ranges/planner.hpp
+++ b/include/eelgrassbridge/ranges/planner.hpp
@@ -23,6 +23,8 @@
   double demand = 0;
   /// Entries that it owns or that are moving to it.
   std::uint32_t entries = 0;
+  /// Has no entry that the plan can move to balance load.
+  bool stuck = false;
 };
 
 /// @brief A map that is being changed, and what the changes are based on.
@@ -59,8 +61,12 @@
 /// @brief Estimates the demand of an entry in requests per second.
 double EstimateDemand(const Planner& planner, const RangeEntry& entry);
 
-/// @brief Plans the move of one entry from the most loaded owner. Returns
-/// whether it found one to move.
+/// @brief Plans the move of one entry from the most loaded owner that has one
+/// to move. Returns whether it found one.
+///
+/// An owner with a key that outgrows it may have none. The others must not wait
+/// for it, and its demand must not count in the mean, above which no recipient
+/// is loaded and far above which owners give load away.
 bool MoveForLoad(Planner& planner);
 
 }  // namespace eelgrassbridge::ranges::detail
--- a/src/eelgrassbridge/ranges/load_moves.cpp
+++ b/src/eelgrassbridge/ranges/load_moves.cpp
@@ -7,22 +7,25 @@
 
 namespace {
 
-/// Ratio of demand to capacity over all candidates.
+/// Ratio of demand to capacity over the candidates that can move load.
 double MeanUtilization(const Planner& planner) {
   double demand = 0;
   double capacity = 0;
   for (const Candidate& candidate : planner.candidates) {
-    demand += candidate.demand;
-    capacity += candidate.capacity;
+    if (!candidate.stuck) {
+      demand += candidate.demand;
+      capacity += candidate.capacity;
+    }
   }
   return capacity > 0 ? demand / capacity : 0;
 }
 
-/// The most loaded candidate; null if there is none.
+/// The most loaded candidate that can move load; null if there is none.
 Candidate* FindMostLoaded(Planner& planner) {
   Candidate* donor = nullptr;
   for (Candidate& candidate : planner.candidates) {
-    if (donor == nullptr || Utilization(candidate) > Utilization(*donor)) {
+    if (!candidate.stuck &&
+        (donor == nullptr || Utilization(candidate) > Utilization(*donor))) {
       donor = &candidate;
     }
   }
@@ -69,11 +72,18 @@
 
 bool MoveForLoad(Planner& planner) {
   const PlanningOptions& options = planner.options;
-  Candidate* const donor = FindMostLoaded(planner);
-  const double mean = MeanUtilization(planner);
-  return donor != nullptr && Utilization(*donor) >= options.min_utilization &&
-         Utilization(*donor) >= mean * options.max_imbalance &&
-         MoveFrom(planner, *donor, mean);
+  while (Candidate* const donor = FindMostLoaded(planner)) {
+    const double mean = MeanUtilization(planner);
+    if (Utilization(*donor) < options.min_utilization ||
+        Utilization(*donor) < mean * options.max_imbalance) {
+      return false;
+    }
+    if (MoveFrom(planner, *donor, mean)) {
+      return true;
+    }
+    donor->stuck = true;
+  }
+  return false;
 }
 
 }  // namespace eelgrassbridge::ranges::detail
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -37,7 +37,7 @@
       const double slots = std::max(1U, lease.load.slots);
       planner.candidates.push_back({lease.owner,
                                     slots / RunSeconds(lease.load, options),
-                                    lease.load.requests_per_second, 0});
+                                    lease.load.requests_per_second, 0, false});
     }
   }
   std::ranges::sort(planner.candidates, {}, [](const Candidate& candidate) {
--- a/src/eelgrassbridge/ranges/planning_test.cpp
+++ b/src/eelgrassbridge/ranges/planning_test.cpp
@@ -169,6 +169,27 @@
   lease.load.quantiles = QuantileKeys(counts, kKeysPerBucket, 16);
 }
 
+TEST_CASE("a hot key keeps no other owner from moving load away") {
+  // Guards against owners that refuse requests for as long as one key outgrows
+  // its owner: the plan looked only at the most loaded owner, which had nothing
+  // that it could move.
+  std::vector<LeaseRecord> all = {MakeLease(1), MakeLease(2, 120),
+                                  MakeLease(3, 5), MakeLease(4, 5),
+                                  MakeLease(5, 5)};
+  const RangeMap before = MakeDividedMap(all);
+  constexpr double kHotRate = 400;
+  MakeHot(all[0], before.entries[0].keys, kHotRate);
+  for (std::uint32_t i = 1; i < 16; ++i) {
+    all[1].load.quantiles.push_back(before.entries[1].keys.first +
+                                    SizeOf(before.entries[1].keys) * i / 16);
+  }
+  const auto after = Plan(before, {all, true});
+  REQUIRE(after);
+  CHECK(std::ranges::any_of(after->entries, [&all](const RangeEntry& entry) {
+    return entry.owner == all[1].owner && !entry.next_daemon.empty();
+  }));
+}
+
 TEST_CASE("the neighbours of a hot key move away from it, and it stays") {
   // Guards against requests for other keys that are refused because the slots
   // of their owner are taken for the hot key, and against a hot key that moves
