Adopt all restarted targets in one change of the range map

Change: a plan adopts the targets whose leases tell a later start than the map. A daemon whose own adoption fails because the map has changed waits 1 to 2 s for the next plan.

Test: planning_test, "one plan adopts all targets that have restarted", which failed before, and "a plan never goes back to a former incarnation".

--- a/src/eelgrassbridge/node/range_loops.cpp
+++ b/src/eelgrassbridge/node/range_loops.cpp
@@ -1,5 +1,6 @@
 // Plans the range map and hands released ranges over to their next owners.
 #include <algorithm>
+#include <random>
 #include <set>
 #include <span>
 
@@ -33,6 +34,14 @@
 /// effect of a move is visible before the next one.
 constexpr base::Duration kBalanceInterval = base::milliseconds{3000};
 constexpr base::Duration kReleaseCheckInterval = base::milliseconds{500};
+/// Pause after a change of the map that failed because another daemon has
+/// changed it.
+constexpr base::Duration kConflictPause = base::milliseconds{100};
+/// Shortest and longest pause after the adoption of a restarted target failed
+/// so. After many targets have restarted at the same time, the next plan adopts
+/// them all, and further attempts would only make it fail.
+constexpr base::Duration kAdoptionPause = base::milliseconds{1000};
+constexpr base::Duration kMaxAdoptionPause = base::milliseconds{2000};
 
 /// Rank of this daemon, by address, among those with a live lease.
 std::size_t RankOf(const Node& node, const LeaseRows& rows) {
@@ -229,7 +238,10 @@
          {"released", std::int64_t{released}},
          {"written", std::int64_t{written}}});
     if (!written) {
-      co_await http::Sleep(node.io, kReleaseCheckInterval / 5);
+      std::uniform_int_distribution<std::int64_t> pause(
+          kAdoptionPause.count(), kMaxAdoptionPause.count());
+      co_await http::Sleep(node.io, adopted ? base::Duration{pause(node.random)}
+                                            : kConflictPause);
       http::Notify(node.release_possible);
     }
   }
--- a/src/eelgrassbridge/ranges/planning.cpp
+++ b/src/eelgrassbridge/ranges/planning.cpp
@@ -91,6 +91,22 @@
   }
 }
 
+/// Assigns the keys of restarted targets to their present incarnations, as
+/// their daemons would do one after the other. After many have restarted at the
+/// same time, each of their own changes of the map fails for all others.
+void AdoptRestartedTargets(Planner& planner) {
+  for (const LeaseRecord& lease : planner.input.live) {
+    const bool restarted = std::ranges::any_of(
+        planner.map.entries, [&lease](const RangeEntry& entry) {
+          return entry.owner.daemon == lease.owner.daemon &&
+                 entry.owner.born < lease.owner.born;
+        });
+    if (restarted && ReassignAfterRestart(planner.map, lease.owner)) {
+      planner.changed = true;
+    }
+  }
+}
+
 bool IsLost(const Planner& planner, const RangeEntry& entry) {
   return !planner.leases.contains(entry.owner.daemon) &&
          std::ranges::find(planner.input.kept, entry.owner.daemon) ==
@@ -235,6 +251,7 @@
     DivideEvenly(planner.map, CandidateOwners(planner));
     return planner.map;
   }
+  AdoptRestartedTargets(planner);
   CountEntries(planner);
   CancelInvalidMoves(planner);
   ReassignLostOwners(planner);
--- a/src/eelgrassbridge/ranges/planning_test.cpp
+++ b/src/eelgrassbridge/ranges/planning_test.cpp
@@ -208,6 +208,41 @@
   CHECK(!FindEntry(*after, keys.last)->next_daemon.empty());
 }
 
+TEST_CASE("one plan adopts all targets that have restarted") {
+  // Guards against keys that nobody serves for seconds after all machines had
+  // lost power: each of a hundred daemons had to change the map for its own
+  // target, and each change failed for all others.
+  for (const int owners : {3, 100}) {
+    std::vector<LeaseRecord> all;
+    for (int i = 0; i < owners; ++i) {
+      all.push_back(MakeLease(i + 1));
+    }
+    const RangeMap before = MakeDividedMap(all);
+    for (LeaseRecord& lease : all) {
+      lease.owner.target += "-restarted";
+      lease.owner.born += 1;
+    }
+    const auto after = Plan(before, {all, false});
+    REQUIRE(after);
+    for (const RangeEntry& entry : after->entries) {
+      CHECK(entry.owner.target.ends_with("-restarted"));
+      CHECK(entry.fencing_token >= before.next_token);
+    }
+  }
+}
+
+TEST_CASE("a plan never goes back to a former incarnation of a target") {
+  // Guards against keys of a target that is gone: the planner read a lease that
+  // was written before the target's restart, and the map after it.
+  std::vector<LeaseRecord> all = {MakeLease(1), MakeLease(2)};
+  RangeMap map = MakeDividedMap(all);
+  OwnerId restarted = all[0].owner;
+  restarted.target += "-restarted";
+  restarted.born += 1;
+  REQUIRE(ReassignAfterRestart(map, restarted));
+  CHECK(!Plan(map, {all, false}));
+}
+
 TEST_CASE("idle targets exchange no keys") {
   // Guards against moves that cost more availability than they gain.
   const std::vector<LeaseRecord> all = {MakeLease(1, 5), MakeLease(2, 0.1)};
