--- a/src/eelgrassbridge/node/lease_delegate.cpp
+++ b/src/eelgrassbridge/node/lease_delegate.cpp
@@ -5,7 +5,10 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <memory>
+#include <span>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/fleet_relay.hpp"
@@ -41,12 +44,18 @@
   http::Notify(waiting.done);
 }
 
-/// Takes the renewals of the next batch from the queue.
-std::vector<RenewalPointer> TakeBatch(std::vector<RenewalPointer>& queue) {
+std::vector<Renewal> RenewalsOf(std::span<const RenewalPointer> waiting) {
   std::vector<Renewal> renewals;
-  for (const RenewalPointer& waiting : queue) {
-    renewals.push_back(waiting->renewal);
+  renewals.reserve(waiting.size());
+  for (const RenewalPointer& one : waiting) {
+    renewals.push_back(one->renewal);
   }
+  return renewals;
+}
+
+/// Takes the renewals of the next batch from the queue.
+std::vector<RenewalPointer> TakeBatch(std::vector<RenewalPointer>& queue) {
+  const std::vector<Renewal> renewals = RenewalsOf(queue);
   std::vector<RenewalPointer> batch;
   for (const std::size_t index : ChooseBatch(renewals)) {
     batch.push_back(queue[index]);
@@ -81,15 +90,11 @@
 awaitable<void> CommitBatch(Node& node, std::vector<RenewalPointer> batch) {
   constexpr int kAttempts = 2;
   for (int i = 0; i < kAttempts && !batch.empty(); ++i) {
-    std::vector<Renewal> renewals;
-    for (const RenewalPointer& waiting : batch) {
-      renewals.push_back(waiting->renewal);
-    }
-    RowTransaction transaction = JoinRenewals(renewals);
+    RowTransaction transaction = JoinRenewals(RenewalsOf(batch));
     const auto result =
         co_await Commit(node, StorePurpose::kLease, std::move(transaction));
     Count(node, "lease_batches_total");
-    Count(node, "lease_batch_renewals_total", {}, renewals.size());
+    Count(node, "lease_batch_renewals_total", {}, batch.size());
     if (result && !result.value().committed) {
       FinishConflicts(batch, result.value());
       continue;
