--- a/include/eelgrassbridge/node/table_copy.hpp
+++ b/include/eelgrassbridge/node/table_copy.hpp
@@ -5,18 +5,27 @@
 
 #include <cstdint>
 #include <map>
+#include <tuple>
 
 #include "eelgrassbridge/node/row_store.hpp"
 
 namespace eelgrassbridge::node {
 
+/// @brief Order of rows by table, partition and key.
+struct RowNameOrder {
+  bool operator()(const RowName& left, const RowName& right) const {
+    return std::tie(left.table, left.partition, left.key) <
+           std::tie(right.table, right.partition, right.key);
+  }
+};
+
 /// @brief Rows of a table as received in the present era of the store.
 ///
 /// Invariant: each change in the interval (complete_at, version] is in `rows`,
 /// unless a later change of the same row has replaced it.
 struct TableCopy {
   /// Removed rows stay with their versions.
-  std::map<RowName, StoredRow> rows;
+  std::map<RowName, StoredRow, RowNameOrder> rows;
   /// All changes up to this version were received.
   std::uint64_t version = 0;
   /// Version at which the copy began. Rows that were removed before are not in
--- a/src/eelgrassbridge/node/renewal_batch_test.cpp
+++ b/src/eelgrassbridge/node/renewal_batch_test.cpp
@@ -34,6 +34,7 @@
       const auto chosen = ChooseBatch(waiting);
       REQUIRE(!chosen.empty());
       std::vector<Renewal> batch;
+      batch.reserve(chosen.size());
       for (const std::size_t index : chosen) {
         batch.push_back(waiting[index]);
       }
