--- a/src/eelgrassbridge/node/fleet_feed.cpp
+++ b/src/eelgrassbridge/node/fleet_feed.cpp
@@ -1,4 +1,5 @@
-// Reads the rows of each service, then follows the feed of the whole table.
+// Reads the rows of each service, then follows the changes of the whole table:
+// a relay by the feed of the store, other daemons by polls of their relay.
 #include "eelgrassbridge/node/fleet_feed.hpp"
 
 #include <algorithm>
