--- a/src/eelgrassbridge/ranges/planning_test.cpp
+++ b/src/eelgrassbridge/ranges/planning_test.cpp
@@ -214,6 +214,7 @@
   // target, and each change failed for all others.
   for (const int owners : {3, 100}) {
     std::vector<LeaseRecord> all;
+    all.reserve(static_cast<std::size_t>(owners));
     for (int i = 0; i < owners; ++i) {
       all.push_back(MakeLease(i + 1));
     }
