Leave the rest of an upload to the attempt that sends it again

Cause: after a refusal, the pump of the first attempt went on reading the caller's body and discarded it, while the next attempt was already decided on by what had been read before. That attempt sent the buffered start, found the body complete and sent its end.

Change: a pump ends with its attempt and leaves the rest of the body in the exchange; the next attempt continues there, and the final answer starts a reader that discards what is left. Since nothing is read between attempts, the check whether the buffer has all that was read stays true, and it is made once more after the pump has ended.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -61,6 +61,8 @@
   bool closed = false;
   /// Reading of the current request's body is to end; see InterruptBody.
   bool body_interrupted = false;
+  /// How often a read of the body was suspended; see SuspendBodyRead.
+  std::uint64_t suspended_reads = 0;
   /// Called at most once, when the caller disconnects during a request.
   std::function<void()> on_caller_disconnected;
 };
@@ -123,6 +125,10 @@
 /// response can still be sent; the connection is closed after it.
 void InterruptBody(Exchange& exchange);
 
+/// @brief Ends a ReadBody that waits for the caller with kInterrupted. Nothing
+/// is lost: the next ReadBody continues at the same byte.
+void SuspendBodyRead(Exchange& exchange);
+
 /// @brief Sends a complete response. Returns false if the connection failed.
 asio::awaitable<bool> Respond(Exchange& exchange,
                               int status,
--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -100,14 +100,19 @@
 };
 
 /// @brief Streaming of a caller's body to a server while the answer is read.
+///
+/// Invariant: a stopped pump takes nothing more from the body, so another
+/// attempt can continue there, and no two pumps read a body at a time.
 struct BodyPump {
-  explicit BodyPump(asio::io_context& io) : ended(io) {}
+  BodyPump(asio::io_context& io, http::Exchange& body_source)
+      : source(&body_source), ended(io) {}
+  http::Exchange* source;
   http::Event ended;
   bool done = false;
   /// The whole body has been sent.
   bool complete = false;
-  /// The server has answered: the rest of the body is read and discarded.
-  bool discard = false;
+  /// The attempt has ended: the rest of the body is left in `source`.
+  bool stopped = false;
 };
 
 /// @brief Result of one attempt.
--- a/include/eelgrassbridge/node/transmit.hpp
+++ b/include/eelgrassbridge/node/transmit.hpp
@@ -40,6 +40,10 @@
 /// @brief Waits until the caller's body is no longer read for this result.
 asio::awaitable<void> AwaitBodyPump(RunResult& result);
 
+/// @brief Reads and discards the rest of a body that the attempt has left, so
+/// that the caller can read the final answer. AwaitBodyPump waits for its end.
+void DiscardRestOfBody(Node& node, RunResult& result);
+
 /// @brief Sends the answer in the result to the caller, with the given headers.
 /// Returns false if it could not be sent completely.
 asio::awaitable<bool> RelayAnswer(const Node& node,
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -76,11 +76,13 @@
 
 /// Parses the received bytes up to the parser's next pause, and waits for more
 /// if there are none. Returns false if the connection is closed or reading is
-/// interrupted.
+/// interrupted or suspended.
 awaitable<bool> ParseMore(ServerConnection& connection) {
+  const std::uint64_t suspended_before = connection.suspended_reads;
   while (connection.input.empty()) {
     if (connection.caller_disconnected || connection.closed ||
-        connection.body_interrupted) {
+        connection.body_interrupted ||
+        connection.suspended_reads != suspended_before) {
       co_return false;
     }
     co_await Wait(connection.input_changed);
@@ -332,6 +334,11 @@
   Notify(exchange.connection->input_changed);
 }
 
+void SuspendBodyRead(Exchange& exchange) {
+  ++exchange.connection->suspended_reads;
+  Notify(exchange.connection->input_changed);
+}
+
 awaitable<bool> Respond(Exchange& exchange,
                         int status,
                         Headers headers,
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -265,6 +265,9 @@
          {"last_daemon", attempts.request.last_daemon},
          {"attempts", std::int64_t{attempts.request.attempts}}});
     co_await AwaitBodyPump(result);
+    if (!IsBodyBuffered(attempts)) {
+      co_return result;
+    }
     last = std::move(result);
   }
 }
@@ -273,6 +276,7 @@
                                 http::Exchange& exchange,
                                 const Attempts& attempts,
                                 RunResult& result) {
+  DiscardRestOfBody(node, result);
   const CallerRequest& request = attempts.request;
   if (result.cause == ErrorKind::kCancelled &&
       result.outcome != Outcome::kAnswered) {
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -219,6 +219,7 @@
                                RunResult& result) {
   constexpr int kUnavailable = 503;
   constexpr int kBadGateway = 502;
+  DiscardRestOfBody(node, result);
   http::Headers headers = OutcomeHeaders(node, terms, result);
   switch (result.outcome) {
     case Outcome::kAnswered:
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <utility>
 
 namespace eelgrassbridge::node {
 
@@ -46,21 +47,24 @@
           message.body.size() > kMaxEagerBodyBytes);
 }
 
-/// Forwards the rest of a caller's body. Once the server has answered, the rest
-/// is read and discarded, so that the caller's connection stays usable.
+void EndPump(BodyPump& pump) {
+  pump.done = true;
+  http::Notify(pump.ended);
+}
+
+/// Forwards the rest of a caller's body until the pump is stopped.
 awaitable<void> PumpBody(std::shared_ptr<BodyPump> pump,
-                         http::Exchange* exchange,
                          http::ClientConnectionPtr connection,
                          bool chunked) {
   http::BodyRead read = http::BodyRead::kMore;
   bool sent = true;
   std::string piece;
-  while (read == http::BodyRead::kMore) {
+  while (read == http::BodyRead::kMore && sent && !pump->stopped) {
     piece.clear();
-    read = co_await http::ReadBody(*exchange, piece);
+    read = co_await http::ReadBody(*pump->source, piece);
     const bool usable =
         read == http::BodyRead::kMore || read == http::BodyRead::kComplete;
-    if (pump->discard || !sent || piece.empty() || !usable) {
+    if (pump->stopped || piece.empty() || !usable) {
       continue;
     }
     if (chunked) {
@@ -70,18 +74,41 @@
       sent = co_await http::Send(*connection, piece);
     }
   }
-  if (read == http::BodyRead::kComplete && sent && !pump->discard) {
+  if (read == http::BodyRead::kComplete && sent && !pump->stopped) {
     if (chunked) {
       const std::string last = http::FormatChunk({});
       sent = co_await http::Send(*connection, last);
     }
     pump->complete = sent;
-  } else if (!pump->discard) {
-    // The server must not mistake a truncated body for a complete one.
+  } else if (sent && !pump->stopped) {
+    // The server must not mistake a truncated body for a complete one. After a
+    // failed write there may still be an answer to read.
     http::Close(*connection);
   }
-  pump->done = true;
-  http::Notify(pump->ended);
+  EndPump(*pump);
+}
+
+/// Discards the rest of the body once `former` no longer reads it.
+awaitable<void> DiscardBody(std::shared_ptr<BodyPump> former,
+                            std::shared_ptr<BodyPump> pump) {
+  while (!former->done) {
+    co_await http::Wait(former->ended);
+  }
+  http::BodyRead read = http::BodyRead::kMore;
+  std::string piece;
+  while (read == http::BodyRead::kMore) {
+    piece.clear();
+    read = co_await http::ReadBody(*pump->source, piece);
+  }
+  EndPump(*pump);
+}
+
+/// Leaves the rest of a body that is still being streamed in its source.
+void StopPump(RunResult& result) {
+  if (result.pump && !result.pump->done) {
+    result.pump->stopped = true;
+    http::SuspendBodyRead(*result.pump->source);
+  }
 }
 
 struct Answer {
@@ -159,11 +186,9 @@
                    RunResult& result,
                    const Message& message,
                    bool chunked) {
-  result.pump = std::make_shared<BodyPump>(node.io);
-  asio::co_spawn(
-      node.io,
-      PumpBody(result.pump, message.body_source, result.connection, chunked),
-      asio::detached);
+  result.pump = std::make_shared<BodyPump>(node.io, *message.body_source);
+  asio::co_spawn(node.io, PumpBody(result.pump, result.connection, chunked),
+                 asio::detached);
 }
 
 /// Waits for "100 Continue", sends the buffered part of the body and starts to
@@ -207,13 +232,11 @@
   return body_sent && !refused_by_target;
 }
 
-/// Discards a body that is still being streamed, and returns the connection to
-/// its pool or closes it if the answer is complete.
+/// Stops a body that is still being streamed, and returns the connection to its
+/// pool or closes it if the answer is complete.
 void ReleaseIfComplete(const Node& node, RunResult& result) {
   const bool reusable = IsReusable(node, result);
-  if (result.pump && !result.pump->done) {
-    result.pump->discard = true;
-  }
+  StopPump(result);
   if (result.body_complete && reusable) {
     http::Release(*result.pool, result.connection, result.head);
   } else if (result.body_complete) {
@@ -229,9 +252,7 @@
                        const Cancellation& cancellation,
                        ErrorKind cause) {
   http::Close(*result.connection);
-  if (result.pump) {
-    result.pump->discard = true;
-  }
+  StopPump(result);
   RunResult failed = UnknownResult(cancellation.cause.value_or(cause));
   failed.pump = result.pump;
   return failed;
@@ -323,6 +344,16 @@
   }
 }
 
+void DiscardRestOfBody(Node& node, RunResult& result) {
+  if (!result.pump || result.pump->complete) {
+    return;
+  }
+  auto former = std::exchange(
+      result.pump, std::make_shared<BodyPump>(node.io, *result.pump->source));
+  asio::co_spawn(node.io, DiscardBody(std::move(former), result.pump),
+                 asio::detached);
+}
+
 awaitable<bool> RelayAnswer(const Node& node,
                             http::Exchange& exchange,
                             http::Headers headers,
