Keep a departure of the target across restarts of its daemon

Cause: the departure was kept in the process only. A new process took the target for serving at its next report and wrote that into the member row, which already had the departure.

Change: a process takes the departure of its target's present incarnation from its own member row, and a departure is acknowledged once the store has confirmed that row; until then the call is answered 503 and the target repeats it. A notice of an unknown target is no longer acknowledged, and one of an earlier life no longer takes the present one out of use.

--- a/include/eelgrassbridge/node/own_target.hpp
+++ b/include/eelgrassbridge/node/own_target.hpp
@@ -63,9 +63,18 @@
                          const TargetReport& report,
                          base::TimePoint now);
 
-/// @brief Marks the target as leaving after it has announced its departure.
-/// Returns false, and changes nothing, if it is not the current target's id.
-bool ApplyDeparture(OwnTarget& target, std::string_view id);
+enum class DepartureStatus : std::uint8_t {
+  kLeaving,
+  /// Of an earlier incarnation, which is out of use already.
+  kFormer,
+  /// Of an incarnation that has not reported: there is nothing to mark.
+  kUnknown,
+};
+
+/// @brief Marks the target as leaving after it has announced its departure,
+/// unless the notice is of another incarnation.
+DepartureStatus ApplyDeparture(OwnTarget& target,
+                               const TargetDeparture& departure);
 
 /// @brief Whether the target is known and not leaving.
 bool IsServing(const OwnTarget& target);
--- a/include/eelgrassbridge/node/platform_port.hpp
+++ b/include/eelgrassbridge/node/platform_port.hpp
@@ -66,6 +66,13 @@
   std::vector<ReleasedRange> released;
 };
 
+/// @brief Notice of a target that it is about to stop.
+struct TargetDeparture {
+  std::string target;
+  /// Start of the target process as in its reports; none if it is not told.
+  std::optional<std::int64_t> born;
+};
+
 struct Grant {
   ranges::KeyRange keys;
   std::uint64_t fencing_token = 0;
@@ -108,6 +115,8 @@
                                            std::string_view body)>
       decode_report;
   std::function<std::string(const ReportAnswer&)> encode_report_answer;
+  std::function<TargetDeparture(std::string_view target, std::string_view body)>
+      decode_departure;
   std::function<OperatorRow(const RowName&)> operator_row;
   std::function<base::Result<catalogue::RouteTable>(std::string_view value)>
       decode_routes;
--- a/src/eelgrassbridge/node/own_target.cpp
+++ b/src/eelgrassbridge/node/own_target.cpp
@@ -86,12 +86,20 @@
                           : ReportStatus::kNewIncarnation;
 }
 
-bool ApplyDeparture(OwnTarget& target, std::string_view id) {
-  if (target.id != id) {
-    return false;
+DepartureStatus ApplyDeparture(OwnTarget& target,
+                               const TargetDeparture& departure) {
+  const std::int64_t born = departure.born.value_or(target.born);
+  if (target.id.empty() || born > target.born) {
+    return DepartureStatus::kUnknown;
+  }
+  if (born < target.born) {
+    return DepartureStatus::kFormer;
+  }
+  if (departure.target != target.id) {
+    return DepartureStatus::kUnknown;
   }
   target.leaving = true;
-  return true;
+  return DepartureStatus::kLeaving;
 }
 
 bool IsServing(const OwnTarget& target) {
--- a/src/eelgrassbridge/node/reports.cpp
+++ b/src/eelgrassbridge/node/reports.cpp
@@ -1,6 +1,7 @@
 // Handles the target's reports and departures, the readiness check and metrics.
 #include "eelgrassbridge/node/reports.hpp"
 
+#include "eelgrassbridge/node/departure.hpp"
 #include "eelgrassbridge/node/metrics.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
@@ -28,14 +29,6 @@
   return {};
 }
 
-void HandleTargetLeaving(Node& node, std::string_view cause) {
-  Log(node.log, EventKind::kTargetLeaving,
-      {{"target", node.target.id}, {"cause", cause}});
-  http::Notify(node.member_inputs_changed);
-  http::Notify(node.lease_inputs_changed);
-  http::Notify(node.target_changed);
-}
-
 void HandleTargetReport(Node& node, const TargetReport& report) {
   const base::TimePoint now = base::BootClock::now();
   const bool was_leaving = node.target.leaving;
@@ -52,11 +45,12 @@
     node.admission.cold.cold_until = {};
     http::Notify(node.member_inputs_changed);
     http::Notify(node.lease_inputs_changed);
+    ApplyRecordedDeparture(node);
   }
   node.admission.cold.cold_until = now + report.cold_remaining;
-  if (node.target.leaving &&
+  if (report.leaving &&
       (!was_leaving || intake == ReportStatus::kNewIncarnation)) {
-    HandleTargetLeaving(node, "the target reported that it is leaving");
+    AnnounceDeparture(node, "the target reported that it is leaving");
   }
   RefreshAdmission(node);
   http::Notify(node.release_possible);
@@ -98,6 +92,13 @@
     co_return;
   }
   HandleTargetReport(node, report.value());
+  if (report.value().leaving) {
+    const bool recorded = co_await AwaitRecordedDeparture(node);
+    if (!recorded) {
+      co_await http::Respond(exchange, kServiceUnavailable, {}, {});
+      co_return;
+    }
+  }
   const ReportAnswer answer = MakeReportAnswer(node, report.value());
   http::Headers headers;
   headers.push_back({"Content-Type", "application/json"});
@@ -107,6 +108,33 @@
   http::Notify(node.target_changed);
 }
 
+awaitable<void> HandleDeparture(Node& node,
+                                http::Exchange& exchange,
+                                std::string target) {
+  Message message;
+  const auto received =
+      co_await ReceiveBody(exchange, message, kMaxReportBytes);
+  if (!received) {
+    http::Abort(exchange);
+    co_return;
+  }
+  bool acknowledged = false;
+  switch (ApplyDeparture(node.target,
+                         node.port.decode_departure(target, message.body))) {
+    case DepartureStatus::kLeaving:
+      AnnounceDeparture(node, "the target announced its departure");
+      acknowledged = co_await AwaitRecordedDeparture(node);
+      break;
+    case DepartureStatus::kFormer:
+      acknowledged = true;
+      break;
+    case DepartureStatus::kUnknown:
+      break;
+  }
+  co_await http::Respond(exchange, acknowledged ? kOk : kServiceUnavailable, {},
+                         {});
+}
+
 }  // namespace
 
 awaitable<void> HandleTargetCall(Node& node, http::Exchange& exchange) {
@@ -117,10 +145,7 @@
       co_await HandleReport(node, exchange, call.target);
       break;
     case TargetCall::Kind::kDeparture:
-      if (ApplyDeparture(node.target, call.target)) {
-        HandleTargetLeaving(node, "the target announced its departure");
-      }
-      co_await http::Respond(exchange, kOk, {}, {});
+      co_await HandleDeparture(node, exchange, call.target);
       break;
     case TargetCall::Kind::kNone:
       co_await http::Respond(exchange, kNotFound, {}, {});
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "eelgrassbridge/node/departure.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
@@ -97,6 +98,9 @@
        {"row_version", static_cast<std::int64_t>(row.version)}});
   node.fleet.members[address] = std::move(member.value());
   node.fleet.target_tables_stale = true;
+  if (address == node.settings.peers) {
+    ApplyRecordedDeparture(node);
+  }
 }
 
 /// Acquires the lease with the first map of an era. A map that was written
