Refuse a request that crashes one target after the other

Cause: an idempotent request was repeated after each unknown outcome within the retry budget of its service, and nothing related the crashes to it.

Change: the daemon beside a target puts the runs that broke off before a new incarnation down as crashes in a row of the store. Daemons do not repeat a request with a crash, and refuse it for 60 s after two in a row. Crashes at the same moment count once, and an answered run refutes those before it, so requests that only ran where targets failed are served.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -24,6 +24,7 @@
 #include "eelgrassbridge/limits/cold_pacer.hpp"
 #include "eelgrassbridge/limits/service_retry_budget.hpp"
 #include "eelgrassbridge/limits/target_limiter.hpp"
+#include "eelgrassbridge/node/crash_record.hpp"
 #include "eelgrassbridge/node/event_log.hpp"
 #include "eelgrassbridge/node/member.hpp"
 #include "eelgrassbridge/node/own_target.hpp"
@@ -34,6 +35,7 @@
 #include "eelgrassbridge/ranges/lease.hpp"
 #include "eelgrassbridge/ranges/planning.hpp"
 #include "eelgrassbridge/ranges/recovery.hpp"
+#include "eelgrassbridge/routing/crash_suspects.hpp"
 #include "eelgrassbridge/routing/target_choice.hpp"
 
 namespace eelgrassbridge::node {
@@ -234,6 +236,21 @@
   std::string substitute;
 };
 
+/// @brief Crashes of targets and the requests that may have caused them; see
+/// crash_watch.hpp.
+struct CrashWatch {
+  explicit CrashWatch(asio::io_context& io) : changed(io) {}
+  routing::CrashSuspects suspects;
+  /// Runs on the own target whose connections broke since its last sign of
+  /// life.
+  std::vector<CrashRecord> broken_runs;
+  /// What this daemon's row has or is to have.
+  std::vector<CrashRecord> own;
+  bool unpublished = false;
+  /// Notified when `unpublished` is set.
+  http::Event changed;
+};
+
 struct RequestWatch;
 
 struct Node {
@@ -263,6 +280,7 @@
   KeyDemand demand;
   Admission admission;
   limits::ServiceRetryBudget retries;
+  CrashWatch crashes;
 
   http::ConnectionPool peers;
   http::ConnectionPool targets;
--- a/include/eelgrassbridge/node/rows.hpp
+++ b/include/eelgrassbridge/node/rows.hpp
@@ -24,6 +24,7 @@
 inline constexpr std::string_view kRangeMapPrefix = "ranges/";
 inline constexpr std::string_view kRecoveryPrefix = "recovery/";
 inline constexpr std::string_view kMemberPrefix = "member/";
+inline constexpr std::string_view kCrashPrefix = "crashes/";
 /// Key of the row with the version of the latest change of the operator's rows,
 /// and the era of the store in which it was made: "VERSION;ERA".
 inline constexpr std::string_view kOperatorVersionKey = "operator-version";
@@ -31,6 +32,8 @@
 RowName RangeMapRow(std::string_view service, std::uint64_t era);
 RowName RecoveryRow(std::string_view service, std::uint64_t era);
 RowName MemberRow(std::string_view service, std::string_view address);
+/// @brief The row in which a daemon tells of crashes; see crash_record.hpp.
+RowName CrashRow(std::string_view service, std::string_view address);
 /// @brief The row in which relays announce changes of the operator's rows.
 RowName OperatorVersionRow();
 RowName LeaseRow(std::string_view service,
--- a/include/eelgrassbridge/node/store_calls.hpp
+++ b/include/eelgrassbridge/node/store_calls.hpp
@@ -43,6 +43,8 @@
   kRecovery,
   /// Announcements of the operator's changes.
   kAnnouncement,
+  /// Commits of this daemon's crash row.
+  kCrashes,
 };
 
 /// @brief Value of the label "purpose" of the store's metrics.
--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "eelgrassbridge/node/caller_terms.hpp"
+#include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/destination.hpp"
 #include "eelgrassbridge/node/final_answer.hpp"
 #include "eelgrassbridge/node/peer_call.hpp"
@@ -185,6 +186,8 @@
              (!result.reached_target || TakeRetry(node, attempts));
     case Outcome::kUnknown:
       return !cancelled_or_expired && IsIdempotent(request.terms) &&
+             CrashVerdictOf(node, request.terms, attempts.message) ==
+                 routing::CrashVerdict::kNormal &&
              TakeRetry(node, attempts);
   }
   return false;
@@ -239,7 +242,11 @@
     }
     RunResult result = NoDestinationResult(attempts);
     if (destination) {
+      const TimePoint began = base::BootClock::now();
       result = co_await RunAttempt(node, attempts, *destination, cancellation);
+      if (result.outcome == Outcome::kAnswered) {
+        RecordAnswer(node, attempts.request.terms, attempts.message, began);
+      }
     }
     RecordResult(node, attempts, result);
     const bool owner_unavailable = attempts.request.terms.key &&
@@ -343,6 +350,12 @@
     co_await SendRejection(node, exchange, request, received.error().kind);
     co_return;
   }
+  if (CrashVerdictOf(node, request.terms, message) ==
+      routing::CrashVerdict::kQuarantined) {
+    co_await SendRefusal(node, exchange, request, NotRunProof::NeverSent(),
+                         ErrorKind::kQuarantined);
+    co_return;
+  }
   Attempts attempts{*route.value(), request, message, {}, 0, 0, false};
   RunResult result = co_await RunAttempts(node, attempts, watch.cancellation);
   co_await SendFinalAnswer(node, exchange, attempts, result);
--- a/src/eelgrassbridge/node/lease_loop.cpp
+++ b/src/eelgrassbridge/node/lease_loop.cpp
@@ -161,8 +161,9 @@
   }
   RebuildStaleTargetTables(node);
   no_map_found =
-      std::ranges::all_of(page.value().rows, [](const StoredRow& row) {
-        return row.name.key.starts_with(kMemberPrefix);
+      std::ranges::none_of(page.value().rows, [](const StoredRow& row) {
+        return row.name.key.starts_with(kRangeMapPrefix) ||
+               row.name.key.starts_with(kRecoveryPrefix);
       });
   co_return true;
 }
--- a/src/eelgrassbridge/node/reports.cpp
+++ b/src/eelgrassbridge/node/reports.cpp
@@ -1,6 +1,7 @@
 // Handles the target's reports and departures, the readiness check and metrics.
 #include "eelgrassbridge/node/reports.hpp"
 
+#include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/departure.hpp"
 #include "eelgrassbridge/node/metrics.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
@@ -46,6 +47,9 @@
     http::Notify(node.member_inputs_changed);
     http::Notify(node.lease_inputs_changed);
     ApplyRecordedDeparture(node);
+    RecordRestart(node);
+  } else {
+    RecordSignOfLife(node);
   }
   node.admission.cold.cold_until = now + report.cold_remaining;
   if (report.leaving &&
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/departure.hpp"
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/store_era.hpp"
@@ -232,6 +233,8 @@
     ApplyRecovery(node, row);
   } else if (row.name.key.starts_with(kMemberPrefix)) {
     ApplyMember(node, row);
+  } else if (row.name.key.starts_with(kCrashPrefix)) {
+    ApplyCrashRow(node, row);
   } else if (row.name.key == kOperatorVersionKey) {
     ApplyOperatorVersion(node, row);
   }
--- a/src/eelgrassbridge/node/rows.cpp
+++ b/src/eelgrassbridge/node/rows.cpp
@@ -18,6 +18,11 @@
           std::string(kMemberPrefix).append(address)};
 }
 
+RowName CrashRow(std::string_view service, std::string_view address) {
+  return {std::string(kFleetTable), std::string(service),
+          std::string(kCrashPrefix).append(address)};
+}
+
 RowName OperatorVersionRow() {
   return {std::string(kFleetTable), {}, std::string(kOperatorVersionKey)};
 }
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -12,6 +12,7 @@
 #include <system_error>
 
 #include "eelgrassbridge/http/endpoint.hpp"
+#include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/entry.hpp"
 #include "eelgrassbridge/node/fleet_feed.hpp"
 #include "eelgrassbridge/node/node.hpp"
@@ -161,8 +162,8 @@
        {"service", node.settings.service},
        {"address", node.settings.peers},
        {"process", node.process}});
-  for (auto* loop : {FollowOperator, FollowFleet, PublishMember, KeepLease,
-                     PlanRanges, HandOverRanges, FlushLog}) {
+  for (auto* loop : {FollowOperator, FollowFleet, PublishMember, PublishCrashes,
+                     KeepLease, PlanRanges, HandOverRanges, FlushLog}) {
     asio::co_spawn(node.io, loop(node), RethrowFailure);
   }
 }
--- a/src/eelgrassbridge/node/store_calls.cpp
+++ b/src/eelgrassbridge/node/store_calls.cpp
@@ -126,6 +126,8 @@
       return "member";
     case StorePurpose::kRecovery:
       return "recovery";
+    case StorePurpose::kCrashes:
+      return "crashes";
     case StorePurpose::kAnnouncement:
       return "announcement";
   }
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "eelgrassbridge/http/endpoint.hpp"
+#include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/key_demand.hpp"
 #include "eelgrassbridge/node/target_slot.hpp"
 #include "eelgrassbridge/node/transmit.hpp"
@@ -221,6 +222,7 @@
   RunResult result =
       co_await Transmit(node, message, std::move(transmission), cancellation);
   InterpretAnswer(node, result);
+  RecordRunEnd(node, terms, message, result, sent_at);
   slot->end = RunEndOf(result);
   if (result.outcome == base::Outcome::kAnswered) {
     RecordRunTime(node.demand, base::BootClock::now() - sent_at);
