Answer a request whose handling fails, and count what got no answer

An unexpected error in the handling of a request left its caller without an answer until the connection timed out, and counted the request as open for ever, so that each planned stop lasted to its end.

Cause: the exception ended the coroutine of the connection before it closed the connection and lowered the counts.

Change: the server answers 500 and closes the connection. An exchange is shared with the pump that reads its body, which may outlive the handler. Requests without a whole answer are counted by cause (requests_unanswered_total): the caller left, the answer was cut, or the handler failed.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -37,6 +37,11 @@
   std::uint64_t refused = 0;
   /// Malformed or too large request heads.
   std::uint64_t invalid = 0;
+  /// Requests without a complete response: the caller had disconnected, the
+  /// handler had thrown an exception, or neither of both.
+  std::uint64_t abandoned = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cut = 0;
   /// Received bytes of request bodies, without chunk framing.
   std::uint64_t body_bytes = 0;
   /// Connections open now.
@@ -67,11 +72,12 @@
   std::function<void()> on_caller_disconnected;
 };
 
-/// @brief One request and the response to it.
+/// @brief One request and the response to it, owned by its handler and by all
+/// that read its body.
 ///
 /// Invariant: a response is started at most once. If it cannot be finished, the
 /// connection is closed, so that a truncated response never looks complete.
-struct Exchange {
+struct Exchange : std::enable_shared_from_this<Exchange> {
   std::shared_ptr<ServerConnection> connection;
   /// Counters of the server, which outlives its exchanges.
   ServerCounts* counts = nullptr;
--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -105,8 +105,8 @@
 /// attempt can continue there, and no two pumps read a body at a time.
 struct BodyPump {
   BodyPump(asio::io_context& io, http::Exchange& body_source)
-      : source(&body_source), ended(io) {}
-  http::Exchange* source;
+      : source(body_source.shared_from_this()), ended(io) {}
+  std::shared_ptr<http::Exchange> source;
   http::Event ended;
   bool done = false;
   /// The whole body has been sent.
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -30,6 +30,7 @@
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr int kBadRequest = 400;
+constexpr int kInternalError = 500;
 
 void Close(ServerConnection& connection) {
   if (connection.closed) {
@@ -184,8 +185,10 @@
   co_await WriteAll(*connection, {asio::buffer(text), asio::const_buffer{}});
 }
 
-Exchange MakeExchange(Server& server, const ServerConnectionPtr& connection) {
-  Exchange exchange;
+std::shared_ptr<Exchange> MakeExchange(Server& server,
+                                       const ServerConnectionPtr& connection) {
+  auto made = std::make_shared<Exchange>();
+  Exchange& exchange = *made;
   exchange.connection = connection;
   exchange.counts = &server.counts;
   exchange.head = TakeRequestHead(connection->parser);
@@ -193,7 +196,32 @@
   exchange.continue_expected = EqualsIgnoreCase(
       HeaderValue(exchange.head.headers, "Expect"), "100-continue");
   exchange.close_after_response = !exchange.head.keep_alive || server.draining;
-  return exchange;
+  return made;
+}
+
+/// Runs the handler. Returns false if it throws an exception, in which case the
+/// request alone fails.
+awaitable<bool> RunHandler(Server& server, Exchange& exchange) {
+  std::string failure;
+  try {
+    co_await server.handler(exchange);
+    co_return true;
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  ++server.counts.failed;
+  spdlog::error("the handling of a request failed: {}", failure);
+  if (exchange.response_started) {
+    Abort(exchange);
+    co_return false;
+  }
+  exchange.close_after_response = true;
+  co_await Respond(exchange, kInternalError, {}, {});
+  co_return false;
+}
+
+void CountUnanswered(ServerCounts& counts, const Exchange& exchange) {
+  ++(exchange.connection->caller_disconnected ? counts.abandoned : counts.cut);
 }
 
 /// Handles one request. Returns false if the connection cannot be reused.
@@ -207,23 +235,28 @@
   if (read != HeadRead::kHead) {
     co_return false;
   }
-  Exchange exchange = MakeExchange(server, connection);
+  const auto owned = MakeExchange(server, connection);
+  Exchange& exchange = *owned;
   if (!exchange.head.has_body) {
     // Completes the message in the parser, which needs no further input.
     std::string empty_body;
     co_await ReadBody(exchange, empty_body);
   }
+  bool handled = true;
   ++server.active_requests;
   if (exchange.head.length.value_or(0) > exchange.max_body_bytes) {
     co_await Respond(exchange, kContentTooLarge, {}, {});
   } else {
-    co_await server.handler(exchange);
+    handled = co_await RunHandler(server, exchange);
   }
   connection->on_caller_disconnected = nullptr;
   if (exchange.response_complete) {
     co_await DiscardBody(exchange);
   }
   --server.active_requests;
+  if (handled && !exchange.response_complete) {
+    CountUnanswered(server.counts, exchange);
+  }
   co_return exchange.response_complete && !exchange.close_after_response &&
       !connection->caller_disconnected && !connection->closed;
 }
--- a/src/eelgrassbridge/node/metrics.cpp
+++ b/src/eelgrassbridge/node/metrics.cpp
@@ -68,6 +68,15 @@
            static_cast<std::int64_t>(node.peers.opened));
   SetGauge(node, "peer_body_bytes_total",
            static_cast<std::int64_t>(node.peers_server.counts.body_bytes));
+  const http::ServerCounts& callers = node.callers_server.counts;
+  for (const auto& [cause, count] :
+       {std::pair{"caller_left", callers.abandoned},
+        std::pair{"handler_failed", callers.failed},
+        std::pair{"answer_cut", callers.cut}}) {
+    SetGauge(node, "requests_unanswered_total",
+             static_cast<std::int64_t>(count),
+             fmt::format("cause=\"{}\"", cause));
+  }
   SetGauge(node, "log_lines_dropped_total",
            static_cast<std::int64_t>(node.log.dropped_total));
   return base::PrometheusText(node.counters);
