Answer the open requests before a failed process ends

An unexpected error in one loop of a daemon, e.g. while it applied a row, ended the process at once: the connections of all callers closed together, without an answer, while their requests ran in other processes.

Cause: the exception was thrown out of the event loop, which nothing caught.

Change: a failure refuses new requests and starts a planned stop, which answers the open ones before the process ends and is replaced. It is logged (process_failed, with the cause and the number of open requests) and counted.

--- a/include/eelgrassbridge/node/event_log.hpp
+++ b/include/eelgrassbridge/node/event_log.hpp
@@ -22,6 +22,7 @@
   kStarted,
   kStopping,
   kStopped,
+  kProcessFailed,
   kSettingsReloaded,
   kSettingsRejected,
   kStoreLost,
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -303,6 +304,8 @@
 
   /// A planned stop has begun.
   bool stopping = false;
+  /// Ends the process after a stop; empty if the process is to go on.
+  std::function<void()> end_process;
   /// New requests are refused; set in a later phase of the planned stop.
   bool refusing_requests = false;
   /// The requests that are being handled, which remove themselves.
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/use_awaitable.hpp>
@@ -45,14 +46,6 @@
 constexpr base::Duration kFinalAnswerTime = base::milliseconds{300};
 constexpr std::chrono::milliseconds kFinalAnswerCheckInterval{10};
 
-void RethrowFailure(const std::exception_ptr& failure) {
-  // The node cannot run without any of its loops. The exception ends the
-  // process, and the platform restarts it.
-  if (failure) {
-    std::rethrow_exception(failure);
-  }
-}
-
 awaitable<void> FlushLog(Node& node) {
   while (true) {
     co_await http::Sleep(node.io, kFlushInterval);
@@ -87,7 +80,52 @@
 
 awaitable<void> StopAndExit(Node& node) {
   co_await StopGracefully(node);
-  node.io.stop();
+  if (node.end_process) {
+    node.end_process();
+  }
+}
+
+void BeginStop(Node& node) {
+  if (!node.stopping) {
+    node.stopping = true;
+    asio::co_spawn(node.io, StopAndExit(node), asio::detached);
+  }
+}
+
+/// The node cannot run without any of its loops, and the platform replaces a
+/// process that ends. A planned stop first answers the requests that the
+/// process has accepted. New ones are refused, because its state may be stale.
+void StopAfterFailure(Node& node, std::string_view cause) {
+  Count(node, "process_failures_total");
+  Log(node.log, EventKind::kProcessFailed,
+      {{"cause", cause}, {"active", std::int64_t{ActiveRequests(node)}}});
+  RefuseRequests(node);
+  BeginStop(node);
+}
+
+void StartLoop(Node& node, awaitable<void> loop) {
+  asio::co_spawn(node.io, std::move(loop),
+                 [&node](const std::exception_ptr& failure) {
+                   try {
+                     if (failure) {
+                       std::rethrow_exception(failure);
+                     }
+                   } catch (const std::exception& error) {
+                     StopAfterFailure(node, error.what());
+                   }
+                 });
+}
+
+/// Runs the loop until the process is to end, also after an exception of a
+/// handler.
+void RunLoop(Node& node) {
+  while (!node.io.stopped()) {
+    try {
+      node.io.run();
+    } catch (const std::exception& error) {
+      StopAfterFailure(node, error.what());
+    }
+  }
 }
 
 void Reload(Node& node, const ReadSettings& read_settings) {
@@ -114,8 +152,8 @@
     }
     if (signal == SIGHUP) {
       Reload(node, read_settings);
-    } else if (!node.stopping) {
-      asio::co_spawn(node.io, StopAndExit(node), RethrowFailure);
+    } else {
+      BeginStop(node);
     }
   }
 }
@@ -128,7 +166,7 @@
     return handle(node, exchange);
   };
   http::Listen(server, *http::ParseEndpoint(address));
-  asio::co_spawn(node.io, http::Serve(server), RethrowFailure);
+  StartLoop(node, http::Serve(server));
 }
 
 /// Divides the descriptors between the listeners; the rest is left for
@@ -164,7 +202,7 @@
        {"process", node.process}});
   for (auto* loop : {FollowOperator, FollowFleet, PublishMember, PublishCrashes,
                      KeepLease, PlanRanges, HandOverRanges, FlushLog}) {
-    asio::co_spawn(node.io, loop(node), RethrowFailure);
+    StartLoop(node, loop(node));
   }
 }
 
@@ -215,6 +253,7 @@
                            const ReadSettings& read_settings) {
   asio::io_context io(1);
   Node node(io, settings, make_port(io, settings));
+  node.end_process = [&io] { io.stop(); };
   // A write to a connection closed by its peer must fail with an error instead
   // of ending the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -223,8 +262,8 @@
   } catch (const std::system_error& error) {
     return base::Fail(base::ErrorKind::kSettingsInvalid, error.what());
   }
-  asio::co_spawn(io, WatchSignals(node, read_settings), RethrowFailure);
-  io.run();
+  StartLoop(node, WatchSignals(node, read_settings));
+  RunLoop(node);
   // Frames of suspended coroutines refer to the node, so the process exits
   // without destroying them.
   Flush(node.log);
