Take a caller for gone only when its own connection says so

A caller's connection was closed without an answer when another daemon reported that it had given up the request, although the caller was there.

Cause: the final answer looked at the cause of the last attempt, which may be that of another daemon, in place of the request's own cancellation. The same test kept a proven refusal with this cause from another attempt.

Change: only the cancellation of the request itself counts; otherwise the caller gets 502, or 503 with the proof.

Measured: platform/process_failure_test.cpp, "a request that another daemon gives up gets an answer", failed before (connection closed) and passes.

--- a/src/eelgrassbridge/node/entry.cpp
+++ b/src/eelgrassbridge/node/entry.cpp
@@ -157,8 +157,7 @@
 /// Whether another attempt may follow this result.
 bool MayRetry(Node& node, Attempts& attempts, const RunResult& result) {
   const CallerRequest& request = attempts.request;
-  const bool cancelled_or_expired = result.cause == ErrorKind::kCancelled ||
-                                    result.cause == ErrorKind::kTargetTimeout;
+  const bool expired = result.cause == ErrorKind::kTargetTimeout;
   if (!HasTimeForAttempt(attempts) || !IsBodyBuffered(attempts) ||
       request.attempts >= kMaxAttempts) {
     return false;
@@ -182,10 +181,9 @@
       if (attempts.overloaded >= kMaxOverloadedAttempts) {
         return false;
       }
-      return !cancelled_or_expired &&
-             (!result.reached_target || TakeRetry(node, attempts));
+      return !expired && (!result.reached_target || TakeRetry(node, attempts));
     case Outcome::kUnknown:
-      return !cancelled_or_expired && IsIdempotent(request.terms) &&
+      return !expired && IsIdempotent(request.terms) &&
              CrashVerdictOf(node, request.terms, attempts.message) ==
                  routing::CrashVerdict::kNormal &&
              TakeRetry(node, attempts);
@@ -282,10 +280,11 @@
 awaitable<void> SendFinalAnswer(Node& node,
                                 http::Exchange& exchange,
                                 const Attempts& attempts,
+                                const Cancellation& cancellation,
                                 RunResult& result) {
   DiscardRestOfBody(node, result);
   const CallerRequest& request = attempts.request;
-  if (result.cause == ErrorKind::kCancelled &&
+  if (cancellation.cause == ErrorKind::kCancelled &&
       result.outcome != Outcome::kAnswered) {
     Log(node.log, EventKind::kCallerLeft, {{"request", request.terms.id}});
     http::Abort(exchange);
@@ -358,7 +357,8 @@
   }
   Attempts attempts{*route.value(), request, message, {}, 0, 0, false};
   RunResult result = co_await RunAttempts(node, attempts, watch.cancellation);
-  co_await SendFinalAnswer(node, exchange, attempts, result);
+  co_await SendFinalAnswer(node, exchange, attempts, *watch.cancellation,
+                           result);
 }
 
 }  // namespace eelgrassbridge::node
