Take a connection out of all hands when it is given back

Cause: the cancellation of a request, and the relay of an answer whose write failed, held the connection itself beyond its return to the pool.

Change: those who may end a call share a CallConnection, which is empty from the moment at which the connection is given back, so that closing it has no effect then. Calls between daemons and to the store use the same type.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -51,6 +51,17 @@
 
 using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
 
+/// @brief A connection in the hands of one call, shared by all that may end the
+/// call.
+///
+/// Invariant: `connection` is null from the moment at which it was given back
+/// to its pool, so that none of them can touch it while another call uses it.
+struct CallConnection {
+  ClientConnectionPtr connection;
+};
+
+using CallConnectionPtr = std::shared_ptr<CallConnection>;
+
 /// @brief Idle connections by address.
 ///
 /// Invariant: a connection is pooled only after its request was sent
@@ -68,16 +79,19 @@
 
 /// @brief Returns an idle connection from the pool, or opens one. Fails with
 /// kPeerUnreachable, in which case nothing was sent.
-asio::awaitable<base::Result<ClientConnectionPtr>> Acquire(
+asio::awaitable<base::Result<CallConnectionPtr>> Acquire(
     ConnectionPool& pool,
     asio::ip::tcp::endpoint endpoint);
 
 /// @brief Returns the connection to the pool after `response`, or closes it if
-/// it cannot be reused.
+/// it cannot be reused. Leaves `call` empty.
 void Release(ConnectionPool& pool,
-             const ClientConnectionPtr& connection,
+             CallConnection& call,
              const ResponseHead& response);
 
+/// @brief Closes the connection of the call; has no effect after Release.
+void Close(CallConnection& call);
+
 /// @brief Closes the connection; pending operations on it fail.
 void Close(ClientConnection& connection);
 
--- a/include/eelgrassbridge/node/request.hpp
+++ b/include/eelgrassbridge/node/request.hpp
@@ -130,7 +130,7 @@
   std::string body;
   /// If false, the rest of the body is still to be read from `connection`.
   bool body_complete = true;
-  http::ClientConnectionPtr connection;
+  http::CallConnectionPtr connection;
   http::ConnectionPool* pool = nullptr;
   std::shared_ptr<BodyPump> pump;
   /// Holds the target's slot until the answer has been read.
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -167,10 +167,10 @@
 ClientConnection::ClientConnection(asio::io_context& io, tcp::endpoint server)
     : endpoint(std::move(server)), socket(io) {}
 
-awaitable<base::Result<ClientConnectionPtr>> Acquire(ConnectionPool& pool,
-                                                     tcp::endpoint endpoint) {
+awaitable<base::Result<CallConnectionPtr>> Acquire(ConnectionPool& pool,
+                                                   tcp::endpoint endpoint) {
   if (ClientConnectionPtr idle = TakeIdle(pool, endpoint)) {
-    co_return idle;
+    co_return std::make_shared<CallConnection>(CallConnection{std::move(idle)});
   }
   auto connection = std::make_shared<ClientConnection>(pool.io, endpoint);
   ++pool.opened;
@@ -190,12 +190,14 @@
     Close(*connection);
     co_return base::Fail(ErrorKind::kPeerUnreachable, error.message());
   }
-  co_return connection;
+  co_return std::make_shared<CallConnection>(
+      CallConnection{std::move(connection)});
 }
 
 void Release(ConnectionPool& pool,
-             const ClientConnectionPtr& connection,
+             CallConnection& call,
              const ResponseHead& response) {
+  const ClientConnectionPtr connection = std::move(call.connection);
   auto& connections = pool.idle[connection->endpoint];
   const auto announced = AnnouncedIdleTimeout(response);
   connection->idle_limit = pool.options.idle_timeout;
@@ -219,6 +221,12 @@
   connection.socket.close(ignored);
 }
 
+void Close(CallConnection& call) {
+  if (call.connection) {
+    Close(*call.connection);
+  }
+}
+
 awaitable<bool> Send(ClientConnection& connection,
                      std::string_view first,
                      std::string_view second) {
@@ -290,16 +298,16 @@
   if (!acquired) {
     co_return base::Fail(acquired.error().kind, acquired.error().detail);
   }
-  const ClientConnectionPtr connection = std::move(acquired.value());
+  const CallConnectionPtr call = std::move(acquired.value());
   if (request.progress && request.progress->cancelled) {
-    Close(*connection);
+    Close(*call);
     co_return base::Fail(ErrorKind::kCancelled,
                          "cancelled while the connection was opened");
   }
   bool timed_out = false;
-  const auto time_out = [connection, &timed_out] {
+  const auto time_out = [call, &timed_out] {
     timed_out = true;
-    Close(*connection);
+    Close(*call);
   };
   Alarm stalled(pool.io);
   Alarm too_long(pool.io);
@@ -309,23 +317,23 @@
   Arm(stalled, request.timeout, time_out);
   Arm(too_long, std::max(request.timeout, request.total_timeout), time_out);
   if (request.progress) {
-    request.progress->close = [connection] { Close(*connection); };
+    request.progress->close = [call] { Close(*call); };
   }
-  auto response = co_await SendAndReceive(*connection, request, restart);
+  auto response = co_await SendAndReceive(*call->connection, request, restart);
   Disarm(stalled);
   Disarm(too_long);
   if (request.progress) {
     request.progress->close = nullptr;
   }
   if (!response) {
-    Close(*connection);
+    Close(*call);
     if (timed_out) {
       co_return base::Fail(ErrorKind::kPeerTimeout,
                            "no complete response before the timeout");
     }
     co_return response;
   }
-  Release(pool, connection, response.value().head);
+  Release(pool, *call, response.value().head);
   co_return response;
 }
 
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -187,7 +187,8 @@
                    const Message& message,
                    bool chunked) {
   result.pump = std::make_shared<BodyPump>(node.io, *message.body_source);
-  asio::co_spawn(node.io, PumpBody(result.pump, result.connection, chunked),
+  asio::co_spawn(node.io,
+                 PumpBody(result.pump, result.connection->connection, chunked),
                  asio::detached);
 }
 
@@ -199,7 +200,7 @@
                                   const Message& message,
                                   Answer& early,
                                   bool chunked) {
-  http::ClientConnection& connection = *result.connection;
+  http::ClientConnection& connection = *result.connection->connection;
   auto read = co_await http::ReadResponseHead(connection, false, true);
   if (!read) {
     co_return false;
@@ -238,7 +239,7 @@
   const bool reusable = IsReusable(node, result);
   StopPump(result);
   if (result.body_complete && reusable) {
-    http::Release(*result.pool, result.connection, result.head);
+    http::Release(*result.pool, *result.connection, result.head);
   } else if (result.body_complete) {
     // If the answer came before the end of the body, the server may still wait
     // for the rest, and would read the next request as part of it.
@@ -282,10 +283,11 @@
   cancellation->abort = [connection = result.connection] {
     http::Close(*connection);
   };
+  http::ClientConnection& connection = *result.connection->connection;
   const bool chunked = FramingOf(message).kind == http::Framing::Kind::kChunked;
   const bool no_body = message.method == "HEAD";
   Answer answer;
-  bool sent = co_await SendMessage(*result.connection, message, transmission);
+  bool sent = co_await SendMessage(connection, message, transmission);
   if (sent && AwaitsContinue(message, transmission)) {
     sent = co_await SendAfterContinue(node, result, message, answer, chunked);
   } else if (sent && message.body_source != nullptr) {
@@ -294,8 +296,7 @@
   // A server that answers before it has read the body may have stopped reading,
   // so a failed write does not mean that there is no answer.
   if (!answer.valid && (sent || message.has_body)) {
-    answer = co_await ReadMatchingHead(node, *result.connection, transmission,
-                                       no_body);
+    answer = co_await ReadMatchingHead(node, connection, transmission, no_body);
   }
   if (!answer.valid) {
     cancellation->abort = nullptr;
@@ -306,9 +307,9 @@
   http::ResponseRead read = http::ResponseRead::kMore;
   while (read == http::ResponseRead::kMore &&
          result.body.size() <= kMaxBufferedAnswerBytes) {
-    read = co_await http::ReadResponseBody(*result.connection);
-    result.body += result.connection->parser.body;
-    result.connection->parser.body.clear();
+    read = co_await http::ReadResponseBody(connection);
+    result.body += connection.parser.body;
+    connection.parser.body.clear();
   }
   if (read == http::ResponseRead::kTruncated) {
     cancellation->abort = nullptr;
@@ -323,10 +324,10 @@
 }
 
 awaitable<bool> ReadMoreBody(const Node& node, RunResult& result) {
-  const http::ResponseRead read =
-      co_await http::ReadResponseBody(*result.connection);
-  result.body += result.connection->parser.body;
-  result.connection->parser.body.clear();
+  http::ClientConnection& connection = *result.connection->connection;
+  const http::ResponseRead read = co_await http::ReadResponseBody(connection);
+  result.body += connection.parser.body;
+  connection.parser.body.clear();
   if (read == http::ResponseRead::kTruncated) {
     http::Close(*result.connection);
     co_return false;
