--- a/fuzz/message_fuzz.cpp
+++ b/fuzz/message_fuzz.cpp
@@ -1,9 +1,10 @@
 // Fuzzes the decoders of network input: HTTP messages of callers, targets and
 // daemons, the platform's JSON bodies, and stored rows. No input may crash
-// them.
+// them, and a request that is passed on keeps its body.
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <string>
 #include <string_view>
 
@@ -15,9 +16,54 @@
 
 namespace {
 
+using eelgrassbridge::http::Framing;
 using eelgrassbridge::http::MessageKind;
 using eelgrassbridge::http::MessageParser;
 using eelgrassbridge::http::ParseState;
+using eelgrassbridge::http::RequestHead;
+
+/// A request as it was received.
+struct ReceivedRequest {
+  RequestHead head;
+  std::string body;
+};
+
+/// Aborts if a daemon that receives the request as it is passed on would get
+/// another body.
+void CheckForwarded(const ReceivedRequest& request) {
+  if (request.head.length && *request.head.length != request.body.size()) {
+    std::abort();
+  }
+  const bool chunked = request.head.has_body && !request.head.length;
+  Framing framing;
+  if (request.head.has_body) {
+    framing.kind = chunked ? Framing::Kind::kChunked : Framing::Kind::kLength;
+    framing.length = request.body.size();
+  }
+  std::string input = eelgrassbridge::http::FormatRequestHead(
+      request.head.method, request.head.target,
+      eelgrassbridge::http::EndToEndHeaders(request.head.headers), framing);
+  if (chunked && !request.body.empty()) {
+    input += eelgrassbridge::http::FormatChunk(request.body);
+  }
+  input += chunked ? eelgrassbridge::http::FormatChunk({}) : request.body;
+  MessageParser parser(MessageKind::kRequest);
+  while (!input.empty()) {
+    const std::size_t consumed = eelgrassbridge::http::Parse(parser, input);
+    input.erase(0, consumed);
+    if (parser.state == ParseState::kInvalid ||
+        parser.state == ParseState::kHeadTooLarge ||
+        parser.state == ParseState::kComplete) {
+      break;
+    }
+  }
+  // The parser may reject a head that is passed on, but must not read another
+  // body from it.
+  if (parser.state == ParseState::kComplete &&
+      (parser.body != request.body || !input.empty())) {
+    std::abort();
+  }
+}
 
 /// Parses a stream of messages in pieces; the first byte of the input gives
 /// their size.
@@ -28,19 +74,26 @@
   const std::size_t piece_size = 1 + static_cast<unsigned char>(text.front());
   text.remove_prefix(1);
   MessageParser parser(kind);
+  ReceivedRequest request;
   std::string input;
   while (!text.empty() || !input.empty()) {
     input += text.substr(0, piece_size);
     text.remove_prefix(std::min(piece_size, text.size()));
     const std::size_t before = input.size();
     input.erase(0, eelgrassbridge::http::Parse(parser, input));
+    request.body += parser.body;
+    parser.body.clear();
     if (parser.state == ParseState::kHead) {
       if (kind == MessageKind::kRequest) {
-        eelgrassbridge::http::EndToEndHeaders(TakeRequestHead(parser).headers);
+        request.head = TakeRequestHead(parser);
       } else {
         eelgrassbridge::http::EndToEndHeaders(TakeResponseHead(parser).headers);
       }
     } else if (parser.state == ParseState::kComplete) {
+      if (kind == MessageKind::kRequest) {
+        CheckForwarded(request);
+      }
+      request = {};
       Reset(parser);
     } else if (parser.state != ParseState::kMore ||
                (text.empty() && before == input.size())) {
