Find compiled objects again from another clone

Only cmake/test_main.cpp, now a library, sees the path of the repository; tests ask SourcePath for it. No check changes.

--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -26,6 +26,16 @@
 target_link_libraries(eelgrassbridge_options INTERFACE
   Threads::Threads spdlog::spdlog ${XXHASH_LIBRARY})
 
+# Entry point of all test programs. Only this file sees the path of the
+# repository, so that ccache finds the other objects from any folder.
+add_library(eelgrassbridge_test_main STATIC EXCLUDE_FROM_ALL
+            ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+target_link_libraries(eelgrassbridge_test_main PUBLIC eelgrassbridge_options)
+target_include_directories(eelgrassbridge_test_main
+                           PUBLIC ${CMAKE_SOURCE_DIR}/cmake)
+target_compile_definitions(eelgrassbridge_test_main PRIVATE
+  EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+
 # eelgrassbridge_part(NAME [DEPENDS part...] [LIBRARIES library...])
 # Builds the sources of the folder, apart from main.cpp, into the library
 # eelgrassbridge_NAME, and the files *_test.cpp into the test program NAME_test.
@@ -49,11 +59,9 @@
     target_link_libraries(eelgrassbridge_${name} INTERFACE ${dependencies})
   endif()
   if(tests AND NOT EELGRASSBRIDGE_NODE_ONLY)
-    add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+    add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE eelgrassbridge_${name}
-                          ${RAPIDCHECK_LIBRARY})
-    target_compile_definitions(${name}_test PRIVATE
-      EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+                          eelgrassbridge_test_main ${RAPIDCHECK_LIBRARY})
     add_test(NAME ${name}_test COMMAND ${name}_test)
     set_property(GLOBAL APPEND PROPERTY EELGRASSBRIDGE_TEST_PROGRAMS
                  ${name}_test)
--- a/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
+++ b/src/eelgrassbridge/catalogue/read_catalogue_test.cpp
@@ -8,15 +8,15 @@
 #include "eelgrassbridge/catalogue/catalogue_json.hpp"
 #include "eelgrassbridge/catalogue/diff.hpp"
 #include "eelgrassbridge/catalogue/write_catalogue.hpp"
+#include "source_path.hpp"
 
 namespace eelgrassbridge::catalogue {
 
 namespace {
 
 Catalogue ReadExample(const char* site) {
-  const auto read =
-      ReadCatalogueFile(std::string(EELGRASSBRIDGE_SOURCE_DIR "/examples/") +
-                        site + "/catalogue.yaml");
+  const auto read = ReadCatalogueFile(test::SourcePath("examples/") + site +
+                                      "/catalogue.yaml");
   REQUIRE_MESSAGE(read.has_value(), read.error().detail);
   return read.value();
 }
--- a/src/eelgrassbridge/cli/docs_test.cpp
+++ b/src/eelgrassbridge/cli/docs_test.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "eelgrassbridge/cli/run.hpp"
+#include "source_path.hpp"
 
 namespace eelgrassbridge::cli {
 
@@ -51,7 +52,7 @@
 }  // namespace
 
 TEST_CASE("the commands in the operator documentation give the output shown") {
-  std::filesystem::current_path(EELGRASSBRIDGE_SOURCE_DIR);
+  std::filesystem::current_path(test::SourcePath());
   std::vector<std::string> pages = {"docs/OPERATIONS.md"};
   for (const auto& page :
        std::filesystem::directory_iterator("docs/operators")) {
--- a/src/eelgrassbridge/cli/run_test.cpp
+++ b/src/eelgrassbridge/cli/run_test.cpp
@@ -20,6 +20,7 @@
 #include "eelgrassbridge/daemon/admin_http.hpp"
 #include "eelgrassbridge/report/burn_snapshot.hpp"
 #include "eelgrassbridge/settings/read_settings.hpp"
+#include "source_path.hpp"
 
 namespace eelgrassbridge::cli {
 
@@ -29,7 +30,7 @@
 
 /// Returns the path of a file in examples/.
 std::string Example(const std::string& name) {
-  return EELGRASSBRIDGE_SOURCE_DIR "/examples/" + name;
+  return test::SourcePath("examples/") + name;
 }
 
 struct Output {
--- a/src/eelgrassbridge/daemon/admin_handler_test.cpp
+++ b/src/eelgrassbridge/daemon/admin_handler_test.cpp
@@ -8,6 +8,7 @@
 #include "eelgrassbridge/catalogue/catalogue_json.hpp"
 #include "eelgrassbridge/catalogue/read_catalogue.hpp"
 #include "eelgrassbridge/daemon/admin_access.hpp"
+#include "source_path.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -25,9 +26,8 @@
 
 struct Fixture {
   Fixture() {
-    const auto read = catalogue::ReadCatalogueFile(EELGRASSBRIDGE_SOURCE_DIR
-                                                   "/examples/astillas/"
-                                                   "catalogue.yaml");
+    const auto read = catalogue::ReadCatalogueFile(
+        test::SourcePath("examples/astillas/catalogue.yaml"));
     catalogue::Catalogue first = read.value();
     first.version = 1;
     first.changed_by = "winner";
--- a/src/eelgrassbridge/report/burn_report_test.cpp
+++ b/src/eelgrassbridge/report/burn_report_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include "eelgrassbridge/catalogue/read_catalogue.hpp"
+#include "source_path.hpp"
 
 namespace eelgrassbridge::report {
 
@@ -19,8 +20,8 @@
 }
 
 catalogue::Catalogue Astillas() {
-  return catalogue::ReadCatalogueFile(EELGRASSBRIDGE_SOURCE_DIR
-                                      "/examples/astillas/catalogue.yaml")
+  return catalogue::ReadCatalogueFile(
+             test::SourcePath("examples/astillas/catalogue.yaml"))
       .value();
 }
 
--- a/src/eelgrassbridge/settings/read_settings_test.cpp
+++ b/src/eelgrassbridge/settings/read_settings_test.cpp
@@ -1,6 +1,7 @@
 // Guards the settings reader: an invalid file is rejected with a list of all
 // problems, and no input crashes the reader.
 #include "eelgrassbridge/settings/read_settings.hpp"
+#include "source_path.hpp"
 
 #include <doctest/doctest.h>
 
@@ -130,7 +131,7 @@
   std::size_t files = 0;
   for (const char* site : {"astillas", "hanbit"}) {
     for (const auto& entry : std::filesystem::directory_iterator(
-             std::string(EELGRASSBRIDGE_SOURCE_DIR "/examples/") + site)) {
+             test::SourcePath("examples/") + site)) {
       if (entry.path().filename() == "catalogue.yaml") {
         continue;
       }
