Give each end of a connection a reason, counted and logged

Callers saw requests on kept connections end without an answer. requests_unanswered_total had them as caller_left, because a close by this side sets the same mark as a departure of the caller, and no log line said why a connection was closed.

The first event that ends a connection is now its reason, kept with the age of the connection, the time that a timeout had run and the input not parsed yet. Metrics count the ends by reason for callers and for other daemons; the event connection_closed has a line for each timeout and for each request that this daemon leaves without a whole answer. No decision changes.

The test "an idle connection is closed by the timeout and counted as such" needs the new counter, so it has no run before the change.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -3,6 +3,7 @@
 #ifndef EELGRASSBRIDGE_HTTP_SERVER_HPP
 #define EELGRASSBRIDGE_HTTP_SERVER_HPP
 
+#include <array>
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -14,6 +15,7 @@
 #include <string>
 #include <string_view>
 
+#include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/http/event.hpp"
 #include "eelgrassbridge/http/message.hpp"
 #include "eelgrassbridge/http/parser.hpp"
@@ -30,6 +32,35 @@
   std::uint32_t max_connections = 1500;
 };
 
+/// @brief What ended a connection.
+enum class CloseReason : std::uint8_t {
+  /// The caller closed or reset it.
+  kCallerDisconnected,
+  /// No request within idle_timeout.
+  kIdleTimeout,
+  /// An incomplete head at head_timeout.
+  kHeadTimeout,
+  /// The rest of a body that the handler had not read did not arrive in time.
+  kBodyTimeout,
+  /// A malformed or too large head.
+  kInvalidHead,
+  /// A complete response that announced the close.
+  kResponseEnd,
+  /// The handler ended without a complete response.
+  kAborted,
+  /// The handler threw an exception.
+  kHandlerFailed,
+};
+
+inline constexpr std::size_t kCloseReasonCount =
+    static_cast<std::size_t>(CloseReason::kHandlerFailed) + 1;
+
+/// @brief Name of a reason in metrics and logs, e.g. "idle_timeout".
+std::string_view CloseReasonName(CloseReason reason);
+
+/// @brief A counter for each CloseReason.
+using CloseCounts = std::array<std::uint64_t, kCloseReasonCount>;
+
 /// @brief Counters of a server since its start; `open` is a current value.
 struct ServerCounts {
   std::uint64_t accepted = 0;
@@ -37,17 +68,27 @@
   std::uint64_t refused = 0;
   /// Malformed or too large request heads.
   std::uint64_t invalid = 0;
-  /// Requests without a complete response: the caller had disconnected, the
-  /// handler had thrown an exception, or neither of both.
-  std::uint64_t abandoned = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t cut = 0;
+  /// Ended connections, and requests without a complete response, by what ended
+  /// the connection.
+  CloseCounts closed{};
+  CloseCounts unanswered{};
   /// Received bytes of request bodies, without chunk framing.
   std::uint64_t body_bytes = 0;
   /// Connections open now.
   std::uint32_t open = 0;
 };
 
+/// @brief The end of a connection, with its state at that time.
+struct ConnectionEnd {
+  CloseReason reason = CloseReason::kCallerDisconnected;
+  /// Time since the connection was accepted.
+  base::Duration open_for{};
+  /// Time since the running timeout was started; zero if none was running.
+  base::Duration timeout_age{};
+  /// Received bytes that were not parsed.
+  std::size_t unparsed_bytes = 0;
+};
+
 /// @brief A connection from a caller, owned by its coroutines.
 struct ServerConnection {
   ServerConnection(asio::io_context& io, asio::ip::tcp::socket accepted);
@@ -60,6 +101,13 @@
   Event input_changed;
   Event input_consumed;
   Alarm timeout;
+  base::TimePoint accepted_at = base::BootClock::now();
+  /// Start of the running timeout; none if no timeout is running.
+  std::optional<base::TimePoint> timeout_started_at;
+  /// Requests begun on the connection.
+  std::uint64_t requests = 0;
+  /// Invariant: set once, by the first event that ends the connection.
+  std::optional<ConnectionEnd> end;
   /// The caller has closed or reset the connection.
   bool caller_disconnected = false;
   /// Closed by this side.
@@ -91,16 +139,25 @@
   bool response_complete = false;
   bool response_chunked = false;
   bool close_after_response = false;
+  /// The handler threw an exception.
+  bool handler_failed = false;
 };
 
 using Handler = std::function<asio::awaitable<void>(Exchange&)>;
 
+/// @brief Called when a connection has ended. `unanswered` is the request
+/// without a complete response, or null.
+using EndObserver = std::function<void(const ServerConnection& connection,
+                                       const Exchange* unanswered)>;
+
 struct Server {
   explicit Server(asio::io_context& event_loop) : io(event_loop) {}
 
   asio::io_context& io;
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
   Handler handler;
+  /// Empty if nobody observes the ends of connections.
+  EndObserver on_connection_end;
   ServerLimits limits;
   ServerCounts counts;
   /// While set, connections are closed after the response to a new request.
--- a/include/eelgrassbridge/node/event_log.hpp
+++ b/include/eelgrassbridge/node/event_log.hpp
@@ -52,6 +52,7 @@
   kRequestRun,
   kRequestTurnedAway,
   kCallerLeft,
+  kConnectionClosed,
   kLinesDropped,
 };
 
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -32,10 +32,24 @@
 constexpr int kBadRequest = 400;
 constexpr int kInternalError = 500;
 
-void Close(ServerConnection& connection) {
+/// Records what ends the connection; only the first call has an effect.
+void RecordEnd(ServerConnection& connection, CloseReason reason) {
+  if (connection.end) {
+    return;
+  }
+  const base::TimePoint now = base::BootClock::now();
+  ConnectionEnd& end = connection.end.emplace();
+  end.reason = reason;
+  end.open_for = now - connection.accepted_at;
+  end.timeout_age = now - connection.timeout_started_at.value_or(now);
+  end.unparsed_bytes = connection.input.size();
+}
+
+void Close(ServerConnection& connection, CloseReason reason) {
   if (connection.closed) {
     return;
   }
+  RecordEnd(connection, reason);
   connection.closed = true;
   std::error_code ignored;
   connection.socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -45,6 +59,7 @@
 }
 
 void HandleDisconnect(ServerConnection& connection) {
+  RecordEnd(connection, CloseReason::kCallerDisconnected);
   connection.caller_disconnected = true;
   Notify(connection.input_changed);
   if (connection.on_caller_disconnected) {
@@ -96,27 +111,36 @@
 
 void CloseAfter(ServerConnection& connection,
                 std::chrono::milliseconds time,
+                CloseReason reason,
                 std::weak_ptr<ServerConnection> owner) {
-  Arm(connection.timeout, time, [owner = std::move(owner)] {
+  connection.timeout_started_at = base::BootClock::now();
+  Arm(connection.timeout, time, [reason, owner = std::move(owner)] {
     if (const auto locked = owner.lock()) {
-      Close(*locked);
+      Close(*locked, reason);
     }
   });
 }
 
+void StopTimeout(ServerConnection& connection) {
+  Disarm(connection.timeout);
+  connection.timeout_started_at.reset();
+}
+
 enum class HeadRead : std::uint8_t { kHead, kClosed, kInvalid, kTooLarge };
 
 awaitable<HeadRead> ReadHead(const ServerLimits& limits,
                              const ServerConnectionPtr& connection) {
   Reset(connection->parser);
   if (connection->input.empty()) {
-    CloseAfter(*connection, limits.idle_timeout, connection);
+    CloseAfter(*connection, limits.idle_timeout, CloseReason::kIdleTimeout,
+               connection);
     while (connection->input.empty() && !connection->caller_disconnected &&
            !connection->closed) {
       co_await Wait(connection->input_changed);
     }
   }
-  CloseAfter(*connection, limits.head_timeout, connection);
+  CloseAfter(*connection, limits.head_timeout, CloseReason::kHeadTimeout,
+             connection);
   while (true) {
     const bool parsed = co_await ParseMore(*connection);
     if (!parsed) {
@@ -131,7 +155,7 @@
         co_return HeadRead::kInvalid;
       case ParseState::kHead:
       case ParseState::kComplete:
-        Disarm(connection->timeout);
+        StopTimeout(*connection);
         co_return HeadRead::kHead;
     }
   }
@@ -166,14 +190,15 @@
     co_return;
   }
   exchange.connection->body_interrupted = false;
-  CloseAfter(*exchange.connection, kDiscardTimeout, exchange.connection);
+  CloseAfter(*exchange.connection, kDiscardTimeout, CloseReason::kBodyTimeout,
+             exchange.connection);
   std::string discarded;
   BodyRead read = BodyRead::kMore;
   while (read == BodyRead::kMore) {
     discarded.clear();
     read = co_await ReadBody(exchange, discarded);
   }
-  Disarm(exchange.connection->timeout);
+  StopTimeout(*exchange.connection);
   if (read != BodyRead::kComplete) {
     exchange.close_after_response = true;
   }
@@ -199,29 +224,56 @@
   return made;
 }
 
-/// Runs the handler. Returns false if it throws an exception, in which case the
-/// request alone fails.
-awaitable<bool> RunHandler(Server& server, Exchange& exchange) {
+/// Runs the handler. If it throws an exception, the request alone fails.
+awaitable<void> RunHandler(Server& server, Exchange& exchange) {
   std::string failure;
   try {
     co_await server.handler(exchange);
-    co_return true;
+    co_return;
   } catch (const std::exception& error) {
     failure = error.what();
   }
-  ++server.counts.failed;
+  exchange.handler_failed = true;
   spdlog::error("the handling of a request failed: {}", failure);
+  exchange.close_after_response = true;
   if (exchange.response_started) {
-    Abort(exchange);
-    co_return false;
+    Close(*exchange.connection, CloseReason::kHandlerFailed);
+    co_return;
   }
-  exchange.close_after_response = true;
   co_await Respond(exchange, kInternalError, {}, {});
-  co_return false;
 }
 
-void CountUnanswered(ServerCounts& counts, const Exchange& exchange) {
-  ++(exchange.connection->caller_disconnected ? counts.abandoned : counts.cut);
+std::uint64_t& CountOf(CloseCounts& counts, CloseReason reason) {
+  return counts[static_cast<std::size_t>(reason)];
+}
+
+/// What ends a connection that cannot be used for another request.
+CloseReason EndOf(const Exchange& exchange) {
+  if (exchange.handler_failed) {
+    return CloseReason::kHandlerFailed;
+  }
+  return exchange.response_complete ? CloseReason::kResponseEnd
+                                    : CloseReason::kAborted;
+}
+
+/// Closes the connection, and counts and reports what ended it.
+void EndConnection(Server& server,
+                   ServerConnection& connection,
+                   CloseReason reason,
+                   const Exchange* exchange) {
+  Disarm(connection.timeout);
+  Close(connection, reason);
+  const CloseReason first = connection.end->reason;
+  ++CountOf(server.counts.closed, first);
+  // A failed handler is answered with 500 by the server itself.
+  const bool answered = exchange == nullptr || (exchange->response_complete &&
+                                                !exchange->handler_failed);
+  if (!answered) {
+    ++CountOf(server.counts.unanswered, first);
+  }
+  if (server.on_connection_end) {
+    server.on_connection_end(connection, answered ? nullptr : exchange);
+  }
 }
 
 /// Handles one request. Returns false if the connection cannot be reused.
@@ -231,34 +283,39 @@
     ++server.counts.invalid;
     co_await RejectHead(
         connection, read == HeadRead::kInvalid ? kBadRequest : kHeadTooLarge);
+    Close(*connection, CloseReason::kInvalidHead);
   }
   if (read != HeadRead::kHead) {
+    EndConnection(server, *connection, CloseReason::kCallerDisconnected,
+                  nullptr);
     co_return false;
   }
   const auto owned = MakeExchange(server, connection);
   Exchange& exchange = *owned;
+  ++connection->requests;
   if (!exchange.head.has_body) {
     // Completes the message in the parser, which needs no further input.
     std::string empty_body;
     co_await ReadBody(exchange, empty_body);
   }
-  bool handled = true;
   ++server.active_requests;
   if (exchange.head.length.value_or(0) > exchange.max_body_bytes) {
     co_await Respond(exchange, kContentTooLarge, {}, {});
   } else {
-    handled = co_await RunHandler(server, exchange);
+    co_await RunHandler(server, exchange);
   }
   connection->on_caller_disconnected = nullptr;
   if (exchange.response_complete) {
     co_await DiscardBody(exchange);
   }
   --server.active_requests;
-  if (handled && !exchange.response_complete) {
-    CountUnanswered(server.counts, exchange);
+  const bool usable = exchange.response_complete &&
+                      !exchange.close_after_response &&
+                      !connection->caller_disconnected && !connection->closed;
+  if (!usable) {
+    EndConnection(server, *connection, EndOf(exchange), &exchange);
   }
-  co_return exchange.response_complete && !exchange.close_after_response &&
-      !connection->caller_disconnected && !connection->closed;
+  co_return usable;
 }
 
 awaitable<void> HandleConnection(Server& server,
@@ -269,8 +326,6 @@
   while (usable) {
     usable = co_await HandleRequest(server, connection);
   }
-  Disarm(connection->timeout);
-  Close(*connection);
   --server.counts.open;
 }
 
@@ -284,8 +339,16 @@
   }
 }
 
+constexpr std::array<std::string_view, kCloseReasonCount> kCloseReasonNames = {
+    "caller_left",  "idle_timeout", "head_timeout", "body_timeout",
+    "invalid_head", "response_end", "answer_cut",   "handler_failed"};
+
 }  // namespace
 
+std::string_view CloseReasonName(CloseReason reason) {
+  return kCloseReasonNames.at(static_cast<std::size_t>(reason));
+}
+
 ServerConnection::ServerConnection(asio::io_context& io, tcp::socket accepted)
     : socket(std::move(accepted)),
       input_changed(io),
@@ -428,7 +491,7 @@
 
 void Abort(Exchange& exchange) {
   exchange.close_after_response = true;
-  Close(*exchange.connection);
+  Close(*exchange.connection, CloseReason::kAborted);
 }
 
 }  // namespace eelgrassbridge::http
--- a/src/eelgrassbridge/node/event_log.cpp
+++ b/src/eelgrassbridge/node/event_log.cpp
@@ -31,7 +31,8 @@
     "request_answered",  "request_refused",
     "request_failed",    "request_retried",
     "request_run",       "request_turned_away",
-    "caller_left",       "lines_dropped"};
+    "caller_left",       "connection_closed",
+    "lines_dropped"};
 
 /// Whether the text needs no escapes in JSON.
 bool IsPlain(std::string_view text) {
--- a/src/eelgrassbridge/node/metrics.cpp
+++ b/src/eelgrassbridge/node/metrics.cpp
@@ -21,6 +21,17 @@
   base::GetCounter(node.counters, name, labels) = value;
 }
 
+void SetCloseCounts(Node& node,
+                    std::string_view name,
+                    std::string_view label,
+                    const http::CloseCounts& counts) {
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const auto reason = static_cast<http::CloseReason>(i);
+    SetGauge(node, name, static_cast<std::int64_t>(counts[i]),
+             fmt::format("{}=\"{}\"", label, CloseReasonName(reason)));
+  }
+}
+
 void RecordLatency(Node& node, std::string_view service, std::int64_t took) {
   for (const std::int64_t bound : kLatencyBoundsMs) {
     if (took <= bound) {
@@ -68,15 +79,12 @@
            static_cast<std::int64_t>(node.peers.opened));
   SetGauge(node, "peer_body_bytes_total",
            static_cast<std::int64_t>(node.peers_server.counts.body_bytes));
-  const http::ServerCounts& callers = node.callers_server.counts;
-  for (const auto& [cause, count] :
-       {std::pair{"caller_left", callers.abandoned},
-        std::pair{"handler_failed", callers.failed},
-        std::pair{"answer_cut", callers.cut}}) {
-    SetGauge(node, "requests_unanswered_total",
-             static_cast<std::int64_t>(count),
-             fmt::format("cause=\"{}\"", cause));
-  }
+  SetCloseCounts(node, "requests_unanswered_total", "cause",
+                 node.callers_server.counts.unanswered);
+  SetCloseCounts(node, "caller_connections_closed_total", "reason",
+                 node.callers_server.counts.closed);
+  SetCloseCounts(node, "peer_connections_closed_total", "reason",
+                 node.peers_server.counts.closed);
   SetGauge(node, "log_lines_dropped_total",
            static_cast<std::int64_t>(node.log.dropped_total));
   return base::PrometheusText(node.counters);
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -158,13 +158,62 @@
   }
 }
 
+/// Whether this daemon ended the connection by a timeout, or without an answer
+/// to a request. A caller that leaves has an event of its own.
+bool IsEndLogged(const http::ConnectionEnd& end,
+                 const http::Exchange* unanswered) {
+  switch (end.reason) {
+    case http::CloseReason::kCallerDisconnected:
+      return false;
+    case http::CloseReason::kIdleTimeout:
+    case http::CloseReason::kHeadTimeout:
+    case http::CloseReason::kBodyTimeout:
+      return true;
+    default:
+      return unanswered != nullptr;
+  }
+}
+
+std::int64_t Milliseconds(base::Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+void LogConnectionEnd(Node& node,
+                      std::string_view listener,
+                      const http::ServerConnection& connection,
+                      const http::Exchange* unanswered) {
+  const http::ConnectionEnd& end = *connection.end;
+  if (!IsEndLogged(end, unanswered)) {
+    return;
+  }
+  const std::string_view id =
+      unanswered == nullptr ? std::string_view{}
+                            : http::HeaderValue(unanswered->head.headers,
+                                                node.port.headers.request_id);
+  Log(node.log, EventKind::kConnectionClosed,
+      {{"request", id},
+       {"listener", listener},
+       {"reason", http::CloseReasonName(end.reason)},
+       {"open_ms", Milliseconds(end.open_for)},
+       {"timeout_ms", Milliseconds(end.timeout_age)},
+       {"unparsed_bytes", static_cast<std::int64_t>(end.unparsed_bytes)},
+       {"requests", static_cast<std::int64_t>(connection.requests)},
+       {"stopping", std::int64_t{node.stopping}}});
+}
+
 void StartServer(Node& node,
                  http::Server& server,
+                 std::string_view listener,
                  const std::string& address,
                  awaitable<void> (*handle)(Node&, http::Exchange&)) {
   server.handler = [&node, handle](http::Exchange& exchange) {
     return handle(node, exchange);
   };
+  server.on_connection_end = [&node, listener](
+                                 const http::ServerConnection& connection,
+                                 const http::Exchange* unanswered) {
+    LogConnectionEnd(node, listener, connection, unanswered);
+  };
   http::Listen(server, *http::ParseEndpoint(address));
   StartLoop(node, http::Serve(server));
 }
@@ -182,13 +231,16 @@
 void StartServers(Node& node) {
   SetConnectionLimits(node);
   const NodeSettings& settings = node.settings;
-  StartServer(node, node.readiness_server, settings.readiness, HandleReadiness);
-  StartServer(node, node.reports_server, settings.reports, HandleTargetCall);
+  StartServer(node, node.readiness_server, "readiness", settings.readiness,
+              HandleReadiness);
+  StartServer(node, node.reports_server, "reports", settings.reports,
+              HandleTargetCall);
   StartServer(
-      node, node.peers_server,
+      node, node.peers_server, "peers",
       settings.peers_listen.empty() ? settings.peers : settings.peers_listen,
       HandlePeerRequest);
-  StartServer(node, node.callers_server, settings.callers, HandleCallerRequest);
+  StartServer(node, node.callers_server, "callers", settings.callers,
+              HandleCallerRequest);
 }
 
 }  // namespace
