Split the connections of the HTTP server from its requests

The input, timeouts and end of a connection move to server_connection.cpp, the reading of a body and writing of a response to exchange.cpp. Functions only move; their users outside the library see the same headers.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -3,7 +3,6 @@
 #ifndef EELGRASSBRIDGE_HTTP_SERVER_HPP
 #define EELGRASSBRIDGE_HTTP_SERVER_HPP
 
-#include <array>
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -15,10 +14,8 @@
 #include <string>
 #include <string_view>
 
-#include "eelgrassbridge/base/time.hpp"
-#include "eelgrassbridge/http/event.hpp"
 #include "eelgrassbridge/http/message.hpp"
-#include "eelgrassbridge/http/parser.hpp"
+#include "eelgrassbridge/http/server_connection.hpp"
 
 namespace eelgrassbridge::http {
 
@@ -32,35 +29,6 @@
   std::uint32_t max_connections = 1500;
 };
 
-/// @brief What ended a connection.
-enum class CloseReason : std::uint8_t {
-  /// The caller closed or reset it.
-  kCallerDisconnected,
-  /// No request within idle_timeout.
-  kIdleTimeout,
-  /// An incomplete head at head_timeout.
-  kHeadTimeout,
-  /// The rest of a body that the handler had not read did not arrive in time.
-  kBodyTimeout,
-  /// A malformed or too large head.
-  kInvalidHead,
-  /// A complete response that announced the close.
-  kResponseEnd,
-  /// The handler ended without a complete response.
-  kAborted,
-  /// The handler threw an exception.
-  kHandlerFailed,
-};
-
-inline constexpr std::size_t kCloseReasonCount =
-    static_cast<std::size_t>(CloseReason::kHandlerFailed) + 1;
-
-/// @brief Name of a reason in metrics and logs, e.g. "idle_timeout".
-std::string_view CloseReasonName(CloseReason reason);
-
-/// @brief A counter for each CloseReason.
-using CloseCounts = std::array<std::uint64_t, kCloseReasonCount>;
-
 /// @brief Counters of a server since its start; `open` is a current value.
 struct ServerCounts {
   std::uint64_t accepted = 0;
@@ -78,48 +46,6 @@
   std::uint32_t open = 0;
 };
 
-/// @brief The end of a connection, with its state at that time.
-struct ConnectionEnd {
-  CloseReason reason = CloseReason::kCallerDisconnected;
-  /// Time since the connection was accepted.
-  base::Duration open_for{};
-  /// Time since the running timeout was started; zero if none was running.
-  base::Duration timeout_age{};
-  /// Received bytes that were not parsed.
-  std::size_t unparsed_bytes = 0;
-};
-
-/// @brief A connection from a caller, owned by its coroutines.
-struct ServerConnection {
-  ServerConnection(asio::io_context& io, asio::ip::tcp::socket accepted);
-
-  asio::ip::tcp::socket socket;
-  /// Received bytes that aren't parsed yet. Bounded: beyond the bound the
-  /// server stops reading, so that TCP flow control slows the caller down.
-  std::string input;
-  MessageParser parser{MessageKind::kRequest};
-  Event input_changed;
-  Event input_consumed;
-  Alarm timeout;
-  base::TimePoint accepted_at = base::BootClock::now();
-  /// Start of the running timeout; none if no timeout is running.
-  std::optional<base::TimePoint> timeout_started_at;
-  /// Requests begun on the connection.
-  std::uint64_t requests = 0;
-  /// Invariant: set once, by the first event that ends the connection.
-  std::optional<ConnectionEnd> end;
-  /// The caller has closed or reset the connection.
-  bool caller_disconnected = false;
-  /// Closed by this side.
-  bool closed = false;
-  /// Reading of the current request's body is to end; see InterruptBody.
-  bool body_interrupted = false;
-  /// How often a read of the body was suspended; see SuspendBodyRead.
-  std::uint64_t suspended_reads = 0;
-  /// Called at most once, when the caller disconnects during a request.
-  std::function<void()> on_caller_disconnected;
-};
-
 /// @brief One request and the response to it, owned by its handler and by all
 /// that read its body.
 ///
--- /dev/null
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -0,0 +1,140 @@
+// Reading of input, timeouts, and the end of a connection.
+#include "eelgrassbridge/http/server_connection.hpp"
+
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <system_error>
+
+namespace eelgrassbridge::http {
+
+namespace {
+
+using asio::awaitable;
+using asio::ip::tcp;
+
+/// Unparsed bytes buffered for one connection before the server stops reading
+/// from it.
+constexpr std::size_t kMaxInputBytes = std::size_t{64} * 1024;
+constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
+
+constexpr std::array<std::string_view, kCloseReasonCount> kCloseReasonNames = {
+    "caller_left",  "idle_timeout", "head_timeout", "body_timeout",
+    "invalid_head", "response_end", "answer_cut",   "handler_failed"};
+
+void HandleDisconnect(ServerConnection& connection) {
+  detail::RecordEnd(connection, CloseReason::kCallerDisconnected);
+  connection.caller_disconnected = true;
+  Notify(connection.input_changed);
+  if (connection.on_caller_disconnected) {
+    const auto callback = std::move(connection.on_caller_disconnected);
+    connection.on_caller_disconnected = nullptr;
+    callback();
+  }
+}
+
+}  // namespace
+
+std::string_view CloseReasonName(CloseReason reason) {
+  return kCloseReasonNames.at(static_cast<std::size_t>(reason));
+}
+
+ServerConnection::ServerConnection(asio::io_context& io, tcp::socket accepted)
+    : socket(std::move(accepted)),
+      input_changed(io),
+      input_consumed(io),
+      timeout(io) {}
+
+namespace detail {
+
+void RecordEnd(ServerConnection& connection, CloseReason reason) {
+  if (connection.end) {
+    return;
+  }
+  const base::TimePoint now = base::BootClock::now();
+  ConnectionEnd& end = connection.end.emplace();
+  end.reason = reason;
+  end.open_for = now - connection.accepted_at;
+  end.timeout_age = now - connection.timeout_started_at.value_or(now);
+  end.unparsed_bytes = connection.input.size();
+}
+
+void Close(ServerConnection& connection, CloseReason reason) {
+  if (connection.closed) {
+    return;
+  }
+  RecordEnd(connection, reason);
+  connection.closed = true;
+  std::error_code ignored;
+  connection.socket.shutdown(tcp::socket::shutdown_both, ignored);
+  connection.socket.close(ignored);
+  Notify(connection.input_changed);
+  Notify(connection.input_consumed);
+}
+
+awaitable<void> ReadInput(ServerConnectionPtr connection) {
+  std::array<char, kReadBufferBytes> buffer;
+  while (!connection->closed) {
+    if (connection->input.size() >= kMaxInputBytes) {
+      co_await Wait(connection->input_consumed);
+      continue;
+    }
+    std::error_code error;
+    const std::size_t size = co_await connection->socket.async_read_some(
+        asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      HandleDisconnect(*connection);
+      co_return;
+    }
+    connection->input.append(buffer.data(), size);
+    Notify(connection->input_changed);
+  }
+}
+
+awaitable<bool> ParseMore(ServerConnection& connection) {
+  const std::uint64_t suspended_before = connection.suspended_reads;
+  while (connection.input.empty()) {
+    if (connection.caller_disconnected || connection.closed ||
+        connection.body_interrupted ||
+        connection.suspended_reads != suspended_before) {
+      co_return false;
+    }
+    co_await Wait(connection.input_changed);
+  }
+  const std::size_t consumed = Parse(connection.parser, connection.input);
+  connection.input.erase(0, consumed);
+  Notify(connection.input_consumed);
+  co_return true;
+}
+
+void CloseAfter(ServerConnection& connection,
+                std::chrono::milliseconds time,
+                CloseReason reason,
+                std::weak_ptr<ServerConnection> owner) {
+  connection.timeout_started_at = base::BootClock::now();
+  Arm(connection.timeout, time, [reason, owner = std::move(owner)] {
+    if (const auto locked = owner.lock()) {
+      Close(*locked, reason);
+    }
+  });
+}
+
+void StopTimeout(ServerConnection& connection) {
+  Disarm(connection.timeout);
+  connection.timeout_started_at.reset();
+}
+
+awaitable<bool> WriteAll(ServerConnection& connection,
+                         std::array<asio::const_buffer, 2> buffers) {
+  if (connection.closed) {
+    co_return false;
+  }
+  std::error_code error;
+  co_await asio::async_write(connection.socket, buffers,
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+}  // namespace detail
+
+}  // namespace eelgrassbridge::http
