Decide the timeout of a connection where its input is known

Callers saw requests on kept connections passed on and cut without an answer, while their daemon lived on.

Cause: the timers of a connection closed it by themselves. Bytes that had arrived by then were parsed all the same, because the coroutine that reads heads asked only for input, so the request ran on a connection that its own server had closed. The failed socket then looked like a caller that had left: the attempt was cancelled as soon as it had been sent, and the metric said caller_left. The class of fault: two events are ready in one turn of the loop, and the first acts on a decision that the second has overtaken.

Now only the coroutine that handles a connection ends it. It waits for input until a deadline, lets reads that have already completed come first, asks the socket for input that is still to be read, and closes only if there is none. A request begins only on a connection that has not ended.

--- a/include/eelgrassbridge/http/server_connection.hpp
+++ b/include/eelgrassbridge/http/server_connection.hpp
@@ -1,4 +1,9 @@
 // A connection of the server: its input, its timeouts and its end.
+//
+// Only the coroutine that handles the connection ends it. Timeouts and the
+// caller's disconnect wake that coroutine, which looks at all that has happened
+// by then: a timer that closed the connection itself would not know of input
+// that has arrived and is still to be parsed.
 #ifndef EELGRASSBRIDGE_HTTP_SERVER_CONNECTION_HPP
 #define EELGRASSBRIDGE_HTTP_SERVER_CONNECTION_HPP
 
@@ -54,13 +59,15 @@
   CloseReason reason = CloseReason::kCallerDisconnected;
   /// Time since the connection was accepted.
   base::Duration open_for{};
-  /// Time since the running timeout was started; zero if none was running.
-  base::Duration timeout_age{};
+  /// Time since the server began to wait for input; zero if it did not.
+  base::Duration waited_for{};
   /// Received bytes that were not parsed.
   std::size_t unparsed_bytes = 0;
 };
 
 /// @brief A connection from a caller, owned by its coroutines.
+///
+/// Invariant: no request begins once `end` is set.
 struct ServerConnection {
   ServerConnection(asio::io_context& io, asio::ip::tcp::socket accepted);
 
@@ -71,10 +78,9 @@
   MessageParser parser{MessageKind::kRequest};
   Event input_changed;
   Event input_consumed;
-  Alarm timeout;
   base::TimePoint accepted_at = base::BootClock::now();
-  /// Start of the running timeout; none if no timeout is running.
-  std::optional<base::TimePoint> timeout_started_at;
+  /// Start of the wait for input that a timeout limits; none outside it.
+  std::optional<base::TimePoint> waiting_since;
   /// Requests begun on the connection.
   std::uint64_t requests = 0;
   /// Invariant: set once, by the first event that ends the connection.
@@ -105,18 +111,22 @@
 /// handled, so that a disconnect of the caller is detected immediately.
 asio::awaitable<void> ReadInput(ServerConnectionPtr connection);
 
-/// @brief Parses the received bytes up to the parser's next pause, and waits
-/// for more if there are none. Returns false if the connection is closed or
-/// reading is interrupted or suspended.
-asio::awaitable<bool> ParseMore(ServerConnection& connection);
+enum class InputWait : std::uint8_t {
+  kInput,
+  /// Nothing had arrived at the deadline.
+  kTimeout,
+  /// The connection is closed, or reading of the body is interrupted or
+  /// suspended.
+  kStopped,
+};
 
-/// @brief Starts the timeout of the connection, which closes it.
-void CloseAfter(ServerConnection& connection,
-                std::chrono::milliseconds time,
-                CloseReason reason,
-                std::weak_ptr<ServerConnection> owner);
+/// @brief Waits until there is unparsed input.
+asio::awaitable<InputWait> AwaitInput(
+    ServerConnection& connection,
+    base::TimePoint deadline = base::TimePoint::max());
 
-void StopTimeout(ServerConnection& connection);
+/// @brief Parses the received bytes up to the parser's next pause.
+void ParseInput(ServerConnection& connection);
 
 /// @brief Writes both buffers. Returns false if the connection failed.
 asio::awaitable<bool> WriteAll(ServerConnection& connection,
--- a/src/eelgrassbridge/http/exchange.cpp
+++ b/src/eelgrassbridge/http/exchange.cpp
@@ -9,7 +9,6 @@
 
 using asio::awaitable;
 using detail::Close;
-using detail::ParseMore;
 using detail::WriteAll;
 
 /// A caller that gets a final response instead of "100 Continue" may send the
@@ -33,11 +32,11 @@
     co_await WriteAll(connection,
                       {asio::buffer(kContinue), asio::const_buffer{}});
   }
-  const bool parsed = co_await ParseMore(connection);
-  if (!parsed) {
+  if (co_await detail::AwaitInput(connection) != detail::InputWait::kInput) {
     const bool open = !connection.caller_disconnected && !connection.closed;
     co_return open ? BodyRead::kInterrupted : BodyRead::kCallerDisconnected;
   }
+  detail::ParseInput(connection);
   exchange.body_received += connection.parser.body.size();
   exchange.counts->body_bytes += connection.parser.body.size();
   body += connection.parser.body;
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -15,11 +15,12 @@
 
 using asio::awaitable;
 using asio::ip::tcp;
+using detail::AwaitInput;
 using detail::Close;
-using detail::CloseAfter;
-using detail::ParseMore;
+using detail::InputWait;
+using detail::ParseInput;
 using detail::ReadInput;
-using detail::StopTimeout;
+using detail::RecordEnd;
 using detail::WriteAll;
 
 /// Time limit for reading the rest of a body that the handler did not read.
@@ -31,27 +32,42 @@
 constexpr int kBadRequest = 400;
 constexpr int kInternalError = 500;
 
-enum class HeadRead : std::uint8_t { kHead, kClosed, kInvalid, kTooLarge };
+/// Result of reading a head, and why there is none.
+enum class HeadRead : std::uint8_t {
+  kHead,
+  kDisconnected,
+  kIdleTimeout,
+  kHeadTimeout,
+  kInvalid,
+  kTooLarge,
+};
+
+/// Starts a wait for input and returns its deadline.
+base::TimePoint StartWait(ServerConnection& connection,
+                          std::chrono::milliseconds timeout) {
+  connection.waiting_since = base::BootClock::now();
+  return *connection.waiting_since + timeout;
+}
 
 awaitable<HeadRead> ReadHead(const ServerLimits& limits,
-                             const ServerConnectionPtr& connection) {
-  Reset(connection->parser);
-  if (connection->input.empty()) {
-    CloseAfter(*connection, limits.idle_timeout, CloseReason::kIdleTimeout,
-               connection);
-    while (connection->input.empty() && !connection->caller_disconnected &&
-           !connection->closed) {
-      co_await Wait(connection->input_changed);
-    }
+                             ServerConnection& connection) {
+  Reset(connection.parser);
+  connection.body_interrupted = false;
+  InputWait wait = co_await AwaitInput(
+      connection, StartWait(connection, limits.idle_timeout));
+  if (wait != InputWait::kInput) {
+    co_return wait == InputWait::kTimeout ? HeadRead::kIdleTimeout
+                                          : HeadRead::kDisconnected;
   }
-  CloseAfter(*connection, limits.head_timeout, CloseReason::kHeadTimeout,
-             connection);
+  const base::TimePoint deadline = StartWait(connection, limits.head_timeout);
   while (true) {
-    const bool parsed = co_await ParseMore(*connection);
-    if (!parsed) {
-      co_return HeadRead::kClosed;
+    wait = co_await AwaitInput(connection, deadline);
+    if (wait != InputWait::kInput) {
+      co_return wait == InputWait::kTimeout ? HeadRead::kHeadTimeout
+                                            : HeadRead::kDisconnected;
     }
-    switch (connection->parser.state) {
+    ParseInput(connection);
+    switch (connection.parser.state) {
       case ParseState::kMore:
         continue;
       case ParseState::kHeadTooLarge:
@@ -60,8 +76,8 @@
         co_return HeadRead::kInvalid;
       case ParseState::kHead:
       case ParseState::kComplete:
-        StopTimeout(*connection);
-        co_return HeadRead::kHead;
+        connection.waiting_since.reset();
+        co_return connection.end ? HeadRead::kDisconnected : HeadRead::kHead;
     }
   }
 }
@@ -69,26 +85,34 @@
 /// Reads and discards the rest of a body, so that the connection can be reused.
 /// Without this, closing the socket with unread data would cause a TCP reset,
 /// and the caller might lose the response.
-awaitable<void> DiscardBody(Exchange& exchange) {
+awaitable<void> DiscardBody(Server& server, Exchange& exchange) {
   if (exchange.body_complete) {
     co_return;
   }
   if (exchange.continue_expected) {
     co_return;
   }
-  exchange.connection->body_interrupted = false;
-  CloseAfter(*exchange.connection, kDiscardTimeout, CloseReason::kBodyTimeout,
-             exchange.connection);
+  ServerConnection& connection = *exchange.connection;
+  connection.body_interrupted = false;
+  const base::TimePoint deadline = StartWait(connection, kDiscardTimeout);
+  Alarm timeout(server.io);
+  Arm(timeout, kDiscardTimeout, [&connection] {
+    connection.body_interrupted = true;
+    Notify(connection.input_changed);
+  });
   std::string discarded;
   BodyRead read = BodyRead::kMore;
-  while (read == BodyRead::kMore) {
+  while (read == BodyRead::kMore && base::BootClock::now() < deadline) {
     discarded.clear();
     read = co_await ReadBody(exchange, discarded);
   }
-  StopTimeout(*exchange.connection);
   if (read != BodyRead::kComplete) {
     exchange.close_after_response = true;
   }
+  if (read == BodyRead::kInterrupted || read == BodyRead::kMore) {
+    RecordEnd(connection, CloseReason::kBodyTimeout);
+  }
+  connection.waiting_since.reset();
 }
 
 awaitable<void> RejectHead(const ServerConnectionPtr& connection, int status) {
@@ -134,6 +158,23 @@
   return counts[static_cast<std::size_t>(reason)];
 }
 
+/// What ends a connection on which no request follows.
+CloseReason EndOf(HeadRead read) {
+  switch (read) {
+    case HeadRead::kIdleTimeout:
+      return CloseReason::kIdleTimeout;
+    case HeadRead::kHeadTimeout:
+      return CloseReason::kHeadTimeout;
+    case HeadRead::kInvalid:
+    case HeadRead::kTooLarge:
+      return CloseReason::kInvalidHead;
+    case HeadRead::kHead:
+    case HeadRead::kDisconnected:
+      break;
+  }
+  return CloseReason::kCallerDisconnected;
+}
+
 /// What ends a connection that cannot be used for another request.
 CloseReason EndOf(const Exchange& exchange) {
   if (exchange.handler_failed) {
@@ -148,7 +189,6 @@
                    ServerConnection& connection,
                    CloseReason reason,
                    const Exchange* exchange) {
-  Disarm(connection.timeout);
   Close(connection, reason);
   const CloseReason first = connection.end->reason;
   ++CountOf(server.counts.closed, first);
@@ -165,16 +205,14 @@
 
 /// Handles one request. Returns false if the connection cannot be reused.
 awaitable<bool> HandleRequest(Server& server, ServerConnectionPtr connection) {
-  const HeadRead read = co_await ReadHead(server.limits, connection);
+  const HeadRead read = co_await ReadHead(server.limits, *connection);
   if (read == HeadRead::kInvalid || read == HeadRead::kTooLarge) {
     ++server.counts.invalid;
     co_await RejectHead(
         connection, read == HeadRead::kInvalid ? kBadRequest : kHeadTooLarge);
-    Close(*connection, CloseReason::kInvalidHead);
   }
   if (read != HeadRead::kHead) {
-    EndConnection(server, *connection, CloseReason::kCallerDisconnected,
-                  nullptr);
+    EndConnection(server, *connection, EndOf(read), nullptr);
     co_return false;
   }
   const auto owned = MakeExchange(server, connection);
@@ -193,7 +231,7 @@
   }
   connection->on_caller_disconnected = nullptr;
   if (exchange.response_complete) {
-    co_await DiscardBody(exchange);
+    co_await DiscardBody(server, exchange);
   }
   --server.active_requests;
   const bool usable = exchange.response_complete &&
--- a/src/eelgrassbridge/http/server_connection.cpp
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -1,6 +1,9 @@
 // Reading of input, timeouts, and the end of a connection.
 #include "eelgrassbridge/http/server_connection.hpp"
 
+#include <sys/socket.h>
+
+#include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
@@ -33,6 +36,15 @@
   }
 }
 
+/// Whether the next read of the socket returns at once, with input or with the
+/// end of the connection.
+bool HasUnreadInput(ServerConnection& connection) {
+  char byte = 0;
+  const auto size = ::recv(connection.socket.native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace
 
 std::string_view CloseReasonName(CloseReason reason) {
@@ -40,10 +52,7 @@
 }
 
 ServerConnection::ServerConnection(asio::io_context& io, tcp::socket accepted)
-    : socket(std::move(accepted)),
-      input_changed(io),
-      input_consumed(io),
-      timeout(io) {}
+    : socket(std::move(accepted)), input_changed(io), input_consumed(io) {}
 
 namespace detail {
 
@@ -55,7 +64,7 @@
   ConnectionEnd& end = connection.end.emplace();
   end.reason = reason;
   end.open_for = now - connection.accepted_at;
-  end.timeout_age = now - connection.timeout_started_at.value_or(now);
+  end.waited_for = now - connection.waiting_since.value_or(now);
   end.unparsed_bytes = connection.input.size();
 }
 
@@ -91,37 +100,35 @@
   }
 }
 
-awaitable<bool> ParseMore(ServerConnection& connection) {
+awaitable<InputWait> AwaitInput(ServerConnection& connection,
+                                base::TimePoint deadline) {
   const std::uint64_t suspended_before = connection.suspended_reads;
   while (connection.input.empty()) {
     if (connection.caller_disconnected || connection.closed ||
         connection.body_interrupted ||
         connection.suspended_reads != suspended_before) {
-      co_return false;
+      co_return InputWait::kStopped;
+    }
+    if (base::BootClock::now() < deadline) {
+      co_await WaitUntil(connection.input_changed, deadline);
+      continue;
+    }
+    // Input that has been read from the socket waits in the queue of the loop.
+    co_await asio::post(connection.socket.get_executor(), asio::use_awaitable);
+    if (connection.input.empty() && !HasUnreadInput(connection)) {
+      co_return InputWait::kTimeout;
+    }
+    if (connection.input.empty()) {
+      co_await Wait(connection.input_changed);
     }
-    co_await Wait(connection.input_changed);
   }
+  co_return InputWait::kInput;
+}
+
+void ParseInput(ServerConnection& connection) {
   const std::size_t consumed = Parse(connection.parser, connection.input);
   connection.input.erase(0, consumed);
   Notify(connection.input_consumed);
-  co_return true;
-}
-
-void CloseAfter(ServerConnection& connection,
-                std::chrono::milliseconds time,
-                CloseReason reason,
-                std::weak_ptr<ServerConnection> owner) {
-  connection.timeout_started_at = base::BootClock::now();
-  Arm(connection.timeout, time, [reason, owner = std::move(owner)] {
-    if (const auto locked = owner.lock()) {
-      Close(*locked, reason);
-    }
-  });
-}
-
-void StopTimeout(ServerConnection& connection) {
-  Disarm(connection.timeout);
-  connection.timeout_started_at.reset();
 }
 
 awaitable<bool> WriteAll(ServerConnection& connection,
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -195,7 +195,7 @@
        {"listener", listener},
        {"reason", http::CloseReasonName(end.reason)},
        {"open_ms", Milliseconds(end.open_for)},
-       {"timeout_ms", Milliseconds(end.timeout_age)},
+       {"waited_ms", Milliseconds(end.waited_for)},
        {"unparsed_bytes", static_cast<std::int64_t>(end.unparsed_bytes)},
        {"requests", static_cast<std::int64_t>(connection.requests)},
        {"stopping", std::int64_t{node.stopping}}});
