Detach a request from its connection when it ends

A reference to an answered request could abort the connection, interrupt its body or write to it while the following request was handled. And a caller that had left before its request was watched was never noticed: the request ran on for nobody.

An exchange now loses its connection when its request ends, and everything that goes through it has no effect from then on. SetDisconnectCallback calls back at once if the caller has already left.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -52,7 +52,9 @@
 /// Invariant: a response is started at most once. If it cannot be finished, the
 /// connection is closed, so that a truncated response never looks complete.
 struct Exchange : std::enable_shared_from_this<Exchange> {
-  std::shared_ptr<ServerConnection> connection;
+  /// Null once the request has ended: whatever still refers to the exchange
+  /// then has no effect on later requests of the connection.
+  ServerConnectionPtr connection;
   /// Counters of the server, which outlives its exchanges.
   ServerCounts* counts = nullptr;
   RequestHead head;
@@ -118,6 +120,10 @@
 /// is lost: the next ReadBody continues at the same byte.
 void SuspendBodyRead(Exchange& exchange);
 
+/// @brief Sets what is called, at most once, when the caller disconnects before
+/// the request ends. It is called at once if the caller has disconnected.
+void SetDisconnectCallback(Exchange& exchange, std::function<void()> callback);
+
 /// @brief Sends a complete response. Returns false if the connection failed.
 asio::awaitable<bool> Respond(Exchange& exchange,
                               int status,
--- a/include/eelgrassbridge/http/server_connection.hpp
+++ b/include/eelgrassbridge/http/server_connection.hpp
@@ -93,7 +93,8 @@
   bool body_interrupted = false;
   /// How often a read of the body was suspended; see SuspendBodyRead.
   std::uint64_t suspended_reads = 0;
-  /// Called at most once, when the caller disconnects during a request.
+  /// Called at most once, when the caller disconnects during a request; see
+  /// SetDisconnectCallback.
   std::function<void()> on_caller_disconnected;
 };
 
--- a/src/eelgrassbridge/http/exchange.cpp
+++ b/src/eelgrassbridge/http/exchange.cpp
@@ -1,5 +1,7 @@
 // Reading of a request's body and writing of its response.
+#include <array>
 #include <asio/buffer.hpp>
+#include <utility>
 
 #include "eelgrassbridge/http/server.hpp"
 
@@ -9,7 +11,6 @@
 
 using asio::awaitable;
 using detail::Close;
-using detail::WriteAll;
 
 /// A caller that gets a final response instead of "100 Continue" may send the
 /// body or omit it, so the connection cannot be used for another request.
@@ -18,19 +19,33 @@
       exchange.close_after_response || exchange.continue_expected;
 }
 
+/// Writes to the connection of the exchange. Returns false if it has failed, or
+/// if the exchange has ended.
+awaitable<bool> Write(Exchange& exchange,
+                      std::array<asio::const_buffer, 2> buffers) {
+  const ServerConnectionPtr connection = exchange.connection;
+  if (!connection) {
+    co_return false;
+  }
+  co_return co_await detail::WriteAll(*connection, buffers);
+}
+
 }  // namespace
 
 awaitable<BodyRead> ReadBody(Exchange& exchange, std::string& body) {
-  ServerConnection& connection = *exchange.connection;
+  const ServerConnectionPtr owned = exchange.connection;
   if (exchange.body_complete) {
     co_return BodyRead::kComplete;
   }
+  if (!owned) {
+    co_return BodyRead::kCallerDisconnected;
+  }
+  ServerConnection& connection = *owned;
   if (exchange.continue_expected) {
     exchange.continue_expected = false;
     static constexpr std::string_view kContinue =
         "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await WriteAll(connection,
-                      {asio::buffer(kContinue), asio::const_buffer{}});
+    co_await Write(exchange, {asio::buffer(kContinue), asio::const_buffer{}});
   }
   if (co_await detail::AwaitInput(connection) != detail::InputWait::kInput) {
     const bool open = !connection.caller_disconnected && !connection.closed;
@@ -59,16 +74,33 @@
 }
 
 void InterruptBody(Exchange& exchange) {
+  if (!exchange.connection) {
+    return;
+  }
   exchange.close_after_response = true;
   exchange.connection->body_interrupted = true;
   Notify(exchange.connection->input_changed);
 }
 
 void SuspendBodyRead(Exchange& exchange) {
+  if (!exchange.connection) {
+    return;
+  }
   ++exchange.connection->suspended_reads;
   Notify(exchange.connection->input_changed);
 }
 
+void SetDisconnectCallback(Exchange& exchange, std::function<void()> callback) {
+  if (!exchange.connection) {
+    return;
+  }
+  if (exchange.connection->caller_disconnected && callback) {
+    callback();
+    return;
+  }
+  exchange.connection->on_caller_disconnected = std::move(callback);
+}
+
 awaitable<bool> Respond(Exchange& exchange,
                         int status,
                         Headers headers,
@@ -78,8 +110,8 @@
   const std::string head =
       FormatResponseHead(status, headers, {Framing::Kind::kLength, body.size()},
                          !exchange.close_after_response);
-  const bool sent = co_await WriteAll(*exchange.connection,
-                                      {asio::buffer(head), asio::buffer(body)});
+  const bool sent =
+      co_await Write(exchange, {asio::buffer(head), asio::buffer(body)});
   exchange.response_complete = sent;
   co_return sent;
 }
@@ -95,8 +127,8 @@
                                  : Framing{Framing::Kind::kChunked, 0};
   const std::string head = FormatResponseHead(status, headers, framing,
                                               !exchange.close_after_response);
-  co_return co_await WriteAll(*exchange.connection,
-                              {asio::buffer(head), asio::const_buffer{}});
+  co_return co_await Write(exchange,
+                           {asio::buffer(head), asio::const_buffer{}});
 }
 
 awaitable<bool> WriteBody(Exchange& exchange, std::string_view data) {
@@ -104,20 +136,19 @@
     co_return true;
   }
   if (!exchange.response_chunked) {
-    co_return co_await WriteAll(*exchange.connection,
-                                {asio::buffer(data), asio::const_buffer{}});
+    co_return co_await Write(exchange,
+                             {asio::buffer(data), asio::const_buffer{}});
   }
   const std::string chunk = FormatChunk(data);
-  co_return co_await WriteAll(*exchange.connection,
-                              {asio::buffer(chunk), asio::const_buffer{}});
+  co_return co_await Write(exchange,
+                           {asio::buffer(chunk), asio::const_buffer{}});
 }
 
 awaitable<bool> FinishResponse(Exchange& exchange) {
   bool sent = true;
   if (exchange.response_chunked) {
     const std::string last = FormatChunk({});
-    sent = co_await WriteAll(*exchange.connection,
-                             {asio::buffer(last), asio::const_buffer{}});
+    sent = co_await Write(exchange, {asio::buffer(last), asio::const_buffer{}});
   }
   exchange.response_complete = sent;
   co_return sent;
@@ -125,7 +156,9 @@
 
 void Abort(Exchange& exchange) {
   exchange.close_after_response = true;
-  Close(*exchange.connection, CloseReason::kAborted);
+  if (exchange.connection) {
+    Close(*exchange.connection, CloseReason::kAborted);
+  }
 }
 
 }  // namespace eelgrassbridge::http
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -240,6 +240,7 @@
   if (!usable) {
     EndConnection(server, *connection, EndOf(exchange), &exchange);
   }
+  exchange.connection = nullptr;
   co_return usable;
 }
 
--- a/src/eelgrassbridge/node/request_watch.cpp
+++ b/src/eelgrassbridge/node/request_watch.cpp
@@ -14,9 +14,9 @@
       alarm(owner.io),
       exchange(watched) {
   this->node.open_requests.insert(this);
-  watched.connection->on_caller_disconnected = [pointer = this->cancellation] {
+  http::SetDisconnectCallback(watched, [pointer = this->cancellation] {
     Cancel(*pointer, ErrorKind::kCancelled);
-  };
+  });
   http::Arm(this->alarm, deadline - base::BootClock::now(),
             [pointer = this->cancellation] {
               Cancel(*pointer, ErrorKind::kTargetTimeout);
@@ -25,7 +25,7 @@
 
 RequestWatch::~RequestWatch() {
   this->node.open_requests.erase(this);
-  this->exchange.connection->on_caller_disconnected = nullptr;
+  http::SetDisconnectCallback(this->exchange, nullptr);
 }
 
 awaitable<base::Result<void>> ReceiveBody(http::Exchange& exchange,
--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -194,15 +194,15 @@
   target.bodies[id] = body;
   bool caller_left = false;
   http::Event event(target.server.io);
-  exchange.connection->on_caller_disconnected = [&caller_left, &event] {
+  http::SetDisconnectCallback(exchange, [&caller_left, &event] {
     caller_left = true;
     http::Notify(event);
-  };
+  });
   const base::TimePoint end = base::BootClock::now() + target.service_time;
   while (!caller_left && base::BootClock::now() < end) {
     co_await http::WaitUntil(event, end);
   }
-  exchange.connection->on_caller_disconnected = nullptr;
+  http::SetDisconnectCallback(exchange, nullptr);
   if (generation != target.generation) {
     http::Abort(exchange);
     co_return;
