Look again at a connection after each suspension of its wait for input

What callers would have seen: connections that are never closed (a disconnect that is read in the turn of the loop in which the timeout expires was taken for input still to come, and the wait for it never ended), a daemon that uses a whole processor while a body is uploaded (a wait without a deadline had the largest time as its deadline, which overflows in the conversion for the timer), heads that never time out on a busy loop, and the rest of a body that is cut off though it has arrived.

The wait now checks all its conditions after every suspension, a deadline is optional, and input counts after its deadline only for the time that reading what had arrived takes. The rest of a body is read under the same rule, so no timer of a connection acts by itself any more.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -112,6 +112,15 @@
 /// @brief Appends the next piece of the body to `body`.
 asio::awaitable<BodyRead> ReadBody(Exchange& exchange, std::string& body);
 
+namespace detail {
+
+/// @brief Reads like ReadBody, and ends with kInterrupted at the deadline.
+asio::awaitable<BodyRead> ReadBodyUntil(Exchange& exchange,
+                                        std::string& body,
+                                        InputDeadline& deadline);
+
+}  // namespace detail
+
 /// @brief Ends reading of the body, now and later, with kInterrupted. The
 /// response can still be sent; the connection is closed after it.
 void InterruptBody(Exchange& exchange);
--- a/include/eelgrassbridge/http/server_connection.hpp
+++ b/include/eelgrassbridge/http/server_connection.hpp
@@ -121,10 +121,19 @@
   kStopped,
 };
 
+/// @brief Deadline of a wait for input. Input that had arrived by then counts
+/// even if it is read later, e.g. because the loop was busy.
+struct InputDeadline {
+  /// None if the wait has no deadline.
+  std::optional<base::TimePoint> at;
+  /// End of the time in which input that had arrived is read; set after the
+  /// deadline. Without it, single bytes could extend the wait for ever.
+  std::optional<base::TimePoint> read_until;
+};
+
 /// @brief Waits until there is unparsed input.
-asio::awaitable<InputWait> AwaitInput(
-    ServerConnection& connection,
-    base::TimePoint deadline = base::TimePoint::max());
+asio::awaitable<InputWait> AwaitInput(ServerConnection& connection,
+                                      InputDeadline& deadline);
 
 /// @brief Parses the received bytes up to the parser's next pause.
 void ParseInput(ServerConnection& connection);
--- a/src/eelgrassbridge/http/exchange.cpp
+++ b/src/eelgrassbridge/http/exchange.cpp
@@ -33,6 +33,13 @@
 }  // namespace
 
 awaitable<BodyRead> ReadBody(Exchange& exchange, std::string& body) {
+  detail::InputDeadline no_deadline;
+  co_return co_await detail::ReadBodyUntil(exchange, body, no_deadline);
+}
+
+awaitable<BodyRead> detail::ReadBodyUntil(Exchange& exchange,
+                                          std::string& body,
+                                          InputDeadline& deadline) {
   const ServerConnectionPtr owned = exchange.connection;
   if (exchange.body_complete) {
     co_return BodyRead::kComplete;
@@ -47,11 +54,12 @@
         "HTTP/1.1 100 Continue\r\n\r\n";
     co_await Write(exchange, {asio::buffer(kContinue), asio::const_buffer{}});
   }
-  if (co_await detail::AwaitInput(connection) != detail::InputWait::kInput) {
+  const InputWait wait = co_await AwaitInput(connection, deadline);
+  if (wait != InputWait::kInput) {
     const bool open = !connection.caller_disconnected && !connection.closed;
     co_return open ? BodyRead::kInterrupted : BodyRead::kCallerDisconnected;
   }
-  detail::ParseInput(connection);
+  ParseInput(connection);
   exchange.body_received += connection.parser.body.size();
   exchange.counts->body_bytes += connection.parser.body.size();
   body += connection.parser.body;
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -17,8 +17,10 @@
 using asio::ip::tcp;
 using detail::AwaitInput;
 using detail::Close;
+using detail::InputDeadline;
 using detail::InputWait;
 using detail::ParseInput;
+using detail::ReadBodyUntil;
 using detail::ReadInput;
 using detail::RecordEnd;
 using detail::WriteAll;
@@ -43,23 +45,23 @@
 };
 
 /// Starts a wait for input and returns its deadline.
-base::TimePoint StartWait(ServerConnection& connection,
-                          std::chrono::milliseconds timeout) {
+InputDeadline StartWait(ServerConnection& connection,
+                        std::chrono::milliseconds timeout) {
   connection.waiting_since = base::BootClock::now();
-  return *connection.waiting_since + timeout;
+  return {*connection.waiting_since + timeout, std::nullopt};
 }
 
 awaitable<HeadRead> ReadHead(const ServerLimits& limits,
                              ServerConnection& connection) {
   Reset(connection.parser);
   connection.body_interrupted = false;
-  InputWait wait = co_await AwaitInput(
-      connection, StartWait(connection, limits.idle_timeout));
+  InputDeadline idle = StartWait(connection, limits.idle_timeout);
+  InputWait wait = co_await AwaitInput(connection, idle);
   if (wait != InputWait::kInput) {
     co_return wait == InputWait::kTimeout ? HeadRead::kIdleTimeout
                                           : HeadRead::kDisconnected;
   }
-  const base::TimePoint deadline = StartWait(connection, limits.head_timeout);
+  InputDeadline deadline = StartWait(connection, limits.head_timeout);
   while (true) {
     wait = co_await AwaitInput(connection, deadline);
     if (wait != InputWait::kInput) {
@@ -85,7 +87,7 @@
 /// Reads and discards the rest of a body, so that the connection can be reused.
 /// Without this, closing the socket with unread data would cause a TCP reset,
 /// and the caller might lose the response.
-awaitable<void> DiscardBody(Server& server, Exchange& exchange) {
+awaitable<void> DiscardBody(Exchange& exchange) {
   if (exchange.body_complete) {
     co_return;
   }
@@ -94,22 +96,17 @@
   }
   ServerConnection& connection = *exchange.connection;
   connection.body_interrupted = false;
-  const base::TimePoint deadline = StartWait(connection, kDiscardTimeout);
-  Alarm timeout(server.io);
-  Arm(timeout, kDiscardTimeout, [&connection] {
-    connection.body_interrupted = true;
-    Notify(connection.input_changed);
-  });
+  InputDeadline deadline = StartWait(connection, kDiscardTimeout);
   std::string discarded;
   BodyRead read = BodyRead::kMore;
-  while (read == BodyRead::kMore && base::BootClock::now() < deadline) {
+  while (read == BodyRead::kMore) {
     discarded.clear();
-    read = co_await ReadBody(exchange, discarded);
+    read = co_await ReadBodyUntil(exchange, discarded, deadline);
   }
   if (read != BodyRead::kComplete) {
     exchange.close_after_response = true;
   }
-  if (read == BodyRead::kInterrupted || read == BodyRead::kMore) {
+  if (read == BodyRead::kInterrupted) {
     RecordEnd(connection, CloseReason::kBodyTimeout);
   }
   connection.waiting_since.reset();
@@ -231,7 +228,7 @@
   }
   connection->on_caller_disconnected = nullptr;
   if (exchange.response_complete) {
-    co_await DiscardBody(server, exchange);
+    co_await DiscardBody(exchange);
   }
   --server.active_requests;
   const bool usable = exchange.response_complete &&
--- a/src/eelgrassbridge/http/server_connection.cpp
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -20,6 +20,8 @@
 /// from it.
 constexpr std::size_t kMaxInputBytes = std::size_t{64} * 1024;
 constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
+/// Time for reading input that had arrived when its deadline passed.
+constexpr base::Duration kReadTime = base::milliseconds{500};
 
 constexpr std::array<std::string_view, kCloseReasonCount> kCloseReasonNames = {
     "caller_left",  "idle_timeout", "head_timeout", "body_timeout",
@@ -45,6 +47,18 @@
   return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/// Whether the input counts for the deadline.
+bool IsInTime(detail::InputDeadline& deadline) {
+  const base::TimePoint now = base::BootClock::now();
+  if (!deadline.at || now < *deadline.at) {
+    return true;
+  }
+  if (!deadline.read_until) {
+    deadline.read_until = now + kReadTime;
+  }
+  return now < *deadline.read_until;
+}
+
 }  // namespace
 
 std::string_view CloseReasonName(CloseReason reason) {
@@ -101,28 +115,32 @@
 }
 
 awaitable<InputWait> AwaitInput(ServerConnection& connection,
-                                base::TimePoint deadline) {
+                                InputDeadline& deadline) {
   const std::uint64_t suspended_before = connection.suspended_reads;
+  bool completed_reads_seen = false;
   while (connection.input.empty()) {
     if (connection.caller_disconnected || connection.closed ||
         connection.body_interrupted ||
         connection.suspended_reads != suspended_before) {
       co_return InputWait::kStopped;
     }
-    if (base::BootClock::now() < deadline) {
-      co_await WaitUntil(connection.input_changed, deadline);
-      continue;
-    }
-    // Input that has been read from the socket waits in the queue of the loop.
-    co_await asio::post(connection.socket.get_executor(), asio::use_awaitable);
-    if (connection.input.empty() && !HasUnreadInput(connection)) {
-      co_return InputWait::kTimeout;
-    }
-    if (connection.input.empty()) {
+    if (!deadline.at) {
       co_await Wait(connection.input_changed);
+    } else if (base::BootClock::now() < *deadline.at) {
+      co_await WaitUntil(connection.input_changed, *deadline.at);
+    } else if (!completed_reads_seen) {
+      // The loop runs handlers in order, so a read that has already completed
+      // is seen before this returns.
+      completed_reads_seen = true;
+      co_await asio::post(connection.socket.get_executor(),
+                          asio::use_awaitable);
+    } else if (HasUnreadInput(connection)) {
+      co_await Wait(connection.input_changed);
+    } else {
+      co_return InputWait::kTimeout;
     }
   }
-  co_return InputWait::kInput;
+  co_return IsInTime(deadline) ? InputWait::kInput : InputWait::kTimeout;
 }
 
 void ParseInput(ServerConnection& connection) {
