Ignore an empty line before a request

Empty lines are now removed before a head begins. "a connection is idle after each kind of request" failed before for a GET followed by an empty line.

--- a/include/eelgrassbridge/http/server_connection.hpp
+++ b/include/eelgrassbridge/http/server_connection.hpp
@@ -135,6 +135,10 @@
 asio::awaitable<InputWait> AwaitInput(ServerConnection& connection,
                                       InputDeadline& deadline);
 
+/// @brief Removes empty lines before a request. Some callers send one after a
+/// body; it must not start the timeout of a head.
+void SkipEmptyLines(ServerConnection& connection);
+
 /// @brief Parses the received bytes up to the parser's next pause.
 void ParseInput(ServerConnection& connection);
 
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -23,6 +23,7 @@
 using detail::ReadBodyUntil;
 using detail::ReadInput;
 using detail::RecordEnd;
+using detail::SkipEmptyLines;
 using detail::WriteAll;
 
 /// Time limit for reading the rest of a body that the handler did not read.
@@ -56,11 +57,15 @@
   Reset(connection.parser);
   connection.body_interrupted = false;
   InputDeadline idle = StartWait(connection, limits.idle_timeout);
-  InputWait wait = co_await AwaitInput(connection, idle);
-  if (wait != InputWait::kInput) {
-    co_return wait == InputWait::kTimeout ? HeadRead::kIdleTimeout
-                                          : HeadRead::kDisconnected;
-  }
+  InputWait wait = InputWait::kInput;
+  do {
+    wait = co_await AwaitInput(connection, idle);
+    if (wait != InputWait::kInput) {
+      co_return wait == InputWait::kTimeout ? HeadRead::kIdleTimeout
+                                            : HeadRead::kDisconnected;
+    }
+    SkipEmptyLines(connection);
+  } while (connection.input.empty());
   InputDeadline deadline = StartWait(connection, limits.head_timeout);
   while (true) {
     wait = co_await AwaitInput(connection, deadline);
--- a/src/eelgrassbridge/http/server_connection.cpp
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -143,6 +143,12 @@
   co_return IsInTime(deadline) ? InputWait::kInput : InputWait::kTimeout;
 }
 
+void SkipEmptyLines(ServerConnection& connection) {
+  const std::size_t end = connection.input.find_first_not_of("\r\n");
+  connection.input.erase(0, end);
+  Notify(connection.input_consumed);
+}
+
 void ParseInput(ServerConnection& connection) {
   const std::size_t consumed = Parse(connection.parser, connection.input);
   connection.input.erase(0, consumed);
--- a/src/eelgrassbridge/http/server_order_test.cpp
+++ b/src/eelgrassbridge/http/server_order_test.cpp
@@ -199,5 +199,39 @@
   CHECK(client.ReadUntil("/next").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("a connection is idle after each kind of request") {
+  // Guards against bytes of a request that are left over after it and start
+  // the timeout of a head, which is shorter than that of an idle connection.
+  TestServer server([](Exchange& exchange) -> asio::awaitable<void> {
+    std::string body;
+    BodyRead read = BodyRead::kMore;
+    while (read == BodyRead::kMore) {
+      read = co_await ReadBody(exchange, body);
+    }
+    co_await Respond(exchange, 200, {}, "first");
+  });
+  server.server.limits.head_timeout = std::chrono::milliseconds{100};
+  server.server.limits.idle_timeout = std::chrono::milliseconds{5000};
+  const std::string chunked =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\n\r\n";
+  const std::string sized =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok";
+  const std::string empty =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  // RFC 9112, section 2.2: an empty line before a request line is ignored.
+  for (const std::string& first : {chunked, sized, empty, get, get + "\r\n"}) {
+    CAPTURE(first);
+    RawClient client(server.port);
+    client.Send(first);
+    REQUIRE(client.ReadUntil("first").starts_with("HTTP/1.1 200"));
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    std::error_code ignored;
+    asio::write(client.socket, asio::buffer(get), ignored);
+    CHECK(client.ReadUntil("first").starts_with("HTTP/1.1 200"));
+  }
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::http
