Close and count a connection also when its handling throws

An exception outside a request's handler (e.g. bad_alloc in a log line at the end of a connection, or while its input is read) left the connection open and counted: enough of them, and the daemon refuses all callers at its limit of connections; a request counted as active holds up a planned stop.

The counters are now held by objects, and the connection is closed whichever coroutine fails. "a failure of the observer does not leak the connection" failed before.

--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -4,7 +4,6 @@
 #include <spdlog/spdlog.h>
 
 #include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <system_error>
@@ -35,6 +34,16 @@
 constexpr int kBadRequest = 400;
 constexpr int kInternalError = 500;
 
+/// Raises a counter for as long as it exists, also when an exception is thrown.
+struct Counted {
+  explicit Counted(std::uint32_t& raised) : counter(raised) { ++this->counter; }
+  ~Counted() { --this->counter; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+  std::uint32_t& counter;
+};
+
 /// Result of reading a head, and why there is none.
 enum class HeadRead : std::uint8_t {
   kHead,
@@ -225,7 +234,7 @@
     std::string empty_body;
     co_await ReadBody(exchange, empty_body);
   }
-  ++server.active_requests;
+  std::optional<Counted> active(server.active_requests);
   if (exchange.head.length.value_or(0) > exchange.max_body_bytes) {
     co_await Respond(exchange, kContentTooLarge, {}, {});
   } else {
@@ -235,7 +244,7 @@
   if (exchange.response_complete) {
     co_await DiscardBody(exchange);
   }
-  --server.active_requests;
+  active.reset();
   const bool usable = exchange.response_complete &&
                       !exchange.close_after_response &&
                       !connection->caller_disconnected && !connection->closed;
@@ -246,17 +255,6 @@
   co_return usable;
 }
 
-awaitable<void> HandleConnection(Server& server,
-                                 ServerConnectionPtr connection) {
-  ++server.counts.open;
-  asio::co_spawn(server.io, ReadInput(connection), asio::detached);
-  bool usable = true;
-  while (usable) {
-    usable = co_await HandleRequest(server, connection);
-  }
-  --server.counts.open;
-}
-
 void LogFailure(const std::exception_ptr& failure) {
   try {
     if (failure) {
@@ -267,6 +265,27 @@
   }
 }
 
+awaitable<void> HandleConnection(Server& server,
+                                 ServerConnectionPtr connection) {
+  const Counted open(server.counts.open);
+  asio::co_spawn(server.io, ReadInput(connection),
+                 [connection](const std::exception_ptr& failure) {
+                   if (failure) {
+                     Close(*connection, CloseReason::kHandlerFailed);
+                     LogFailure(failure);
+                   }
+                 });
+  bool usable = true;
+  try {
+    while (usable) {
+      usable = co_await HandleRequest(server, connection);
+    }
+  } catch (...) {
+    Close(*connection, CloseReason::kHandlerFailed);
+    throw;
+  }
+}
+
 }  // namespace
 
 void Listen(Server& server, const tcp::endpoint& endpoint) {
--- a/src/eelgrassbridge/http/server_order_test.cpp
+++ b/src/eelgrassbridge/http/server_order_test.cpp
@@ -233,5 +233,18 @@
   }
 }
 
+TEST_CASE("a failure of the observer does not leak the connection") {
+  // Guards against an exception at the end of a connection (e.g. bad_alloc in
+  // a log line) that leaves it counted as open.
+  TestServer server(AnswerPath);
+  server.server.on_connection_end =
+      [](const ServerConnection&, const Exchange*) { throw std::bad_alloc(); };
+  { RawClient client(server.port); }
+  REQUIRE(HoldsSoon(server,
+                    [&server] { return server.server.counts.accepted == 1; }));
+  CHECK(
+      HoldsSoon(server, [&server] { return server.server.counts.open == 0; }));
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::http
