Tell unannounced closes and failed sockets from normal ends

A close after an answer that had said that the connection stays counted as response_end and had no line (second hypothesis); a reset first seen by a write counted as an answer cut by this side; and the error of the socket was dropped, so a departure of the caller looked like any other failure (third hypothesis). A planned stop also marked connections for closing whose answers had already begun.

"a close after a response that did not announce it has a reason" failed before.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -67,6 +67,8 @@
   bool response_complete = false;
   bool response_chunked = false;
   bool close_after_response = false;
+  /// The head of the response announced the close.
+  bool close_announced = false;
   /// The handler threw an exception.
   bool handler_failed = false;
 };
--- a/include/eelgrassbridge/http/server_connection.hpp
+++ b/include/eelgrassbridge/http/server_connection.hpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/http/event.hpp"
@@ -39,6 +40,8 @@
   kInvalidHead,
   /// A complete response that announced the close.
   kResponseEnd,
+  /// A complete response that had announced that the connection stays.
+  kUnannouncedEnd,
   /// The handler ended without a complete response.
   kAborted,
   /// The handler threw an exception.
@@ -63,6 +66,8 @@
   base::Duration waited_for{};
   /// Received bytes that were not parsed.
   std::size_t unparsed_bytes = 0;
+  /// Error of the socket; end of file if the caller closed its side.
+  std::error_code error;
 };
 
 /// @brief A connection from a caller, owned by its coroutines.
@@ -103,7 +108,9 @@
 namespace detail {
 
 /// @brief Records what ends the connection; only the first call has an effect.
-void RecordEnd(ServerConnection& connection, CloseReason reason);
+void RecordEnd(ServerConnection& connection,
+               CloseReason reason,
+               std::error_code error = {});
 
 /// @brief Closes the connection; only the first call has an effect.
 void Close(ServerConnection& connection, CloseReason reason);
--- a/src/eelgrassbridge/http/exchange.cpp
+++ b/src/eelgrassbridge/http/exchange.cpp
@@ -115,6 +115,7 @@
                         std::string_view body) {
   exchange.response_started = true;
   CloseIfContinuePending(exchange);
+  exchange.close_announced = exchange.close_after_response;
   const std::string head =
       FormatResponseHead(status, headers, {Framing::Kind::kLength, body.size()},
                          !exchange.close_after_response);
@@ -130,6 +131,7 @@
                               std::optional<std::uint64_t> length) {
   exchange.response_started = true;
   CloseIfContinuePending(exchange);
+  exchange.close_announced = exchange.close_after_response;
   exchange.response_chunked = !length;
   const Framing framing = length ? Framing{Framing::Kind::kLength, *length}
                                  : Framing{Framing::Kind::kChunked, 0};
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -191,8 +191,11 @@
   if (exchange.handler_failed) {
     return CloseReason::kHandlerFailed;
   }
-  return exchange.response_complete ? CloseReason::kResponseEnd
-                                    : CloseReason::kAborted;
+  if (!exchange.response_complete) {
+    return CloseReason::kAborted;
+  }
+  return exchange.close_announced ? CloseReason::kResponseEnd
+                                  : CloseReason::kUnannouncedEnd;
 }
 
 /// Closes the connection, and counts and reports what ended it.
--- a/src/eelgrassbridge/http/server_connection.cpp
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -24,11 +24,12 @@
 constexpr base::Duration kReadTime = base::milliseconds{500};
 
 constexpr std::array<std::string_view, kCloseReasonCount> kCloseReasonNames = {
-    "caller_left",  "idle_timeout", "head_timeout", "body_timeout",
-    "invalid_head", "response_end", "answer_cut",   "handler_failed"};
+    "caller_left",     "idle_timeout", "head_timeout",
+    "body_timeout",    "invalid_head", "response_end",
+    "unannounced_end", "answer_cut",   "handler_failed"};
 
-void HandleDisconnect(ServerConnection& connection) {
-  detail::RecordEnd(connection, CloseReason::kCallerDisconnected);
+void HandleDisconnect(ServerConnection& connection, std::error_code error) {
+  detail::RecordEnd(connection, CloseReason::kCallerDisconnected, error);
   connection.caller_disconnected = true;
   Notify(connection.input_changed);
   if (connection.on_caller_disconnected) {
@@ -70,7 +71,9 @@
 
 namespace detail {
 
-void RecordEnd(ServerConnection& connection, CloseReason reason) {
+void RecordEnd(ServerConnection& connection,
+               CloseReason reason,
+               std::error_code error) {
   if (connection.end) {
     return;
   }
@@ -80,6 +83,7 @@
   end.open_for = now - connection.accepted_at;
   end.waited_for = now - connection.waiting_since.value_or(now);
   end.unparsed_bytes = connection.input.size();
+  end.error = error;
 }
 
 void Close(ServerConnection& connection, CloseReason reason) {
@@ -106,7 +110,9 @@
     const std::size_t size = co_await connection->socket.async_read_some(
         asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-      HandleDisconnect(*connection);
+      if (!connection->closed) {
+        HandleDisconnect(*connection, error);
+      }
       co_return;
     }
     connection->input.append(buffer.data(), size);
@@ -163,6 +169,9 @@
   std::error_code error;
   co_await asio::async_write(connection.socket, buffers,
                              asio::redirect_error(asio::use_awaitable, error));
+  if (error && !connection.closed) {
+    RecordEnd(connection, CloseReason::kCallerDisconnected, error);
+  }
   co_return !error;
 }
 
--- a/src/eelgrassbridge/http/server_order_test.cpp
+++ b/src/eelgrassbridge/http/server_order_test.cpp
@@ -126,8 +126,6 @@
   });
   CHECK(
       HoldsSoon(server, [&server] { return server.server.counts.open == 0; }));
-  MESSAGE("still open: ",
-          OnLoop(server, [&server] { return server.server.counts.open; }));
 }
 
 TEST_CASE("a request that arrives after the idle timeout of many is answered") {
@@ -246,5 +244,55 @@
       HoldsSoon(server, [&server] { return server.server.counts.open == 0; }));
 }
 
+TEST_CASE("a reset that is found by a write counts as a disconnect") {
+  // Guards against departures of callers that look like answers cut by this
+  // side.
+  auto reset = std::make_shared<std::promise<void>>();
+  auto running = std::make_shared<std::promise<void>>();
+  TestServer server(
+      [reset, running](Exchange& exchange) -> asio::awaitable<void> {
+        running->set_value();
+        reset->get_future().get();
+        co_await Respond(exchange, 200, {}, "late");
+      });
+  {
+    RawClient client(server.port);
+    client.Send("GET /reset HTTP/1.1\r\nHost: h\r\n\r\n");
+    running->get_future().get();
+    client.socket.set_option(asio::socket_base::linger(true, 0));
+    // The destructor of the socket would undo the option.
+    client.socket.close();
+  }
+  reset->set_value();
+  REQUIRE(
+      HoldsSoon(server, [&server] { return server.server.counts.open == 0; }));
+  const CloseCounts counts =
+      OnLoop(server, [&server] { return server.server.counts.unanswered; });
+  CHECK(counts[static_cast<std::size_t>(CloseReason::kAborted)] == 0);
+  CHECK(counts[static_cast<std::size_t>(CloseReason::kCallerDisconnected)] ==
+        1);
+}
+
+TEST_CASE("a close after a response that did not announce it has a reason") {
+  // Guards against unannounced closes that are counted as announced ones, so
+  // that metrics do not tell the second hypothesis of issue 36 from normal use.
+  TestServer server([](Exchange& exchange) -> asio::awaitable<void> {
+    co_await StartResponse(exchange, 200, {}, 4);
+    // A planned stop that ends open requests does the same.
+    exchange.close_after_response = true;
+    co_await WriteBody(exchange, "last");
+    co_await FinishResponse(exchange);
+  });
+  RawClient client(server.port);
+  client.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string response = client.ReadAll();
+  REQUIRE(response.find("Connection: close") == std::string::npos);
+  REQUIRE(
+      HoldsSoon(server, [&server] { return server.server.counts.open == 0; }));
+  const CloseCounts counts =
+      OnLoop(server, [&server] { return server.server.counts.closed; });
+  CHECK(counts[static_cast<std::size_t>(CloseReason::kResponseEnd)] == 0);
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::http
--- a/src/eelgrassbridge/node/metrics.cpp
+++ b/src/eelgrassbridge/node/metrics.cpp
@@ -81,6 +81,8 @@
            static_cast<std::int64_t>(node.peers_server.counts.body_bytes));
   SetCloseCounts(node, "requests_unanswered_total", "cause",
                  node.callers_server.counts.unanswered);
+  SetCloseCounts(node, "peer_requests_unanswered_total", "cause",
+                 node.peers_server.counts.unanswered);
   SetCloseCounts(node, "caller_connections_closed_total", "reason",
                  node.callers_server.counts.closed);
   SetCloseCounts(node, "peer_connections_closed_total", "reason",
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/error.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/use_awaitable.hpp>
@@ -64,7 +65,10 @@
 awaitable<void> EndOpenRequests(Node& node, base::TimePoint latest) {
   const auto open = node.open_requests;
   for (RequestWatch* const request : open) {
-    request->exchange.close_after_response = true;
+    // The head of an answer that has begun may have said that the connection
+    // stays.
+    request->exchange.close_after_response |=
+        !request->exchange.response_started;
     Cancel(*request->cancellation, base::ErrorKind::kDraining);
   }
   while (ActiveRequests(node) > 0 && base::BootClock::now() < latest) {
@@ -158,16 +162,17 @@
   }
 }
 
-/// Whether this daemon ended the connection by a timeout, or without an answer
-/// to a request. A caller that leaves has an event of its own.
+/// Whether this daemon ended the connection unannounced, or a request on it has
+/// no answer. Callers that close their side are not logged.
 bool IsEndLogged(const http::ConnectionEnd& end,
                  const http::Exchange* unanswered) {
   switch (end.reason) {
     case http::CloseReason::kCallerDisconnected:
-      return false;
+      return unanswered != nullptr && end.error != asio::error::eof;
     case http::CloseReason::kIdleTimeout:
     case http::CloseReason::kHeadTimeout:
     case http::CloseReason::kBodyTimeout:
+    case http::CloseReason::kUnannouncedEnd:
       return true;
     default:
       return unanswered != nullptr;
@@ -194,6 +199,7 @@
       {{"request", id},
        {"listener", listener},
        {"reason", http::CloseReasonName(end.reason)},
+       {"error", end.error ? end.error.message() : std::string{}},
        {"open_ms", Milliseconds(end.open_for)},
        {"waited_ms", Milliseconds(end.waited_for)},
        {"unparsed_bytes", static_cast<std::int64_t>(end.unparsed_bytes)},
