Close a connection in stages after its last answer

The caller of a kept connection may send its next request before it has read that the connection ends, e.g. when a planned stop announces the end on all of them. Data for a closed socket resets the connection, and the caller loses what it has not received of the answer to a request that was run (LOST).

The server now ends its sending side, reads on for at most 1 s and 1 MiB, and closes then (RFC 9112, 9.6). A planned stop waits for such connections for the time it reserves for final answers.

--- a/include/eelgrassbridge/http/server.hpp
+++ b/include/eelgrassbridge/http/server.hpp
@@ -93,6 +93,8 @@
   /// While set, connections are closed after the response to a new request.
   bool draining = false;
   std::uint32_t active_requests = 0;
+  /// Connections whose last answer may still be on its way.
+  std::uint32_t closing_connections = 0;
 };
 
 /// @brief Binds the address and listens. Throws std::system_error on failure.
--- a/include/eelgrassbridge/http/server_connection.hpp
+++ b/include/eelgrassbridge/http/server_connection.hpp
@@ -115,6 +115,13 @@
 /// @brief Closes the connection; only the first call has an effect.
 void Close(ServerConnection& connection, CloseReason reason);
 
+/// @brief Ends the sending side, and closes the connection once the caller has
+/// closed its side too, or after a limit of time and bytes. Data that arrives
+/// at a closed socket resets the connection, upon which the caller loses what
+/// it has not received of an answer.
+asio::awaitable<void> CloseInStages(ServerConnection& connection,
+                                    CloseReason reason);
+
 /// @brief Reads from the socket until it fails, also while a request is
 /// handled, so that a disconnect of the caller is detected immediately.
 asio::awaitable<void> ReadInput(ServerConnectionPtr connection);
--- a/src/eelgrassbridge/http/server.cpp
+++ b/src/eelgrassbridge/http/server.cpp
@@ -16,6 +16,7 @@
 using asio::ip::tcp;
 using detail::AwaitInput;
 using detail::Close;
+using detail::CloseInStages;
 using detail::InputDeadline;
 using detail::InputWait;
 using detail::ParseInput;
@@ -198,25 +199,41 @@
                                   : CloseReason::kUnannouncedEnd;
 }
 
-/// Closes the connection, and counts and reports what ended it.
-void EndConnection(Server& server,
-                   ServerConnection& connection,
-                   CloseReason reason,
-                   const Exchange* exchange) {
-  Close(connection, reason);
-  const CloseReason first = connection.end->reason;
-  ++CountOf(server.counts.closed, first);
+/// Counts and reports what ended the connection.
+void ReportEnd(Server& server,
+               ServerConnection& connection,
+               const Exchange* exchange) {
+  const CloseReason reason = connection.end->reason;
+  ++CountOf(server.counts.closed, reason);
   // A failed handler is answered with 500 by the server itself.
   const bool answered = exchange == nullptr || (exchange->response_complete &&
                                                 !exchange->handler_failed);
   if (!answered) {
-    ++CountOf(server.counts.unanswered, first);
+    ++CountOf(server.counts.unanswered, reason);
   }
   if (server.on_connection_end) {
     server.on_connection_end(connection, answered ? nullptr : exchange);
   }
 }
 
+/// Closes a connection on which no request follows.
+awaitable<void> EndConnection(Server& server,
+                              ServerConnection& connection,
+                              CloseReason reason,
+                              const Exchange* exchange) {
+  RecordEnd(connection, reason);
+  ReportEnd(server, connection, exchange);
+  const bool answer_sent = exchange != nullptr
+                               ? exchange->response_complete
+                               : reason == CloseReason::kInvalidHead;
+  if (answer_sent && !connection.closed && !connection.caller_disconnected) {
+    const Counted closing(server.closing_connections);
+    co_await CloseInStages(connection, reason);
+  } else {
+    Close(connection, reason);
+  }
+}
+
 /// Handles one request. Returns false if the connection cannot be reused.
 awaitable<bool> HandleRequest(Server& server, ServerConnectionPtr connection) {
   const HeadRead read = co_await ReadHead(server.limits, *connection);
@@ -226,7 +243,7 @@
         connection, read == HeadRead::kInvalid ? kBadRequest : kHeadTooLarge);
   }
   if (read != HeadRead::kHead) {
-    EndConnection(server, *connection, EndOf(read), nullptr);
+    co_await EndConnection(server, *connection, EndOf(read), nullptr);
     co_return false;
   }
   const auto owned = MakeExchange(server, connection);
@@ -252,7 +269,9 @@
                       !exchange.close_after_response &&
                       !connection->caller_disconnected && !connection->closed;
   if (!usable) {
-    EndConnection(server, *connection, EndOf(exchange), &exchange);
+    const CloseReason reason = EndOf(exchange);
+    exchange.connection = nullptr;
+    co_await EndConnection(server, *connection, reason, &exchange);
   }
   exchange.connection = nullptr;
   co_return usable;
--- a/src/eelgrassbridge/http/server_connection.cpp
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -20,6 +20,9 @@
 /// from it.
 constexpr std::size_t kMaxInputBytes = std::size_t{64} * 1024;
 constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
+/// Limits of reading from a connection whose last answer has been sent.
+constexpr base::Duration kDrainTime = base::seconds{1};
+constexpr std::size_t kMaxDrainedBytes = std::size_t{1} << 20U;
 /// Time for reading input that had arrived when its deadline passed.
 constexpr base::Duration kReadTime = base::milliseconds{500};
 
@@ -149,6 +152,23 @@
   co_return IsInTime(deadline) ? InputWait::kInput : InputWait::kTimeout;
 }
 
+awaitable<void> CloseInStages(ServerConnection& connection,
+                              CloseReason reason) {
+  RecordEnd(connection, reason);
+  std::error_code ignored;
+  connection.socket.shutdown(tcp::socket::shutdown_send, ignored);
+  connection.body_interrupted = false;
+  InputDeadline deadline{base::BootClock::now() + kDrainTime, std::nullopt};
+  std::size_t drained = 0;
+  while (drained < kMaxDrainedBytes &&
+         co_await AwaitInput(connection, deadline) == InputWait::kInput) {
+    drained += connection.input.size();
+    connection.input.clear();
+    Notify(connection.input_consumed);
+  }
+  Close(connection, reason);
+}
+
 void SkipEmptyLines(ServerConnection& connection) {
   const std::size_t end = connection.input.find_first_not_of("\r\n");
   connection.input.erase(0, end);
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -59,6 +59,11 @@
          node.peers_server.active_requests;
 }
 
+std::uint32_t ClosingConnections(const Node& node) {
+  return node.callers_server.closing_connections +
+         node.peers_server.closing_connections;
+}
+
 /// Cancels the requests that are still open, so that each gets a final answer:
 /// a refusal if it has not run, a failure if it may have run. Waits until the
 /// answers are sent, at most until `latest`.
@@ -74,6 +79,11 @@
   while (ActiveRequests(node) > 0 && base::BootClock::now() < latest) {
     co_await http::Sleep(node.io, kFinalAnswerCheckInterval);
   }
+  // The end of the process resets connections with data that was not read.
+  latest = std::min(latest, base::BootClock::now() + kFinalAnswerTime);
+  while (ClosingConnections(node) > 0 && base::BootClock::now() < latest) {
+    co_await http::Sleep(node.io, kFinalAnswerCheckInterval);
+  }
 }
 
 void RefuseRequests(Node& node) {
