Read an answer that has arrived when its call times out

Cause: the timers of a call closed its connection by themselves. What was in the socket by then, or behind the first 16 KiB of a longer answer, was lost with it.

Now a timeout lets the call expire: nothing more is sent, and exactly the bytes that have arrived can still be read, without a wait. The call fails at the first read past them, so a server that sends without end gains no time. An expired connection never returns to its pool.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -47,6 +47,8 @@
   /// Set on a connection from the pool: the server may have closed it while it
   /// was idle.
   bool reused = false;
+  /// Received bytes that may still be read; none before the connection expires.
+  std::optional<std::size_t> unread_at_expiry;
 };
 
 using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
@@ -95,6 +97,12 @@
 /// @brief Closes the connection; pending operations on it fail.
 void Close(ClientConnection& connection);
 
+/// @brief Ends the call as its timeout does: nothing more is sent, and what has
+/// arrived by now can still be read, so that an answer that came in time is not
+/// lost. Reads past it fail without a wait. The connection does not return to
+/// its pool. Has no effect after Release.
+void Expire(CallConnection& call);
+
 /// @brief Sends two buffers, one after the other. Returns false if the
 /// connection failed.
 asio::awaitable<bool> Send(ClientConnection& connection,
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -10,6 +10,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
+#include <span>
 #include <system_error>
 
 #include "eelgrassbridge/http/event.hpp"
@@ -100,6 +101,46 @@
   return std::chrono::seconds(*number);
 }
 
+/// Reads from an expired connection without a wait.
+std::size_t ReadArrived(ClientConnection& connection,
+                        std::span<char> buffer,
+                        std::error_code& error) {
+  std::size_t& left = *connection.unread_at_expiry;
+  // The end of the connection may follow the last of these bytes.
+  const int flags = left == 0 ? MSG_DONTWAIT | MSG_PEEK : MSG_DONTWAIT;
+  const std::size_t limit = std::clamp<std::size_t>(left, 1, buffer.size());
+  const auto size =
+      ::recv(connection.socket.native_handle(), buffer.data(), limit, flags);
+  error.clear();
+  if (size == 0) {
+    error = asio::error::eof;
+  } else if (size < 0 || left == 0) {
+    error = asio::error::timed_out;
+  }
+  if (error) {
+    return 0;
+  }
+  const auto read = static_cast<std::size_t>(size);
+  left -= read;
+  return read;
+}
+
+awaitable<std::size_t> ReadSome(ClientConnection& connection,
+                                std::span<char> buffer,
+                                std::error_code& error) {
+  std::size_t size = 0;
+  if (!connection.unread_at_expiry) {
+    size = co_await connection.socket.async_read_some(
+        asio::buffer(buffer.data(), buffer.size()),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  // A read that was interrupted has taken nothing from the socket.
+  if (connection.unread_at_expiry && size == 0 && error != asio::error::eof) {
+    size = ReadArrived(connection, buffer, error);
+  }
+  co_return size;
+}
+
 /// Parses up to the parser's next pause; reads from the socket if all input has
 /// been parsed. Returns false if the connection ended within the message or the
 /// message is invalid.
@@ -107,8 +148,7 @@
   if (connection.input.empty()) {
     std::array<char, kReadBufferBytes> buffer;
     std::error_code error;
-    const std::size_t size = co_await connection.socket.async_read_some(
-        asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t size = co_await ReadSome(connection, buffer, error);
     if (error == asio::error::eof) {
       ParseEnd(connection.parser);
       co_return connection.parser.state == ParseState::kComplete;
@@ -206,7 +246,7 @@
         std::min(connection->idle_limit, *announced - kIdleMargin);
   }
   if (!response.keep_alive || !connection->input.empty() ||
-      !connection->socket.is_open() ||
+      connection->unread_at_expiry || !connection->socket.is_open() ||
       connection->idle_limit <= std::chrono::milliseconds{0} ||
       connections.size() >= pool.options.max_idle_per_address) {
     Close(*connection);
@@ -227,6 +267,18 @@
   }
 }
 
+void Expire(CallConnection& call) {
+  if (!call.connection || call.connection->unread_at_expiry) {
+    return;
+  }
+  ClientConnection& connection = *call.connection;
+  std::error_code ignored;
+  connection.unread_at_expiry = connection.socket.available(ignored);
+  // A write that continues after this fails instead of waiting for its peer.
+  connection.socket.shutdown(tcp::socket::shutdown_send, ignored);
+  connection.socket.cancel(ignored);
+}
+
 awaitable<bool> Send(ClientConnection& connection,
                      std::string_view first,
                      std::string_view second) {
@@ -307,7 +359,7 @@
   bool timed_out = false;
   const auto time_out = [call, &timed_out] {
     timed_out = true;
-    Close(*call);
+    Expire(*call);
   };
   Alarm stalled(pool.io);
   Alarm too_long(pool.io);
