Send nothing on a new connection that has already ended

The caller of a non-idempotent request was told that it may have run, and no other target was tried.

Cause: after a connect, only the result of the connect was asked for. If the end of the connection arrives in the same turn of the loop, the connect has succeeded.

Now a new connection is checked as one from the pool is, before anything is sent. The failure says that nothing was sent, so that another target is tried whatever the class of the request.

--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -53,8 +53,8 @@
             static_cast<int>(options.unacknowledged_timeout.count()));
 }
 
-/// Whether an idle connection is open and has no unread data.
-bool IsReusable(ClientConnection& connection) {
+/// Whether a connection without a request is open and has no unread data.
+bool IsUsable(ClientConnection& connection) {
   char byte = 0;
   const auto size = ::recv(connection.socket.native_handle(), &byte, 1,
                            MSG_PEEK | MSG_DONTWAIT);
@@ -73,7 +73,7 @@
     ClientConnectionPtr connection = std::move(connections.back());
     connections.pop_back();
     if (now - connection->idle_since < connection->idle_limit &&
-        IsReusable(*connection)) {
+        IsUsable(*connection)) {
       connection->reused = true;
       Reset(connection->parser);
       return connection;
@@ -230,6 +230,11 @@
     Close(*connection);
     co_return base::Fail(ErrorKind::kPeerUnreachable, error.message());
   }
+  if (!IsUsable(*connection)) {
+    Close(*connection);
+    co_return base::Fail(ErrorKind::kPeerUnreachable,
+                         "the server has closed the new connection");
+  }
   co_return std::make_shared<CallConnection>(
       CallConnection{std::move(connection)});
 }
--- a/src/eelgrassbridge/http/client_test.cpp
+++ b/src/eelgrassbridge/http/client_test.cpp
@@ -111,6 +111,24 @@
   CHECK(IdleCount(pool) == 0);
 }
 
+TEST_CASE("nothing is sent on a new connection that has already ended") {
+  // Guards against a request that may have run, as far as its caller can know,
+  // at a server that closes connections beyond its limit as it accepts them.
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, Loopback());
+  const auto endpoint = acceptor.local_endpoint();
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  const auto call = [&]() -> asio::awaitable<base::Result<Response>> {
+    // Runs before the loop learns that the connection is open.
+    asio::post(loop.io, [&acceptor] { acceptor.accept().close(); });
+    co_return co_await Call(pool, endpoint, Get());
+  };
+  const auto response = Await(loop.io, call());
+  REQUIRE(!response);
+  CHECK(response.error().kind == ErrorKind::kPeerUnreachable);
+}
+
 TEST_CASE("a refused connection is reported as unreachable") {
   LoopThread loop;
   ConnectionPool pool(loop.io, {});
