Deliver an answer that has arrived at the deadline

Cause: the deadline, and the end of a planned stop, closed the connection on which the answer was awaited. What the loop had not read by then was lost. An answer of more than 16 KiB takes several reads, so it was lost also if its first part was read before.

Now these two let the transmission expire: what has arrived by then is read and delivered, also when it is late; otherwise the result is "may have run", as before. A caller that leaves still closes the connection at once.

--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -247,6 +247,17 @@
   }
 }
 
+/// Ends the transmission of a cancelled request. Unless its caller has left, an
+/// answer that has arrived by now is still read.
+void AbortTransmission(http::CallConnection& connection,
+                       const Cancellation& cancellation) {
+  if (cancellation.cause == ErrorKind::kCancelled) {
+    http::Close(connection);
+  } else {
+    http::Expire(connection);
+  }
+}
+
 /// Closes the connection and returns the result of a request that was sent but
 /// got no complete answer.
 RunResult FailedResult(RunResult& result,
@@ -280,8 +291,9 @@
     http::Close(*result.connection);
     co_return NotRunResult(*cancellation->cause, NotRunProof::NeverSent());
   }
-  cancellation->abort = [connection = result.connection] {
-    http::Close(*connection);
+  cancellation->abort = [connection = result.connection,
+                         cancelled = cancellation.get()] {
+    AbortTransmission(*connection, *cancelled);
   };
   http::ClientConnection& connection = *result.connection->connection;
   const bool chunked = FramingOf(message).kind == http::Framing::Kind::kChunked;
