End the waits for a key and for a cold target when cancelled

Cause: both waits looked for a cancellation only after their own event or deadline.

Now the cancellation wakes them.

Measured: both cases of cancelled_wait_test.cpp failed before (no result within 16 turns of the loop after the cancellation) and pass now.

--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -65,21 +65,23 @@
 }
 
 /// Waits until the target has been granted the key. Returns the reason if that
-/// does not happen by `latest`.
+/// does not happen by `latest`, or if the request is cancelled.
 awaitable<std::optional<ErrorKind>> AwaitKey(Node& node,
                                              const RequestTerms& terms,
                                              TimePoint latest,
-                                             const Cancellation& cancellation) {
-  while (!IsGranted(node.target, *terms.key, base::BootClock::now())) {
-    if (!OwnsKey(node, terms) || base::BootClock::now() >= latest) {
-      co_return ErrorKind::kNotOwner;
-    }
+                                             Cancellation& cancellation) {
+  cancellation.abort = [&node] { http::Notify(node.target_changed); };
+  bool granted = IsGranted(node.target, *terms.key, base::BootClock::now());
+  while (!granted && !cancellation.cause && OwnsKey(node, terms) &&
+         base::BootClock::now() < latest) {
     co_await http::WaitUntil(node.target_changed, latest);
-    if (cancellation.cause) {
-      co_return *cancellation.cause;
-    }
+    granted = IsGranted(node.target, *terms.key, base::BootClock::now());
+  }
+  cancellation.abort = nullptr;
+  if (cancellation.cause) {
+    co_return cancellation.cause;
   }
-  co_return std::nullopt;
+  co_return granted ? std::nullopt : std::optional(ErrorKind::kNotOwner);
 }
 
 http::Headers HeadersForTarget(const Node& node,
--- a/src/eelgrassbridge/node/target_slot.cpp
+++ b/src/eelgrassbridge/node/target_slot.cpp
@@ -11,6 +11,18 @@
 using base::ErrorKind;
 using base::TimePoint;
 
+/// Waits until `start`, or until the request is cancelled.
+awaitable<void> AwaitStart(Node& node,
+                           TimePoint start,
+                           Cancellation& cancellation) {
+  http::Event cancelled(node.io);
+  cancellation.abort = [&cancelled] { http::Notify(cancelled); };
+  while (!cancellation.cause && base::BootClock::now() < start) {
+    co_await http::WaitUntil(cancelled, start);
+  }
+  cancellation.abort = nullptr;
+}
+
 /// Waits in the queue until the ticket is dispatched or refused. Withdraws it
 /// when the request is cancelled or `latest` passes.
 awaitable<base::Result<SlotPointer>> AwaitDispatch(
@@ -96,10 +108,7 @@
   if (!start) {
     co_return base::Fail(ErrorKind::kOverloaded, {});
   }
-  const base::Duration wait = *start - base::BootClock::now();
-  if (wait > base::Duration{0}) {
-    co_await http::Sleep(node.io, wait);
-  }
+  co_await AwaitStart(node, *start, *cancellation);
   if (cancellation->cause) {
     co_return base::Fail(*cancellation->cause, {});
   }
