Refuse an upload that is cancelled as its turn to arrive comes

If the turn came and the request was cancelled in the same turn of the loop, the body was asked for with "100 Continue" and awaited without a limit. The cancellation had no effect any more, as it takes effect once: at the deadline the slow body kept the request open, and at the end of a planned stop it ended without an answer.

Cause: the end of the wait looked only at the turn, not at the cancellation.

Now a cancelled request is refused there, with the proof that it has not run.

--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -252,6 +252,9 @@
     co_await http::WaitUntil(arrived, latest);
   }
   cancellation.abort = nullptr;
+  if (cancellation.cause) {
+    co_return cancellation.cause;
+  }
   terms.max_wait = std::max(base::Duration{0}, latest - base::BootClock::now());
   co_return ExpectedRefusal(node, terms);
 }
