Answer requests whose bytes have arrived when a planned stop ends

Cause: the decision looked at the requests that had begun. Bytes that had been read, with the coroutine of their connection in the queue of the loop, or that waited in the socket, were not among them.

Now the daemon lets the loop take the turns that such a request needs to begin, and looks again. An idle daemon handles it and goes on with its stop; at the end of the grace period it is refused. What arrives after the last look has not been read, and nothing of it has been passed on.

--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/use_awaitable.hpp>
@@ -45,6 +46,10 @@
 /// requests that are still open.
 constexpr base::Duration kFinalAnswerTime = base::milliseconds{300};
 constexpr std::chrono::milliseconds kFinalAnswerCheckInterval{10};
+/// Turns of the event loop after which a request has begun whose bytes had
+/// arrived. Reading from the socket and waking the coroutine of the connection
+/// take one each; a new connection takes a few more.
+constexpr int kTurnsToBegin = 8;
 
 awaitable<void> FlushLog(Node& node) {
   while (true) {
@@ -58,26 +63,37 @@
          node.peers_server.active_requests;
 }
 
+void RefuseRequests(Node& node) {
+  node.refusing_requests = true;
+  // Uploads that wait for their turn need not wait to be refused.
+  http::Notify(node.admission.body_arrived);
+}
+
+/// Lets the requests begin whose bytes have arrived.
+awaitable<void> BeginArrivedRequests(Node& node) {
+  for (int i = 0; i < kTurnsToBegin; ++i) {
+    co_await asio::post(node.io, asio::use_awaitable);
+  }
+}
+
 /// Cancels the requests that are still open, so that each gets a final answer:
-/// a refusal if it has not run, a failure if it may have run. Waits until the
-/// answers are sent, at most until `latest`.
+/// a refusal if it has not run, a failure if it may have run. Requests whose
+/// bytes have arrived are refused. Waits until the answers are sent, at most
+/// until `latest`.
 awaitable<void> EndOpenRequests(Node& node, base::TimePoint latest) {
+  RefuseRequests(node);
   const auto open = node.open_requests;
   for (RequestWatch* const request : open) {
     request->exchange.close_after_response = true;
     Cancel(*request->cancellation, base::ErrorKind::kDraining);
   }
+  co_await BeginArrivedRequests(node);
   while (ActiveRequests(node) > 0 && base::BootClock::now() < latest) {
     co_await http::Sleep(node.io, kFinalAnswerCheckInterval);
+    co_await BeginArrivedRequests(node);
   }
 }
 
-void RefuseRequests(Node& node) {
-  node.refusing_requests = true;
-  // Uploads that wait for their turn need not wait to be refused.
-  http::Notify(node.admission.body_arrived);
-}
-
 awaitable<void> StopAndExit(Node& node) {
   co_await StopGracefully(node);
   if (node.end_process) {
@@ -289,7 +305,11 @@
     }
     if (now - started_at >= kMinStopTime &&
         now - last_active_at >= kIdleBeforeStop) {
-      break;
+      co_await BeginArrivedRequests(node);
+      if (ActiveRequests(node) == 0) {
+        break;
+      }
+      last_active_at = now;
     }
   }
   const std::uint32_t active = ActiveRequests(node);
