Use a connection that is open when its timeout expires

Nothing was lost, as nothing had been sent, but the request used up an attempt, or was refused if there was no other target.

Cause: the action of the timeout closed the connection without asking whether it was open.

Now it closes only a connection that is still pending.

--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -53,6 +53,14 @@
             static_cast<int>(options.unacknowledged_timeout.count()));
 }
 
+/// Whether the server has accepted the connection; the event loop may not know
+/// of it yet.
+bool IsConnected(ClientConnection& connection) {
+  std::error_code error;
+  connection.socket.remote_endpoint(error);
+  return !error;
+}
+
 /// Whether a connection without a request is open and has no unread data.
 bool IsUsable(ClientConnection& connection) {
   char byte = 0;
@@ -221,8 +229,11 @@
   }
   SetSocketOptions(connection->socket, pool.options);
   Alarm alarm(pool.io);
-  Arm(alarm, pool.options.connect_timeout,
-      [connection] { Close(*connection); });
+  Arm(alarm, pool.options.connect_timeout, [connection] {
+    if (!IsConnected(*connection)) {
+      Close(*connection);
+    }
+  });
   co_await connection->socket.async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
   Disarm(alarm);
--- a/src/eelgrassbridge/http/client_timeout_test.cpp
+++ b/src/eelgrassbridge/http/client_timeout_test.cpp
@@ -128,5 +128,39 @@
   expiring.loop.Stop();
 }
 
+TEST_CASE("a connection that is open as its timeout expires is used") {
+  // Guards against a server that is taken for unreachable, although it has
+  // accepted the connection before the timeout is acted on.
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io);
+  acceptor.open(asio::ip::tcp::v4());
+  acceptor.bind(Loopback());
+  acceptor.listen(0);
+  const auto endpoint = acceptor.local_endpoint();
+  // Fills the queue of the server, so that the next connection stays pending.
+  asio::ip::tcp::socket filler(io);
+  filler.connect(endpoint);
+  LoopThread loop;
+  PoolOptions options;
+  options.connect_timeout = kTimeout;
+  options.unacknowledged_timeout = std::chrono::milliseconds{30000};
+  ConnectionPool pool(loop.io, options);
+  asio::steady_timer earlier(loop.io);
+  asio::ip::tcp::socket accepted(io);
+  const auto acquire = [&]() -> asio::awaitable<bool> {
+    // Expires with the timeout, and acts first.
+    earlier.expires_after(kTimeout / 2);
+    earlier.async_wait([&](const std::error_code& /*error*/) {
+      acceptor.accept();
+      acceptor.accept(accepted);
+    });
+    asio::post(loop.io, [] { std::this_thread::sleep_for(2 * kTimeout); });
+    const auto acquired = co_await Acquire(pool, endpoint);
+    co_return acquired.has_value();
+  };
+  CHECK(Await(loop.io, acquire()));
+  loop.Stop();
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::http
