Read no body of an interim response

A target that answered with "102 Processing" and a body without end had all of it kept until the deadline of the request, and the machine with it: the report of other operators of bytes without end holds here. ReadResponseHead parsed interim responses to their end and never emptied the body.

An interim response ends with its head (RFC 9110, section 15.2), so the parser takes no body of it whatever its headers say; what follows is parsed as the next response and fails as malformed.

--- a/src/eelgrassbridge/http/parser.cpp
+++ b/src/eelgrassbridge/http/parser.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr int kFirstFinalStatus = 200;
+
 MessageParser& Self(http_parser* raw) {
   return *static_cast<MessageParser*>(raw->data);
 }
@@ -56,6 +58,13 @@
   });
 }
 
+/// Whether this is a 1xx response, which ends with its head whatever its
+/// headers say (RFC 9110, section 15.2).
+bool IsInterim(const MessageParser& parser) {
+  return parser.kind == MessageKind::kResponse &&
+         parser.raw.status_code < kFirstFinalStatus;
+}
+
 int OnHeadersComplete(http_parser* raw) {
   MessageParser& self = Self(raw);
   for (Header& header : self.headers) {
@@ -67,7 +76,7 @@
   self.head_done = true;
   self.state = ParseState::kHead;
   http_parser_pause(raw, 1);
-  return self.no_body ? 1 : 0;
+  return self.no_body || IsInterim(self) ? 1 : 0;
 }
 
 int OnBody(http_parser* raw, const char* data, std::size_t size) {
