Bound the number of headers of a message

A head of 16 KB made of empty headers took 400 KB of memory, because each of its 4 bytes became a header of 64 bytes in a vector that doubles; 100 connections of such answers took 40 MB, and with the 80 KB that hold before the first routes five times as much.

A head has at most 512 headers. More fail an answer as a head that is too long does, and get a caller 431.

--- a/include/eelgrassbridge/http/parser.hpp
+++ b/include/eelgrassbridge/http/parser.hpp
@@ -23,7 +23,8 @@
   /// The message is complete.
   kComplete,
   kInvalid,
-  /// The head is longer than the limit of SetMaxHeadBytes.
+  /// The head is longer than the limit of SetMaxHeadBytes, or has too many
+  /// headers.
   kHeadTooLarge,
 };
 
--- a/src/eelgrassbridge/http/parser.cpp
+++ b/src/eelgrassbridge/http/parser.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+/// An empty header takes 4 bytes of a head and many times as much in memory.
+constexpr std::size_t kMaxHeaderFields = 512;
 
 MessageParser& Self(http_parser* raw) {
   return *static_cast<MessageParser*>(raw->data);
@@ -25,6 +27,9 @@
     return 0;  // Trailers are ignored.
   }
   if (self.headers.empty() || self.last_was_value) {
+    if (self.headers.size() >= kMaxHeaderFields) {
+      return -1;
+    }
     self.headers.emplace_back();
     self.last_was_value = false;
   }
@@ -108,8 +113,9 @@
 }
 
 void SetFailure(MessageParser& parser, http_errno code) {
-  parser.state = code == HPE_HEADER_OVERFLOW ? ParseState::kHeadTooLarge
-                                             : ParseState::kInvalid;
+  const bool too_large =
+      code == HPE_HEADER_OVERFLOW || code == HPE_CB_header_field;
+  parser.state = too_large ? ParseState::kHeadTooLarge : ParseState::kInvalid;
 }
 
 /// Length of the body as the parser reads it; none for a chunked body and
--- a/src/eelgrassbridge/http/server_test.cpp
+++ b/src/eelgrassbridge/http/server_test.cpp
@@ -95,6 +95,19 @@
   CHECK(server.server.counts.invalid == 1);
 }
 
+TEST_CASE("a head with too many headers gets 431") {
+  // Guards against short headers that take many times their size in memory.
+  constexpr int kHeaders = 2000;
+  TestServer server(AnswerPath);
+  RawClient client(server.port);
+  std::string head = "GET /many HTTP/1.1\r\nHost: h\r\n";
+  for (int i = 0; i < kHeaders; ++i) {
+    head += "a:\r\n";
+  }
+  client.Send(head + "\r\n");
+  CHECK(client.ReadAll().starts_with("HTTP/1.1 431"));
+}
+
 TEST_CASE("an aborted response is not terminated by a last chunk") {
   // Guards against a truncated response that looks complete.
   TestServer server([](Exchange& exchange) -> asio::awaitable<void> {
