Break off at the deadline an answer that its caller does not read

A caller that stayed and read nothing of a long answer kept its slot of the target, its buffers and its connection for as long as it stayed: at the deadline only the connection to the target was closed, while the write to the caller waited on. Nine such callers would take all slots of a target.

At the deadline the caller's connection is closed too if its answer is still being relayed; the answer is left without its end.

--- a/src/eelgrassbridge/node/request_watch.cpp
+++ b/src/eelgrassbridge/node/request_watch.cpp
@@ -6,6 +6,22 @@
 using asio::awaitable;
 using base::ErrorKind;
 
+namespace {
+
+/// Cancels the request. An answer that is being relayed is broken off, because
+/// a caller that does not read it would hold the slot of the target as long as
+/// it stays.
+void EndAtDeadline(RequestWatch& watch) {
+  const bool answer_incomplete =
+      watch.cancellation->abort != nullptr && watch.exchange.response_started;
+  Cancel(*watch.cancellation, ErrorKind::kTargetTimeout);
+  if (answer_incomplete) {
+    http::Abort(watch.exchange);
+  }
+}
+
+}  // namespace
+
 RequestWatch::RequestWatch(Node& owner,
                            http::Exchange& watched,
                            base::TimePoint deadline)
@@ -18,9 +34,7 @@
     Cancel(*pointer, ErrorKind::kCancelled);
   };
   http::Arm(this->alarm, deadline - base::BootClock::now(),
-            [pointer = this->cancellation] {
-              Cancel(*pointer, ErrorKind::kTargetTimeout);
-            });
+            [this] { EndAtDeadline(*this); });
 }
 
 RequestWatch::~RequestWatch() {
--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -23,6 +23,8 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kInternalError = 500;
 constexpr std::size_t kEndlessPartBytes = 1000;
+constexpr std::string_view kEndlessLength =
+    "Content-Length: 1000000000000\r\n\r\n";
 
 http::Headers AnswerHeaders(const TargetStandin& target,
                             const http::Exchange& exchange) {
@@ -136,6 +138,25 @@
       co_await WriteEndlessly(target, exchange, {},
                               "HTTP/1.1 102 Processing\r\n\r\n");
       break;
+    case TargetFault::kEndlessInterimBodies:
+      co_await WriteEndlessly(
+          target, exchange,
+          "HTTP/1.1 102 Processing\r\n" + std::string(kEndlessLength),
+          std::string(kEndlessPartBytes, 'x'));
+      break;
+    case TargetFault::kEndlessAnswers:
+      co_await WriteEndlessly(
+          target, exchange,
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + headers[0].value + "\r\n\r\n",
+          std::string(kEndlessPartBytes, 'x'));
+      break;
+    case TargetFault::kEndlessLongAnswers:
+      co_await WriteEndlessly(
+          target, exchange,
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + headers[0].value + "\r\n" +
+              std::string(kEndlessLength),
+          std::string(kEndlessPartBytes, 'x'));
+      break;
     case TargetFault::kNone:
     case TargetFault::kFull:
     case TargetFault::kRepeatsRefusal:
--- a/standins/platform/target_standin.hpp
+++ b/standins/platform/target_standin.hpp
@@ -45,6 +45,12 @@
   kEndlessBodies,
   /// Answers with interim responses that never end.
   kEndlessInterimResponses,
+  /// Answers with an interim response that has a body, which never ends.
+  kEndlessInterimBodies,
+  /// Answers with a body that never ends, without a length.
+  kEndlessAnswers,
+  /// Answers with a body whose length is far more than any caller reads.
+  kEndlessLongAnswers,
 };
 
 /// @brief A request that a target starts to run.
