Bound the bytes of all answers together

Each open request held up to 128 KB of its answer before it was relayed, and as much again as its string grew: 597 open requests (the connections of callers and daemons with 1024 descriptors) came to 75 MB and 149 MB, more than a VM of 160 MB has beside the rest.

Above 64 open requests each holds its share of 8 MB, but at least 16 KB; what is longer is relayed as it arrives. Those that came first keep what they hold.

--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -6,6 +6,8 @@
 #include <asio/detached.hpp>
 #include <utility>
 
+#include "eelgrassbridge/limits/answer_buffer.hpp"
+
 namespace eelgrassbridge::node {
 
 namespace {
@@ -14,9 +16,6 @@
 using base::ErrorKind;
 using base::Outcome;
 
-/// Answers up to this size are read completely before they are relayed, so that
-/// another attempt can still replace a truncated one.
-constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{128} * 1024;
 /// Bytes and number of answers to earlier requests that are discarded before
 /// the connection is given up.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
@@ -306,7 +305,8 @@
   result.head = std::move(answer.head);
   http::ResponseRead read = http::ResponseRead::kMore;
   while (read == http::ResponseRead::kMore &&
-         result.body.size() <= kMaxBufferedAnswerBytes) {
+         result.body.size() <=
+             limits::MaxHeldAnswerBytes(node.open_requests.size())) {
     read = co_await http::ReadResponseBody(connection);
     result.body += connection.parser.body;
     connection.parser.body.clear();
