End a request at once whose daemon resets the connection early

An upload of more than 4 KB whose connection to another daemon was reset before that daemon took the body got its answer at its deadline only, as a timeout (504), and an idempotent one no other attempt; meanwhile its body was not read. After the failed read of "100 Continue" the head of an answer was read, and Asio had already consumed the event of the reset, so that the second read waited for one that never came. The end of the connection in an answer did the same.

A read that fails closes the connection, so that the next one fails at once.

--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -111,9 +111,13 @@
         asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::eof) {
       ParseEnd(connection.parser);
-      co_return connection.parser.state == ParseState::kComplete;
+      if (connection.parser.state == ParseState::kComplete) {
+        co_return true;
+      }
     }
     if (error) {
+      // Another read would wait for an event that Asio has already consumed.
+      Close(connection);
       co_return false;
     }
     connection.input.assign(buffer.data(), size);
