--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -159,9 +159,13 @@
     const std::size_t size = co_await ReadSome(connection, buffer, error);
     if (error == asio::error::eof) {
       ParseEnd(connection.parser);
-      co_return connection.parser.state == ParseState::kComplete;
+      if (connection.parser.state == ParseState::kComplete) {
+        co_return true;
+      }
     }
     if (error) {
+      // Another read would wait for an event that Asio has already consumed.
+      Close(connection);
       co_return false;
     }
     connection.input.assign(buffer.data(), size);
--- a/src/eelgrassbridge/http/parser.cpp
+++ b/src/eelgrassbridge/http/parser.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+constexpr int kFirstFinalStatus = 200;
+/// An empty header takes 4 bytes of a head and many times as much in memory.
+constexpr std::size_t kMaxHeaderFields = 512;
+
 MessageParser& Self(http_parser* raw) {
   return *static_cast<MessageParser*>(raw->data);
 }
@@ -23,6 +27,9 @@
     return 0;  // Trailers are ignored.
   }
   if (self.headers.empty() || self.last_was_value) {
+    if (self.headers.size() >= kMaxHeaderFields) {
+      return -1;
+    }
     self.headers.emplace_back();
     self.last_was_value = false;
   }
@@ -56,6 +63,13 @@
   });
 }
 
+/// Whether this is a 1xx response, which ends with its head whatever its
+/// headers say (RFC 9110, section 15.2).
+bool IsInterim(const MessageParser& parser) {
+  return parser.kind == MessageKind::kResponse &&
+         parser.raw.status_code < kFirstFinalStatus;
+}
+
 int OnHeadersComplete(http_parser* raw) {
   MessageParser& self = Self(raw);
   for (Header& header : self.headers) {
@@ -67,7 +81,7 @@
   self.head_done = true;
   self.state = ParseState::kHead;
   http_parser_pause(raw, 1);
-  return self.no_body ? 1 : 0;
+  return self.no_body || IsInterim(self) ? 1 : 0;
 }
 
 int OnBody(http_parser* raw, const char* data, std::size_t size) {
@@ -99,8 +113,9 @@
 }
 
 void SetFailure(MessageParser& parser, http_errno code) {
-  parser.state = code == HPE_HEADER_OVERFLOW ? ParseState::kHeadTooLarge
-                                             : ParseState::kInvalid;
+  const bool too_large =
+      code == HPE_HEADER_OVERFLOW || code == HPE_CB_header_field;
+  parser.state = too_large ? ParseState::kHeadTooLarge : ParseState::kInvalid;
 }
 
 /// Length of the body as the parser reads it; none for a chunked body and
