Report the arrival of each request at a stand-in target

Cause: tests can observe the runs of a target, but not the requests that it refuses, so they cannot tell whether a request was passed on.

Change: a callback with the id of each request that a running target gets, before it is run or refused. No user of the stand-in is affected.

--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -169,6 +169,9 @@
     http::Abort(exchange);
     co_return;
   }
+  if (target.on_arrival) {
+    target.on_arrival(http::HeaderValue(exchange.head.headers, "Request-Id"));
+  }
   if (IsMisdirected(target, exchange.head)) {
     co_await RefuseRun(target, exchange, kMisdirected);
     co_return;
--- a/standins/platform/target_standin.hpp
+++ b/standins/platform/target_standin.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "eelgrassbridge/base/time.hpp"
@@ -103,6 +104,8 @@
   /// Factor by which the target's clock runs slow: a hold lasts this much
   /// longer than it was granted for.
   double clock_slowdown = 1;
+  /// Called with the id of each request that arrives, run or refused.
+  std::function<void(std::string_view)> on_arrival;
   /// Called when a request starts to run, and after each change of the holds.
   std::function<void(const TargetStandin&, const TargetRun&)> on_run;
   std::function<void(const TargetStandin&)> on_holds_changed;
