Split the soak's requests from its callers

Cause: callers that keep their connections need the same requests, records and checks of answers, but not the connection pool of the other callers.

Change: kinds of requests, their records and the check of an answer move to requests.cpp.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -3,12 +3,11 @@
 
 #include <spdlog/fmt/fmt.h>
 
-#include <array>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
 #include "eelgrassbridge/http/endpoint.hpp"
-#include "eelgrassbridge/ranges/range_map.hpp"
+#include "requests.hpp"
 
 namespace eelgrassbridge::soak {
 
@@ -19,56 +18,12 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
-constexpr std::int64_t kDeadlineMs = 2000;
-/// Longer than the deadline, so that a late answer is still received.
-constexpr std::chrono::milliseconds kResponseTimeout{3000};
-constexpr std::size_t kUploadBytes = std::size_t{150} * 1024;
 /// Bounds that the platform's site files set.
 constexpr base::Duration kContactBound = base::seconds{4};
 constexpr base::Duration kConfigApplyBound = base::milliseconds{2500};
 constexpr base::Duration kRecoveryBound = base::seconds{15};
 constexpr std::chrono::milliseconds kProbePause{300};
 
-struct Kind {
-  std::string_view method;
-  std::string_view path;
-  std::string_view service;
-  bool idempotent;
-  bool has_key;
-  std::size_t body_bytes;
-};
-
-constexpr std::array kKinds = {
-    Kind{"GET", "/keys/x", "keys", true, true, 0},
-    Kind{"GET", "/keys/x", "keys", true, true, 0},
-    Kind{"GET", "/read/x", "desk", true, false, 0},
-    Kind{"POST", "/write/x", "desk", false, false, 800},
-    Kind{"POST", "/upload/x", "desk", false, false, kUploadBytes}};
-
-struct Answer {
-  int status = 0;
-  http::Headers headers;
-  std::string body;
-};
-
-http::BufferedRequest MakeRequest(const Kind& kind,
-                                  const std::string& id,
-                                  std::uint32_t key) {
-  http::BufferedRequest request;
-  request.method = kind.method;
-  request.target = kind.path;
-  request.headers = {{"Host", "h"},
-                     {"Request-Id", id},
-                     {"Caller-Service", "made up"},
-                     {"Deadline-Ms", std::to_string(kDeadlineMs)}};
-  if (kind.has_key) {
-    request.headers.push_back({"Shard-Key", std::to_string(key)});
-  }
-  request.body = std::string(kind.body_bytes, 'x');
-  request.timeout = kResponseTimeout;
-  return request;
-}
-
 awaitable<Answer> Ask(http::ConnectionPool& pool,
                       const Vm& vm,
                       http::BufferedRequest request) {
@@ -82,22 +37,6 @@
                    std::move(response.value().body)};
 }
 
-/// Checks that a success is the complete response to this request.
-void CheckAnswer(Checker& checker,
-                 const std::string& id,
-                 const Answer& answer) {
-  if (answer.status != kOk) {
-    return;
-  }
-  const std::string signature(
-      http::HeaderValue(answer.headers, "Server-Signature"));
-  const std::string target = signature.substr(0, signature.find('/'));
-  if (signature != target + "/" + id || answer.body != "done by " + target) {
-    AddViolation(checker, "mixed",
-                 id + " got the response to another request, or a part of one");
-  }
-}
-
 void CountAnswer(Checker& checker, int status) {
   constexpr int kServiceUnavailable = 503;
   checker.answered += status == kOk ? 1 : 0;
@@ -109,30 +48,9 @@
                               http::ConnectionPool& pool,
                               const Vm& vm,
                               const Kind& kind) {
-  Checker& checker = callers.checker;
-  const std::string id = fmt::format("r{}", callers.next_id++);
-  const auto key =
-      static_cast<std::uint32_t>(callers.random() % (ranges::kLastKey + 1));
-  SentRequest sent;
-  sent.method = kind.method;
-  sent.path = kind.path;
-  sent.service = kind.service;
-  sent.caller_service = vm.target.service;
-  sent.idempotent = kind.idempotent;
-  sent.sent_at = base::BootClock::now();
-  sent.undisturbed = IsUndisturbedFor(checker, kContactBound);
-  checker.requests[id] = sent;
-  const std::uint64_t generation = vm.generation;
-  Answer answer = co_await Ask(pool, vm, MakeRequest(kind, id, key));
-  SentRequest& updated = checker.requests[id];
-  updated.ended_at = base::BootClock::now();
-  updated.status = answer.status;
-  // Nothing is guaranteed if the daemon was not running, or was restarted,
-  // during the request.
-  updated.undisturbed = sent.undisturbed &&
-                        IsUndisturbedFor(checker, kContactBound) &&
-                        generation == vm.generation && generation > 0;
-  CheckAnswer(checker, id, answer);
+  OpenRequest request = BeginRequest(callers, vm, kind);
+  Answer answer = co_await Ask(pool, vm, std::move(request.message));
+  EndRequest(callers.checker, vm, request, answer);
   co_return answer;
 }
 
