Change the limits of callers' connections in the soak

Cause: the soak's configuration had the same limits throughout (3 s for a head, 15 s idle), so a timeout of a connection was hardly ever due in a run.

Change: limits of a few hundred milliseconds that change in series of one to four configurations, in half of the cases together with a SIGTERM or SIGHUP, and beside the other faults. They are drawn from a sequence of their own, so the seeds keep their faults. The version of the probe route no longer is the version of the configuration. What happens to a process (killed, stopped, frozen, cut) is kept for the check that follows.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -3,6 +3,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -17,8 +18,6 @@
 using standins::TargetFault;
 using std::chrono::milliseconds;
 
-/// The platform kills a process this long after SIGTERM.
-constexpr milliseconds kTerminationGrace{6000};
 constexpr milliseconds kPollInterval{20};
 /// A target keeps serving for this long after its daemon has acknowledged that
 /// it leaves.
@@ -39,12 +38,6 @@
   return *vms[Draw(faults, vms.size())];
 }
 
-void RecordEvent(Faults& faults, std::string text) {
-  const std::chrono::duration<double> at =
-      base::BootClock::now() - faults.started_at;
-  faults.history.push_back(fmt::format("{:.2f} {}", at.count(), text));
-}
-
 /// Scope of an unplanned disturbance.
 struct Disturbance {
   explicit Disturbance(Faults& owner) : faults(owner) {
@@ -63,6 +56,10 @@
   Faults& faults;
 };
 
+void ExtendTo(base::TimePoint& end, base::TimePoint time) {
+  end = std::max(end, time);
+}
+
 awaitable<void> Pause(Faults& faults, milliseconds time) {
   co_await http::Sleep(faults.checker.fleet.io, time);
 }
@@ -76,6 +73,7 @@
   const Disturbance disturbance(faults);
   RecordEvent(faults, fmt::format("kill {} for {} ms", vm.name, down.count()));
   vm.stopping = true;
+  vm.events.killed_at = base::BootClock::now();
   bench::Signal(vm.process, SIGCONT);
   bench::Stop(vm.process, SIGKILL);
   co_await Pause(faults, down);
@@ -90,21 +88,24 @@
   RecordEvent(faults,
               fmt::format("freeze {} for {} ms", vm.name, time.count()));
   bench::Signal(vm.process, SIGSTOP);
+  ExtendTo(vm.events.frozen_until, base::BootClock::now() + time);
   co_await Pause(faults, time);
   if (generation == vm.generation) {
     bench::Signal(vm.process, SIGCONT);
+    ExtendTo(vm.events.frozen_until, base::BootClock::now());
   }
 }
 
 /// Planned stop. The daemon is killed if it has not exited within the grace
 /// period.
-awaitable<void> StopGracefully(Faults& faults) {
-  Vm& vm = DrawVm(faults);
+awaitable<void> StopVm(Faults& faults, Vm& vm) {
   if (vm.stopping) {
     co_return;
   }
   RecordEvent(faults, "stop " + vm.name);
   vm.stopping = true;
+  vm.events.stopped_at = base::BootClock::now();
+  vm.events.stopped_generation = vm.generation;
   bench::Signal(vm.process, SIGTERM);
   const auto latest = base::BootClock::now() + kTerminationGrace;
   while (bench::IsRunning(vm.process) && base::BootClock::now() < latest) {
@@ -114,12 +115,12 @@
   StartDaemon(faults.checker.fleet, vm);
 }
 
+awaitable<void> StopGracefully(Faults& faults) {
+  co_await StopVm(faults, DrawVm(faults));
+}
+
 awaitable<void> Reload(Faults& faults) {
-  const Vm& vm = DrawVm(faults);
-  RecordEvent(faults, "reload " + vm.name);
-  if (!vm.stopping) {
-    bench::Signal(vm.process, SIGHUP);
-  }
+  ReloadSettings(faults, DrawVm(faults));
   co_return;
 }
 
@@ -136,10 +137,15 @@
   RecordEvent(faults, fmt::format("link of {} to {}: fault {} for {} ms",
                                   vm.name, name, kind, time.count()));
   if (kind == 0) {
+    ExtendTo(vm.events.cut_until, base::BootClock::now());
     ResetAll(*link);
     co_return;
   }
-  SetFault(*link, static_cast<LinkFault>(kind), DrawDuration(faults, 20, 400));
+  const auto fault = static_cast<LinkFault>(kind);
+  SetFault(*link, fault, DrawDuration(faults, 20, 400));
+  if (fault != LinkFault::kDelay) {
+    ExtendTo(vm.events.cut_until, base::BootClock::now() + time);
+  }
   co_await Pause(faults, time);
   SetFault(*link, LinkFault::kNone);
 }
@@ -243,14 +249,14 @@
                                               ReplaceTarget,
                                               ChangeRoutes};
 
-awaitable<void> RunFault(Faults& faults, FaultKind kind) {
+awaitable<void> RunFault(Faults& faults, awaitable<void> fault) {
   ++faults.active;
-  co_await kind(faults);
+  co_await std::move(fault);
   --faults.active;
 }
 
 void Launch(Faults& faults, FaultKind kind) {
-  asio::co_spawn(faults.checker.fleet.io, RunFault(faults, kind),
+  asio::co_spawn(faults.checker.fleet.io, RunFault(faults, kind(faults)),
                  asio::detached);
 }
 
@@ -271,6 +277,24 @@
 
 }  // namespace
 
+void RecordEvent(Faults& faults, std::string text) {
+  const std::chrono::duration<double> at =
+      base::BootClock::now() - faults.started_at;
+  faults.history.push_back(fmt::format("{:.2f} {}", at.count(), text));
+}
+
+void LaunchStop(Faults& faults, Vm& vm) {
+  asio::co_spawn(faults.checker.fleet.io, RunFault(faults, StopVm(faults, vm)),
+                 asio::detached);
+}
+
+void ReloadSettings(Faults& faults, const Vm& vm) {
+  RecordEvent(faults, "reload " + vm.name);
+  if (!vm.stopping) {
+    bench::Signal(vm.process, SIGHUP);
+  }
+}
+
 awaitable<void> RunFaults(Faults& faults, std::chrono::seconds time) {
   const base::TimePoint end = base::BootClock::now() + time;
   while (base::BootClock::now() < end) {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -28,6 +28,15 @@
   base::TimePoint started_at = base::BootClock::now();
 };
 
+/// @brief Adds an event to the history.
+void RecordEvent(Faults& faults, std::string text);
+
+/// @brief Starts a planned stop of the VM's daemon, and its next start.
+void LaunchStop(Faults& faults, Vm& vm);
+
+/// @brief Sends SIGHUP to the VM's daemon.
+void ReloadSettings(Faults& faults, const Vm& vm);
+
 /// @brief Injects faults for the given time and waits until all have ended.
 asio::awaitable<void> RunFaults(Faults& faults, std::chrono::seconds time);
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 #include "eelgrassbridge/http/client.hpp"
 #include "eelgrassbridge/http/endpoint.hpp"
@@ -81,6 +82,34 @@
   fleet.vms.push_back(std::move(vm));
 }
 
+double Seconds(std::chrono::milliseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+void WriteConfig(Fleet& fleet) {
+  ++fleet.config_version;
+  const std::string routes = fmt::format(
+      R"(["r1","h","/keys/","idempotent",2,0.5,1,"keys",2,[],null],)"
+      R"(["r2","h","/read/","idempotent",2,0.5,1,"desk",2,[],null],)"
+      R"(["r3","h","/write/","non_idempotent",2,0.5,0,"desk",2,[],null],)"
+      R"(["r4","h","/upload/","upload",4,1,1,"desk",2,[],null],)"
+      R"(["p{0}","h","/version-{0}/","idempotent",2,0.5,1,"desk",2,[],null])",
+      fleet.routes_version);
+  standins::PutOperatorRow(
+      fleet.store, "config",
+      fmt::format(
+          R"({{"version":{},"routes":{{"columns":["name","host","prefix",)"
+          R"("type","timeout_s","target_latency_s","priority","service",)"
+          R"("max_attempts","regions_allowed","split"],"rows":[{}]}},)"
+          R"("services":{{"columns":["name","health_path","max_connections",)"
+          R"("cold_per_s","sharded"],"rows":[["keys","/h",100,17,true],)"
+          R"(["desk","/h",100,17,null]]}},"limits":{{)"
+          R"("max_header_bytes":16384,"max_body_bytes":4194304,)"
+          R"("header_timeout_s":{},"idle_timeout_s":{}}}}})",
+          fleet.config_version, routes, Seconds(fleet.limits.head_timeout),
+          Seconds(fleet.limits.idle_timeout)));
+}
+
 }  // namespace
 
 Fleet::Fleet(asio::io_context& event_loop, FleetOptions fleet_options)
@@ -113,31 +142,19 @@
       {fleet.options.program, "node", "--settings", vm.settings_file},
       vm.log_file);
   ++vm.generation;
+  vm.events.frozen_until = {};
   vm.stopping = false;
 }
 
 void WriteRoutes(Fleet& fleet) {
   ++fleet.routes_version;
   fleet.routes_written_at = base::BootClock::now();
-  const std::string routes = fmt::format(
-      R"(["r1","h","/keys/","idempotent",2,0.5,1,"keys",2,[],null],)"
-      R"(["r2","h","/read/","idempotent",2,0.5,1,"desk",2,[],null],)"
-      R"(["r3","h","/write/","non_idempotent",2,0.5,0,"desk",2,[],null],)"
-      R"(["r4","h","/upload/","upload",4,1,1,"desk",2,[],null],)"
-      R"(["p{0}","h","/version-{0}/","idempotent",2,0.5,1,"desk",2,[],null])",
-      fleet.routes_version);
-  standins::PutOperatorRow(
-      fleet.store, "config",
-      fmt::format(
-          R"({{"version":{},"routes":{{"columns":["name","host","prefix",)"
-          R"("type","timeout_s","target_latency_s","priority","service",)"
-          R"("max_attempts","regions_allowed","split"],"rows":[{}]}},)"
-          R"("services":{{"columns":["name","health_path","max_connections",)"
-          R"("cold_per_s","sharded"],"rows":[["keys","/h",100,17,true],)"
-          R"(["desk","/h",100,17,null]]}},"limits":{{)"
-          R"("max_header_bytes":16384,"max_body_bytes":4194304,)"
-          R"("header_timeout_s":3,"idle_timeout_s":15}}}})",
-          fleet.routes_version, routes));
+  WriteConfig(fleet);
+}
+
+void WriteLimits(Fleet& fleet, const ConnectionLimits& limits) {
+  fleet.previous_limits = std::exchange(fleet.limits, limits);
+  WriteConfig(fleet);
 }
 
 void TakeOutOfService(Fleet& fleet, const std::string& data_centre) {
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -15,6 +15,20 @@
 
 namespace eelgrassbridge::soak {
 
+/// The platform kills a process this long after SIGTERM.
+constexpr base::Duration kTerminationGrace = base::seconds{6};
+
+/// @brief What last happened to the processes of a daemon and to their links.
+/// An end is far in the future while the event lasts.
+struct ProcessEvents {
+  base::TimePoint killed_at{};
+  /// SIGTERM, and the generation that got it.
+  base::TimePoint stopped_at{};
+  std::uint64_t stopped_generation = 0;
+  base::TimePoint frozen_until{};
+  base::TimePoint cut_until{};
+};
+
 /// @brief A VM with a daemon, its target and its links.
 struct Vm {
   Vm(asio::io_context& io, const std::string& target_id)
@@ -37,6 +51,13 @@
   std::uint64_t generation = 0;
   /// The daemon is being stopped, or has not been restarted yet.
   bool stopping = false;
+  ProcessEvents events;
+};
+
+/// @brief Limits of callers' connections that a configuration sets.
+struct ConnectionLimits {
+  std::chrono::milliseconds head_timeout{200};
+  std::chrono::milliseconds idle_timeout{300};
 };
 
 struct FleetOptions {
@@ -64,6 +85,10 @@
   /// Latest version of the routes, and when it was written.
   std::uint64_t routes_version = 0;
   base::TimePoint routes_written_at{};
+  /// Version of the configuration, which also counts changes of the limits.
+  std::uint64_t config_version = 0;
+  ConnectionLimits limits;
+  ConnectionLimits previous_limits;
   /// Data centre that is out of service, and since when; empty: none.
   std::string evacuated_data_centre;
   base::TimePoint evacuated_at{};
@@ -76,6 +101,9 @@
 /// probe route that exists in this version only.
 void WriteRoutes(Fleet& fleet);
 
+/// @brief Writes a configuration with the latest routes and other limits.
+void WriteLimits(Fleet& fleet, const ConnectionLimits& limits);
+
 void TakeOutOfService(Fleet& fleet, const std::string& data_centre);
 void ReturnToService(Fleet& fleet);
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,7 @@
 #include "checker.hpp"
 #include "faults.hpp"
 #include "fleet.hpp"
+#include "limit_changes.hpp"
 
 namespace eelgrassbridge::soak {
 namespace {
@@ -28,12 +29,14 @@
       : fleet(io, std::move(options)),
         checker(fleet),
         callers(checker, seed, {}),
-        faults(checker, seed) {}
+        faults(checker, seed),
+        limit_changes(faults, seed) {}
 
   Fleet fleet;
   Checker checker;
   Callers callers;
   Faults faults;
+  LimitChanges limit_changes;
 };
 
 asio::awaitable<void> RunSoak(Run& run, std::chrono::seconds time) {
@@ -43,6 +46,7 @@
   AttachChecker(run.checker);
   co_await http::Sleep(io, kStartupTime);
   Start(run.callers);
+  asio::co_spawn(io, RunLimitChanges(run.limit_changes, time), asio::detached);
   co_await RunFaults(run.faults, time);
   co_await AwaitRecovery(run.callers);
   run.callers.running = false;
@@ -56,6 +60,7 @@
           {"answered", run.checker.answered},
           {"refused", run.checker.refused},
           {"failed", run.checker.failed},
+          {"limit_changes", run.limit_changes.count},
           {"violations", run.checker.violations},
           {"faults", run.faults.history}};
 }
