Find requests in the soak that are passed on and left without an answer

Its callers paused for 40 ms, far from any timeout, and a lost answer counted only while the whole site had been undisturbed for 4 s.

Change: 12 callers for each VM keep a connection until the daemon closes it. Three quarters of their pauses end around the idle timeout, and a quarter of their heads comes in two pieces, the second around the head timeout. A request that reached a target while its connection ended without an answer is counted by what happened to the process of its daemon meanwhile: killed, at the end of its grace period, frozen, cut, or nothing, which is the violation "lost". One that no target got counts as crossed. The earlier check is unchanged.

--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -15,6 +15,8 @@
 
 struct CallerOptions {
   int callers_per_vm = 4;
+  /// Callers that keep their connection until the daemon closes it.
+  int kept_callers_per_vm = 12;
   /// Between an answer and the caller's next request.
   std::chrono::milliseconds pause{40};
 };
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -24,6 +24,8 @@
 constexpr base::Duration kCloseRaceWindow = base::milliseconds{200};
 /// Two targets may hold the same keys for at most this long.
 constexpr base::Duration kMaxOverlap = base::milliseconds{500};
+/// A planned stop may end this long before the end of the grace period.
+constexpr base::Duration kGraceMargin = base::milliseconds{600};
 constexpr int kServiceUnavailable = 503;
 constexpr int kTooManyRequests = 429;
 constexpr int kMisdirected = 421;
@@ -120,11 +122,69 @@
          status == kMisdirected || status == kRequestTimeout;
 }
 
+/// What happened to the process while it had the request.
+std::string ProcessStateOf(const Vm& vm,
+                           std::uint64_t generation,
+                           const SentRequest& sent) {
+  const ProcessEvents& events = vm.events;
+  if (events.killed_at >= sent.sent_at) {
+    return "killed";
+  }
+  if (events.stopped_generation == generation &&
+      sent.ended_at >= events.stopped_at + kTerminationGrace - kGraceMargin) {
+    return "grace_end";
+  }
+  if (events.frozen_until >= sent.sent_at) {
+    return "frozen";
+  }
+  if (events.cut_until >= sent.sent_at) {
+    return "cut";
+  }
+  return std::string(kAlive);
+}
+
+void CheckKept(Checker& checker,
+               const std::string& id,
+               const SentRequest& sent) {
+  if (sent.process_state.empty()) {
+    return;
+  }
+  if (!checker.arrivals.contains(id)) {
+    ++checker.kept.crossed;
+    return;
+  }
+  ++checker.kept.unanswered[sent.process_state];
+  if (sent.process_state == kAlive) {
+    AddViolation(checker, "lost",
+                 id + " was passed on and its connection closed by a living " +
+                     "process without an answer");
+  }
+}
+
 }  // namespace
 
+void EndKept(Checker& checker,
+             const Vm& vm,
+             std::uint64_t generation,
+             const std::string& id,
+             KeptEnd end) {
+  KeptCounts& counts = checker.kept;
+  ++counts.requests;
+  counts.answered += end == KeptEnd::kAnswered ? 1 : 0;
+  counts.answers_cut += end == KeptEnd::kAnswerCut ? 1 : 0;
+  counts.gave_up += end == KeptEnd::kGaveUp ? 1 : 0;
+  if (end == KeptEnd::kClosed) {
+    SentRequest& sent = checker.requests[id];
+    sent.process_state = ProcessStateOf(vm, generation, sent);
+  }
+}
+
 void AttachChecker(Checker& checker) {
   checker.tokens.resize(ranges::kLastKey + 1);
   for (const auto& vm : checker.fleet.vms) {
+    vm->target.on_arrival = [&checker](std::string_view id) {
+      checker.arrivals.emplace(id);
+    };
     vm->target.on_run = [&checker](const TargetStandin& target,
                                    const TargetRun& run) {
       CheckRun(checker, target, run);
@@ -170,6 +230,7 @@
     if (GuaranteesNotRun(sent.status) && !sent.idempotent && runs > 0) {
       AddViolation(checker, "refused", id + " was refused but ran");
     }
+    CheckKept(checker, id, sent);
     // A request that races with the close of its connection is not read.
     const bool was_read =
         runs > 0 || sent.ended_at - sent.sent_at > kCloseRaceWindow;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -15,6 +15,33 @@
 
 namespace eelgrassbridge::soak {
 
+/// @brief How a request on a kept connection ended for its caller.
+enum class KeptEnd : std::uint8_t {
+  kAnswered,
+  /// The connection ended within the answer.
+  kAnswerCut,
+  /// The connection ended before the answer.
+  kClosed,
+  /// The caller closed the connection.
+  kGaveUp,
+};
+
+/// @brief Totals of the kept connections.
+struct KeptCounts {
+  std::uint64_t connections = 0;
+  std::uint64_t requests = 0;
+  /// Requests whose head was sent in two pieces.
+  std::uint64_t split_heads = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t answers_cut = 0;
+  std::uint64_t gave_up = 0;
+  /// Requests that crossed the end of their connection: no target got them.
+  std::uint64_t crossed = 0;
+  /// Requests that a target got and whose connection then ended without an
+  /// answer, by what happened to the process of their daemon.
+  std::map<std::string, std::uint64_t> unanswered;
+};
+
 /// @brief A request and its outcome, as its caller knows them.
 struct SentRequest {
   std::string method;
@@ -29,6 +56,9 @@
   int status = 0;
   /// No unplanned disturbance before or during the request.
   bool undisturbed = false;
+  /// For a request whose kept connection ended before the answer: what happened
+  /// to the process of its daemon meanwhile, kAlive for nothing.
+  std::string process_state;
 };
 
 /// @brief Unplanned disturbances of the site. Some checks apply only without
@@ -48,6 +78,9 @@
   DisturbanceState disturbance;
   /// By request id.
   std::map<std::string, SentRequest, std::less<>> requests;
+  /// Ids of the requests that a running target got, run or refused.
+  std::set<std::string, std::less<>> arrivals;
+  KeptCounts kept;
   /// Number of runs, by request id.
   std::map<std::string, int, std::less<>> runs;
   struct Token {
@@ -65,6 +98,17 @@
   std::uint64_t failed = 0;
 };
 
+/// State of a process that is required to answer what it passes on.
+constexpr std::string_view kAlive = "alive";
+
+/// @brief Records the end of a request on a kept connection to the given
+/// process of a VM.
+void EndKept(Checker& checker,
+             const Vm& vm,
+             std::uint64_t generation,
+             const std::string& id,
+             KeptEnd end);
+
 /// @brief Registers the checker's callbacks with all targets of the fleet.
 void AttachChecker(Checker& checker);
 
@@ -77,8 +121,8 @@
 /// @brief Checks that no two targets hold the same key for too long.
 void CheckHolds(Checker& checker);
 
-/// @brief Checks for refused requests that ran and for lost responses, once all
-/// requests have ended.
+/// @brief Checks for refused requests that ran, for lost responses and for
+/// requests that were passed on but not answered, once all requests have ended.
 void CheckRequests(Checker& checker);
 
 }  // namespace eelgrassbridge::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,7 @@
 #include "checker.hpp"
 #include "faults.hpp"
 #include "fleet.hpp"
+#include "kept_callers.hpp"
 #include "limit_changes.hpp"
 
 namespace eelgrassbridge::soak {
@@ -46,6 +47,7 @@
   AttachChecker(run.checker);
   co_await http::Sleep(io, kStartupTime);
   Start(run.callers);
+  StartKept(run.callers);
   asio::co_spawn(io, RunLimitChanges(run.limit_changes, time), asio::detached);
   co_await RunFaults(run.faults, time);
   co_await AwaitRecovery(run.callers);
@@ -55,12 +57,25 @@
   io.stop();
 }
 
+nlohmann::json KeptReport(const Run& run) {
+  const KeptCounts& kept = run.checker.kept;
+  return {{"connections", kept.connections},
+          {"requests", kept.requests},
+          {"split_heads", kept.split_heads},
+          {"answered", kept.answered},
+          {"answers_cut", kept.answers_cut},
+          {"gave_up", kept.gave_up},
+          {"crossed", kept.crossed},
+          {"passed_on_unanswered", kept.unanswered},
+          {"limit_changes", run.limit_changes.count}};
+}
+
 nlohmann::json ReportOf(const Run& run, std::uint64_t seed) {
   return {{"seed", seed},
           {"answered", run.checker.answered},
           {"refused", run.checker.refused},
           {"failed", run.checker.failed},
-          {"limit_changes", run.limit_changes.count},
+          {"kept", KeptReport(run)},
           {"violations", run.checker.violations},
           {"faults", run.faults.history}};
 }
