Close pooled connections that were idle for too long

A connection that was idle for longer than its limit was closed only when the next request to its address came upon it. The pool takes the last ones first, so those below stayed, with their descriptors and buffers, and so did all of a server that was called no more: up to 32 for each address, while a daemon has 1024 descriptors.

Each return of a connection closes the expired ones of its address and of the next address of the pool, and drops an address without connections.

--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -82,6 +82,36 @@
   return nullptr;
 }
 
+/// Closes the connections of an address that were idle for too long; the oldest
+/// come first.
+void CloseExpired(std::vector<ClientConnectionPtr>& connections) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto usable = std::ranges::find_if(
+      connections, [now](const ClientConnectionPtr& connection) {
+        return now - connection->idle_since < connection->idle_limit;
+      });
+  std::for_each(
+      connections.begin(), usable,
+      [](const ClientConnectionPtr& connection) { Close(*connection); });
+  connections.erase(connections.begin(), usable);
+}
+
+/// Does so for the address after the given one, whose server may be called no
+/// more.
+void CloseExpiredAfter(ConnectionPool& pool, const tcp::endpoint& endpoint) {
+  auto next = pool.idle.upper_bound(endpoint);
+  if (next == pool.idle.end()) {
+    next = pool.idle.begin();
+  }
+  if (next == pool.idle.end()) {
+    return;
+  }
+  CloseExpired(next->second);
+  if (next->second.empty()) {
+    pool.idle.erase(next);
+  }
+}
+
 /// Returns the idle timeout that a server announces in "Keep-Alive: timeout=S".
 std::optional<std::chrono::milliseconds> AnnouncedIdleTimeout(
     const ResponseHead& response) {
@@ -202,7 +232,9 @@
              CallConnection& call,
              const ResponseHead& response) {
   const ClientConnectionPtr connection = std::move(call.connection);
+  CloseExpiredAfter(pool, connection->endpoint);
   auto& connections = pool.idle[connection->endpoint];
+  CloseExpired(connections);
   const auto announced = AnnouncedIdleTimeout(response);
   connection->idle_limit = pool.options.idle_timeout;
   if (announced) {
--- a/src/eelgrassbridge/http/client_test.cpp
+++ b/src/eelgrassbridge/http/client_test.cpp
@@ -51,6 +51,37 @@
   }
 }
 
+TEST_CASE("connections that were idle for too long are closed") {
+  // Guards against descriptors and buffers kept for servers that are called no
+  // more.
+  constexpr std::uint16_t kUnusedServers = 5;
+  LoopThread loop;
+  ConnectionPool pool(loop.io, {});
+  ScriptedServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                        false);
+  std::vector<ClientConnectionPtr> unused;
+  for (std::uint16_t port = 1; port <= kUnusedServers; ++port) {
+    unused.push_back(
+        std::make_shared<ClientConnection>(loop.io, Loopback(port)));
+    unused.back()->socket.open(asio::ip::tcp::v4());
+    pool.idle[Loopback(port)].push_back(unused.back());
+  }
+  for (int i = 0; i <= kUnusedServers; ++i) {
+    REQUIRE(Await(loop.io, Call(pool, Loopback(server.port), Get())));
+  }
+  CHECK(IdleCount(pool) == 1);
+  CHECK(pool.idle.size() == 1);
+  CHECK(pool.opened == 1);
+  for (const ClientConnectionPtr& connection : unused) {
+    CHECK(!connection->socket.is_open());
+  }
+  loop.Stop();
+  // The coroutine frame of the last call may still own its connection.
+  for (const ClientConnectionPtr& connection : pool.idle.begin()->second) {
+    Close(*connection);
+  }
+}
+
 TEST_CASE("surplus bytes after a response close the connection") {
   // Guards against surplus bytes being read as the response to a later request.
   LoopThread loop;
