Give each test program ports that no other program has

Test ports were chosen by process id: 44 ranges in platform tests, 1,200 in daemon tests, over the same ports. Programs whose ids differ by a multiple of these, or one that draws more than 500 ports, got ports of another program that ran at once; the daemons of one could then answer those of the other.

A program now claims a block of 500 ports by listening on the first of them, so that the kernel decides between programs and frees the block at their end. A program that has drawn all ports of its block draws them again, after the same probe as before.

Not run under sanitizers.

--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -26,15 +26,16 @@
 target_link_libraries(eelgrassbridge_options INTERFACE
   Threads::Threads spdlog::spdlog ${XXHASH_LIBRARY})
 
-# Entry point of all test programs. Only this file sees the path of the
-# repository, so that ccache finds the other objects from any folder.
+# Entry point of all test programs, and their ports. Only test_main.cpp needs the
+# path of the repository, so that ccache finds the other objects from any folder.
 add_library(eelgrassbridge_test_main STATIC EXCLUDE_FROM_ALL
-            ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+            ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp
+            ${CMAKE_SOURCE_DIR}/cmake/test_ports.cpp)
 target_link_libraries(eelgrassbridge_test_main PUBLIC eelgrassbridge_options)
 target_include_directories(eelgrassbridge_test_main
                            PUBLIC ${CMAKE_SOURCE_DIR}/cmake)
-target_compile_definitions(eelgrassbridge_test_main PRIVATE
-  EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+set_source_files_properties(${CMAKE_SOURCE_DIR}/cmake/test_main.cpp PROPERTIES
+  COMPILE_DEFINITIONS EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
 
 # eelgrassbridge_part(NAME [DEPENDS part...] [LIBRARIES library...])
 # Builds the sources of the folder, apart from main.cpp, into the library
--- a/src/eelgrassbridge/daemon/http_test_support.hpp
+++ b/src/eelgrassbridge/daemon/http_test_support.hpp
@@ -3,22 +3,19 @@
 #define EELGRASSBRIDGE_DAEMON_HTTP_TEST_SUPPORT_HPP
 
 #include <httplib.h>
-#include <unistd.h>
 
 #include <cstdint>
 #include <thread>
 
+#include "test_ports.hpp"
+
 namespace eelgrassbridge::daemon {
 
-/// @brief Returns a port for a daemon of the test, below the ephemeral range.
-/// It depends on the process id, since test programs with fixed ports failed
-/// when two of them ran at the same time.
+/// @brief Returns a port for a daemon of the test, below the ephemeral range
+/// and in a range that no other process has, since test programs with fixed
+/// ports failed when two of them ran at the same time.
 inline std::uint16_t TestPort(std::uint16_t offset) {
-  constexpr int kFirst = 10'000;
-  constexpr int kPrograms = 1'200;
-  constexpr int kPortsEach = 10;
-  return static_cast<std::uint16_t>(kFirst + getpid() % kPrograms * kPortsEach +
-                                    offset);
+  return static_cast<std::uint16_t>(test::ProcessPorts().first + offset);
 }
 
 /// @brief Starts a server on any free port and returns the port once the server
