Run the platform tests of several files at the same time

With TEST_EACH_FILE, CTest runs the program of a part once for each of its test files; each run keeps the seed and the bound of 600 s. The program stays one. platform_test.no_case_lost fails unless each case is in exactly one of these runs.

On a scratch program the check fails for a case in a header, a file without a run, a file without cases and one counted twice.

--- a/cmake/Part.cmake
+++ b/cmake/Part.cmake
@@ -37,11 +37,23 @@
 set_source_files_properties(${CMAKE_SOURCE_DIR}/cmake/test_main.cpp PROPERTIES
   COMPILE_DEFINITIONS EELGRASSBRIDGE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
 
-# eelgrassbridge_part(NAME [DEPENDS part...] [LIBRARIES library...])
+# Adds a test that runs a test program, with the arguments after its name.
+function(eelgrassbridge_test test program)
+  add_test(NAME ${test} COMMAND ${program} ${ARGN})
+  # RapidCheck reads its seed from the environment; a fixed seed makes test
+  # results reproducible.
+  set_tests_properties(${test} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 600)
+endfunction()
+
+# eelgrassbridge_part(NAME [TEST_EACH_FILE] [DEPENDS part...]
+#                     [LIBRARIES library...])
 # Builds the sources of the folder, apart from main.cpp, into the library
 # eelgrassbridge_NAME, and the files *_test.cpp into the test program NAME_test.
+# With TEST_EACH_FILE, CTest runs the program once for each of these files, so
+# that tests which mostly wait do so at the same time.
 function(eelgrassbridge_part name)
-  cmake_parse_arguments(PART "" "" "DEPENDS;LIBRARIES" ${ARGN})
+  cmake_parse_arguments(PART "TEST_EACH_FILE" "" "DEPENDS;LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp *.cc)
   file(GLOB tests CONFIGURE_DEPENDS *_test.cpp)
   if(tests)
@@ -63,12 +75,21 @@
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE eelgrassbridge_${name}
                           eelgrassbridge_test_main ${RAPIDCHECK_LIBRARY})
-    add_test(NAME ${name}_test COMMAND ${name}_test)
     set_property(GLOBAL APPEND PROPERTY EELGRASSBRIDGE_TEST_PROGRAMS
                  ${name}_test)
-    # RapidCheck reads its seed from the environment; a fixed seed makes test
-    # results reproducible.
-    set_tests_properties(${name}_test PROPERTIES
-      ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 600)
+    if(PART_TEST_EACH_FILE)
+      set(patterns)
+      foreach(file ${tests})
+        get_filename_component(stem ${file} NAME_WE)
+        list(APPEND patterns */${stem}.cpp)
+        eelgrassbridge_test(${name}_test.${stem} ${name}_test
+                            --source-file=*/${stem}.cpp)
+      endforeach()
+      add_test(NAME ${name}_test.no_case_lost
+               COMMAND ${CMAKE_SOURCE_DIR}/cmake/count_cases
+                       $<TARGET_FILE:${name}_test> ${patterns})
+    else()
+      eelgrassbridge_test(${name}_test ${name}_test)
+    endif()
   endif()
 endfunction()
