--- a/src/eelgrassbridge/http/server_connection.cpp
+++ b/src/eelgrassbridge/http/server_connection.cpp
@@ -133,21 +133,23 @@
         connection.suspended_reads != suspended_before) {
       co_return InputWait::kStopped;
     }
-    if (!deadline.at) {
-      co_await Wait(connection.input_changed);
-    } else if (base::BootClock::now() < *deadline.at) {
-      co_await WaitUntil(connection.input_changed, *deadline.at);
-    } else if (!completed_reads_seen) {
+    const bool expired = deadline.at && base::BootClock::now() >= *deadline.at;
+    if (expired && !completed_reads_seen) {
       // The loop runs handlers in order, so a read that has already completed
       // is seen before this returns.
       completed_reads_seen = true;
       co_await asio::post(connection.socket.get_executor(),
                           asio::use_awaitable);
-    } else if (HasUnreadInput(connection)) {
-      co_await Wait(connection.input_changed);
-    } else {
+      continue;
+    }
+    if (expired && !HasUnreadInput(connection)) {
       co_return InputWait::kTimeout;
     }
+    if (deadline.at && !expired) {
+      co_await WaitUntil(connection.input_changed, *deadline.at);
+    } else {
+      co_await Wait(connection.input_changed);
+    }
   }
   co_return IsInTime(deadline) ? InputWait::kInput : InputWait::kTimeout;
 }
