Let a test's server answer after the request has arrived

Under the thread sanitizer "bytes that follow an answer on an idle connection are not read" failed in 3 of 4 runs: its server wrote the answer as soon as it had accepted, and a client uses no new connection on which something has arrived before its request. The server now waits for the request; all checks stay. http_test passes under the thread sanitizer and in the plain build.

--- a/src/eelgrassbridge/http/client_endless_test.cpp
+++ b/src/eelgrassbridge/http/client_endless_test.cpp
@@ -2,6 +2,7 @@
 // against a server whose bytes fill the memory of its callers.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <future>
 #include <vector>
 
@@ -243,6 +244,13 @@
   }
 }
 
+/// Waits for a request. A client uses no new connection on which an answer has
+/// arrived before its request.
+void AwaitRequest(asio::ip::tcp::socket& server) {
+  std::array<char, 256> request;
+  server.read_some(asio::buffer(request));
+}
+
 TEST_CASE("bytes that follow an answer on an idle connection are not read") {
   // Guards against a pool that takes in what a server sends between requests,
   // and against its use as the answer to the next one.
@@ -258,6 +266,7 @@
   auto first = std::async(std::launch::async, call);
   asio::ip::tcp::socket server(io);
   acceptor.accept(server);
+  AwaitRequest(server);
   asio::write(server, asio::buffer(answer));
   REQUIRE(first.get());
   // Sends until the buffers of the kernel are full, which hold less.
@@ -276,6 +285,7 @@
   auto second = std::async(std::launch::async, call);
   asio::ip::tcp::socket next(io);
   acceptor.accept(next);
+  AwaitRequest(next);
   asio::write(next, asio::buffer(answer));
   CHECK(second.get());
   CHECK(!kept->socket.is_open());
