Compile the HTTP client without a warning on x86-64

The timeouts of a call are now a struct with functions of its own, which shortens the coroutine. The warning stays on.

--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -95,6 +95,35 @@
       ParseState::kHeadTooLarge;
 }
 
+/// Ends a call that has no complete response in time.
+struct CallTimeouts {
+  CallTimeouts(asio::io_context& io, CallConnectionPtr timed_call)
+      : call(std::move(timed_call)), stalled(io), too_long(io) {}
+
+  CallConnectionPtr call;
+  /// Time until the next piece of the response.
+  Alarm stalled;
+  /// Time until the whole response.
+  Alarm too_long;
+  bool expired = false;
+};
+
+void ExpireCall(CallTimeouts& timeouts) {
+  timeouts.expired = true;
+  Expire(*timeouts.call);
+}
+
+void StartTimeouts(CallTimeouts& timeouts, const BufferedRequest& request) {
+  Arm(timeouts.stalled, request.timeout, [&timeouts] { ExpireCall(timeouts); });
+  Arm(timeouts.too_long, std::max(request.timeout, request.total_timeout),
+      [&timeouts] { ExpireCall(timeouts); });
+}
+
+void EndTimeouts(CallTimeouts& timeouts) {
+  Disarm(timeouts.stalled);
+  Disarm(timeouts.too_long);
+}
+
 awaitable<base::Result<Response>> SendAndReceive(
     ClientConnection& connection,
     const BufferedRequest& request,
@@ -234,30 +263,23 @@
     co_return base::Fail(ErrorKind::kCancelled,
                          "cancelled while the connection was opened");
   }
-  bool timed_out = false;
-  const auto time_out = [call, &timed_out] {
-    timed_out = true;
-    Expire(*call);
-  };
-  Alarm stalled(pool.io);
-  Alarm too_long(pool.io);
-  const auto restart = [&stalled, &request, &time_out] {
-    Arm(stalled, request.piece_timeout, time_out);
-  };
-  Arm(stalled, request.timeout, time_out);
-  Arm(too_long, std::max(request.timeout, request.total_timeout), time_out);
+  CallTimeouts timeouts(pool.io, call);
+  StartTimeouts(timeouts, request);
   if (request.progress) {
     request.progress->close = [call] { Close(*call); };
   }
+  const std::function<void()> restart = [&timeouts, &request] {
+    Arm(timeouts.stalled, request.piece_timeout,
+        [&timeouts] { ExpireCall(timeouts); });
+  };
   auto response = co_await SendAndReceive(*call->connection, request, restart);
-  Disarm(stalled);
-  Disarm(too_long);
+  EndTimeouts(timeouts);
   if (request.progress) {
     request.progress->close = nullptr;
   }
   if (!response) {
     Close(*call);
-    if (timed_out) {
+    if (timeouts.expired) {
       co_return base::Fail(ErrorKind::kPeerTimeout,
                            "no complete response before the timeout");
     }
