--- a/include/eelgrassbridge/limits/cold_pacer.hpp
+++ b/include/eelgrassbridge/limits/cold_pacer.hpp
@@ -3,6 +3,8 @@
 #ifndef EELGRASSBRIDGE_LIMITS_COLD_PACER_HPP
 #define EELGRASSBRIDGE_LIMITS_COLD_PACER_HPP
 
+#include <cstddef>
+#include <deque>
 #include <optional>
 
 #include "eelgrassbridge/base/time.hpp"
@@ -16,6 +18,8 @@
   base::TimePoint cold_until{};
   /// Earliest start of the next request.
   base::TimePoint next_start{};
+  /// Requests sent in the last second, oldest first.
+  std::deque<base::TimePoint> sent;
 };
 
 /// @brief Reserves and returns the time at which a request may start; returns
@@ -24,6 +28,13 @@
                                             base::TimePoint now,
                                             base::TimePoint latest);
 
+/// @brief Number of requests sent in the last second.
+std::size_t SentInLastSecond(const ColdPacer& pacer, base::TimePoint now);
+
+/// @brief Records that a request is sent now. Returns the number of requests
+/// sent in the last second, including this one.
+std::size_t RecordSend(ColdPacer& pacer, base::TimePoint now);
+
 inline bool IsCold(const ColdPacer& pacer, base::TimePoint now) {
   return pacer.requests_per_second > 0 && now < pacer.cold_until;
 }
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -135,6 +135,8 @@
   explicit Admission(asio::io_context& io) : body_arrived(io) {}
   limits::TargetLimiter limiter;
   limits::ColdPacer cold;
+  /// The last report of the target said that it is cold.
+  bool reported_cold = false;
   std::map<limits::Ticket, std::shared_ptr<SlotWaiter>> waiters;
   /// Requests that will ask for a slot once their bodies have arrived, apart
   /// from those whose bodies take too long.
--- a/include/eelgrassbridge/node/transmit.hpp
+++ b/include/eelgrassbridge/node/transmit.hpp
@@ -4,6 +4,7 @@
 
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
+#include <functional>
 #include <string>
 
 #include "eelgrassbridge/http/client.hpp"
@@ -22,6 +23,8 @@
   std::string request_id;
   /// A long body is sent only after the server has answered "100 Continue".
   bool await_continue = false;
+  /// Called when the first bytes are about to be written; may be empty.
+  std::function<void()> on_send;
 };
 
 /// @brief Sends the message and reads the answer, completely if it is short.
--- a/src/eelgrassbridge/limits/cold_pacer.cpp
+++ b/src/eelgrassbridge/limits/cold_pacer.cpp
@@ -5,6 +5,13 @@
 
 namespace eelgrassbridge::limits {
 
+namespace {
+
+/// The rate of a cold target limits the requests in any span of this length.
+constexpr base::Duration kPaceWindow = base::seconds{1};
+
+}  // namespace
+
 std::optional<base::TimePoint> ReserveStart(ColdPacer& pacer,
                                             base::TimePoint now,
                                             base::TimePoint latest) {
@@ -22,4 +29,18 @@
   return start;
 }
 
+std::size_t SentInLastSecond(const ColdPacer& pacer, base::TimePoint now) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      pacer.sent,
+      [now](base::TimePoint at) { return at + kPaceWindow > now; }));
+}
+
+std::size_t RecordSend(ColdPacer& pacer, base::TimePoint now) {
+  while (!pacer.sent.empty() && pacer.sent.front() + kPaceWindow <= now) {
+    pacer.sent.pop_front();
+  }
+  pacer.sent.push_back(now);
+  return pacer.sent.size();
+}
+
 }  // namespace eelgrassbridge::limits
--- a/src/eelgrassbridge/limits/cold_pacer_test.cpp
+++ b/src/eelgrassbridge/limits/cold_pacer_test.cpp
@@ -11,9 +11,16 @@
 
 constexpr TimePoint kStart{base::Duration{base::seconds{100}}};
 
+ColdPacer MakePacer(double requests_per_second, TimePoint cold_until) {
+  ColdPacer pacer;
+  pacer.requests_per_second = requests_per_second;
+  pacer.cold_until = cold_until;
+  return pacer;
+}
+
 TEST_CASE("a cold target gets at most its rate") {
   // Guards against overloading, and so crashing, a target that starts up.
-  ColdPacer pacer{17, kStart + base::seconds{3}, {}};
+  ColdPacer pacer = MakePacer(17, kStart + base::seconds{3});
   int started = 0;
   for (int i = 0; i < 1000; ++i) {
     const TimePoint now = kStart + milliseconds{i};
@@ -25,14 +32,14 @@
 }
 
 TEST_CASE("requests to a warm target are not delayed") {
-  ColdPacer pacer{17, kStart, {}};
+  ColdPacer pacer = MakePacer(17, kStart);
   for (int i = 0; i < 100; ++i) {
     CHECK(ReserveStart(pacer, kStart, kStart) == kStart);
   }
 }
 
 TEST_CASE("a rejected request reserves no start time") {
-  ColdPacer pacer{10, kStart + base::seconds{3}, {}};
+  ColdPacer pacer = MakePacer(10, kStart + base::seconds{3});
   CHECK(ReserveStart(pacer, kStart, kStart));
   for (int i = 0; i < 10; ++i) {
     CHECK(!ReserveStart(pacer, kStart, kStart + milliseconds{50}));
--- a/src/eelgrassbridge/node/metrics.cpp
+++ b/src/eelgrassbridge/node/metrics.cpp
@@ -71,6 +71,7 @@
   SetGauge(node, "target_in_flight", limiter.in_flight);
   SetGauge(node, "target_queued", limiter.queued);
   SetGauge(node, "target_serving", TargetTakesRequests(node) ? 1 : 0);
+  SetGauge(node, "target_cold", node.admission.reported_cold ? 1 : 0);
   SetGauge(node, "caller_connections", node.callers_server.counts.open);
   SetGauge(node, "peer_connections", node.peers_server.counts.open);
   SetGauge(node, "target_connections_opened_total",
--- a/src/eelgrassbridge/node/reports.cpp
+++ b/src/eelgrassbridge/node/reports.cpp
@@ -5,6 +5,7 @@
 #include "eelgrassbridge/node/departure.hpp"
 #include "eelgrassbridge/node/metrics.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
+#include "eelgrassbridge/node/target_pace.hpp"
 #include "eelgrassbridge/node/target_run.hpp"
 
 namespace eelgrassbridge::node {
@@ -52,6 +53,7 @@
     RecordSignOfLife(node);
   }
   node.admission.cold.cold_until = now + report.cold_remaining;
+  RecordReportedCold(node, report.cold_remaining);
   if (report.leaving &&
       (!was_leaving || intake == ReportStatus::kNewIncarnation)) {
     AnnounceDeparture(node, "the target reported that it is leaving");
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -32,6 +32,8 @@
 using asio::awaitable;
 
 constexpr std::chrono::milliseconds kFlushInterval{250};
+/// Shortest pause of the event loop that is logged.
+constexpr base::Duration kReportedPause = base::milliseconds{250};
 /// Minimum time of a planned stop, so that callers are directed elsewhere. The
 /// platform checks readiness once a second and needs two failed checks.
 constexpr std::chrono::milliseconds kMinStopTime{2300};
@@ -52,9 +54,16 @@
 /// take one each; a new connection takes a few more.
 constexpr int kTurnsToBegin = 8;
 
+/// Writes the log, and logs when the event loop did not run for a while.
 awaitable<void> FlushLog(Node& node) {
   while (true) {
+    const base::TimePoint due = base::BootClock::now() + kFlushInterval;
     co_await http::Sleep(node.io, kFlushInterval);
+    const base::Duration late = base::BootClock::now() - due;
+    if (late >= kReportedPause) {
+      Log(node.log, EventKind::kProcessPaused,
+          {{"paused_ms", late.count() / 1000}});
+    }
     Flush(node.log);
   }
 }
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -8,6 +8,7 @@
 #include "eelgrassbridge/http/endpoint.hpp"
 #include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/key_demand.hpp"
+#include "eelgrassbridge/node/target_pace.hpp"
 #include "eelgrassbridge/node/target_slot.hpp"
 #include "eelgrassbridge/node/transmit.hpp"
 
@@ -184,6 +185,7 @@
 void LogRun(Node& node,
             const RequestTerms& terms,
             const RunResult& result,
+            const SendRecord& send,
             base::Duration waited) {
   Log(node.log, EventKind::kRequestRun,
       {{"request", terms.id},
@@ -196,6 +198,8 @@
        {"status", std::int64_t{result.head.status}},
        {"waited_ms", std::chrono::duration<double, std::milli>(waited).count()},
        {"in_flight", std::int64_t{InFlight(node)}},
+       {"cold_ms", send.cold_left.count() / 1000},
+       {"sent_last_second", static_cast<std::int64_t>(send.sent_last_second)},
        {"ranges_version", RangesVersion(node, terms.service)},
        {"report_sequence", static_cast<std::int64_t>(node.target.sequence)}});
 }
@@ -221,6 +225,8 @@
   transmission.endpoint = *http::ParseEndpoint(node.settings.target_address);
   transmission.headers = HeadersForTarget(node, terms, message);
   transmission.request_id = terms.id;
+  SendRecord send;
+  transmission.on_send = [&node, &send] { send = RecordSend(node); };
   RunResult result =
       co_await Transmit(node, message, std::move(transmission), cancellation);
   InterpretAnswer(node, result);
@@ -232,7 +238,7 @@
   if (!result.body_complete) {
     result.slot = slot;
   }
-  LogRun(node, terms, result, sent_at - arrived);
+  LogRun(node, terms, result, send, sent_at - arrived);
   co_return result;
 }
 
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -298,6 +298,9 @@
   const bool chunked = FramingOf(message).kind == http::Framing::Kind::kChunked;
   const bool no_body = message.method == "HEAD";
   Answer answer;
+  if (transmission.on_send) {
+    transmission.on_send();
+  }
   bool sent = co_await SendMessage(connection, message, transmission);
   if (sent && AwaitsContinue(message, transmission)) {
     sent = co_await SendAfterContinue(node, result, message, answer, chunked);
