Pace requests to a cold target as they are sent

Cause: a request reserved its start at the cold pace as it entered, then waited for a slot in a queue that knows no pace. Requests that had entered while the target was warm had reserved nothing, paced ones collected behind slow runs, and starts that became due during a pause of the process were all sent after it. The pace was a property of the entry, the limit is one of the departure.

Change: one gate for all that leaves for the target. The limiter starts a request only if a slot and the pace allow it. The pace is a window over what was sent in the last second, to the warm target too, with what is started and not sent yet; it is asked again at the moment of the send, with the other reasons to refuse. A request that would start too late is refused at once, also when the target becomes cold while it waits. Starts at a cold target now follow the priority of the requests, not their order of arrival. A waiter is registered before the limiter is asked for the next start, which the pace may allow at any moment.

--- a/include/eelgrassbridge/limits/target_limiter.hpp
+++ b/include/eelgrassbridge/limits/target_limiter.hpp
@@ -21,6 +21,7 @@
 #include "eelgrassbridge/base/error.hpp"
 #include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/catalogue/catalogue.hpp"
+#include "eelgrassbridge/limits/cold_pacer.hpp"
 #include "eelgrassbridge/limits/cold_start_ramp.hpp"
 #include "eelgrassbridge/limits/target_queue.hpp"
 
@@ -40,6 +41,9 @@
   /// slots and how long it stays cold needs no ramp, which would reduce its
   /// slots when a noisy neighbour raises its latency.
   bool use_ramp = true;
+  /// Whether `pace` limits the starts. Each start must then be followed by
+  /// RecordSend or CancelStart.
+  bool use_pace = false;
 };
 
 /// @brief A request that asks for admission.
@@ -94,6 +98,8 @@
 struct TargetLimiter {
   TargetLimiterOptions options;
   ColdStartRamp ramp;
+  /// Nothing starts before its EarliestStart; used if `use_pace`.
+  ColdPacer pace;
   bool accepting = true;
   std::uint32_t in_flight = 0;
   std::uint32_t open_connections = 0;
@@ -114,6 +120,9 @@
 /// of slots, connections and, if the ramp is used, its level, but at least 1.
 std::uint32_t InFlightLimit(const TargetLimiter& limiter);
 
+/// @brief Whether a request would be admitted without a wait.
+bool CanStartNow(const TargetLimiter& limiter, base::TimePoint now);
+
 /// @brief Returns the reason for which Admit would refuse the request now,
 /// leaving aside that the queue may be full; nothing if it would not.
 std::optional<base::ErrorKind> ExpectedRefusal(const TargetLimiter& limiter,
@@ -131,6 +140,15 @@
 std::optional<Dispatch> NextDispatch(TargetLimiter& limiter,
                                      base::TimePoint now);
 
+/// @brief Returns when NextDispatch must be called again because the pace then
+/// lets the next queued request start; nothing if no request waits for that.
+std::optional<base::TimePoint> NextPacedStart(const TargetLimiter& limiter,
+                                              base::TimePoint now);
+
+/// @brief Refuses the queued requests that would start only after their
+/// deadlines if the target is cold. Must be called when the pace has changed.
+void RefuseUnreachable(TargetLimiter& limiter, base::TimePoint now);
+
 /// @brief Withdraws a queued request. Returns false if it was already
 /// dispatched or refused, so that the caller must handle its Dispatch.
 bool Withdraw(TargetLimiter& limiter, Ticket ticket);
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -22,7 +22,6 @@
 #include "eelgrassbridge/http/client.hpp"
 #include "eelgrassbridge/http/event.hpp"
 #include "eelgrassbridge/http/server.hpp"
-#include "eelgrassbridge/limits/cold_pacer.hpp"
 #include "eelgrassbridge/limits/service_retry_budget.hpp"
 #include "eelgrassbridge/limits/target_limiter.hpp"
 #include "eelgrassbridge/node/crash_record.hpp"
@@ -132,9 +131,12 @@
 };
 
 struct Admission {
-  explicit Admission(asio::io_context& io) : body_arrived(io) {}
+  explicit Admission(asio::io_context& io)
+      : paced_start(io), body_arrived(io) {}
   limits::TargetLimiter limiter;
-  limits::ColdPacer cold;
+  /// Dispatches the next queued request when the pace of a cold target lets it
+  /// start.
+  http::Alarm paced_start;
   /// The last report of the target said that it is cold.
   bool reported_cold = false;
   std::map<limits::Ticket, std::shared_ptr<SlotWaiter>> waiters;
--- a/include/eelgrassbridge/node/target_slot.hpp
+++ b/include/eelgrassbridge/node/target_slot.hpp
@@ -11,7 +11,8 @@
 
 namespace eelgrassbridge::node {
 
-/// @brief A slot of the target; released on destruction.
+/// @brief A slot of the target, and a start in the pace of a cold one. Both are
+/// released on destruction.
 struct Slot {
   Slot(Node& owner, std::uint64_t admitted_in)
       : node(owner), generation(admitted_in), started(base::BootClock::now()) {}
@@ -23,6 +24,8 @@
   std::uint64_t generation;
   base::TimePoint started;
   limits::RunEnd end = limits::RunEnd::kCancelled;
+  /// The request was sent to the target.
+  bool sent = false;
 };
 
 using SlotPointer = std::shared_ptr<Slot>;
@@ -30,17 +33,14 @@
 /// @brief Wakes the queued requests that may run now or are refused.
 void DispatchWaiters(Node& node);
 
-/// @brief Whether a request would get a slot without a wait.
-bool HasFreeSlot(const limits::TargetLimiter& limiter);
-
 /// @brief What the request asks of the target's limiter, if it has to start by
 /// `latest`.
 limits::AdmissionRequest AdmissionRequestOf(const RequestTerms& terms,
                                             base::TimePoint latest,
                                             base::TimePoint now);
 
-/// @brief Waits for the pace of a cold start, then for a slot. Fails with the
-/// reason of a refusal.
+/// @brief Waits for a slot and, if the target is cold, for its pace. Fails with
+/// the reason of a refusal.
 asio::awaitable<base::Result<SlotPointer>> AcquireSlot(
     Node& node,
     const RequestTerms& terms,
--- a/include/eelgrassbridge/node/transmit.hpp
+++ b/include/eelgrassbridge/node/transmit.hpp
@@ -5,6 +5,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "eelgrassbridge/http/client.hpp"
@@ -23,8 +24,9 @@
   std::string request_id;
   /// A long body is sent only after the server has answered "100 Continue".
   bool await_continue = false;
-  /// Called when the first bytes are about to be written; may be empty.
-  std::function<void()> on_send;
+  /// Called when the first bytes are about to be written. Returns a reason if
+  /// nothing is to be sent. May be empty.
+  std::function<std::optional<base::ErrorKind>()> before_send;
 };
 
 /// @brief Sends the message and reads the answer, completely if it is short.
--- a/src/eelgrassbridge/limits/target_limiter.cpp
+++ b/src/eelgrassbridge/limits/target_limiter.cpp
@@ -19,8 +19,19 @@
   return limiter.in_flight < InFlightLimit(limiter);
 }
 
-std::uint64_t OccupySlot(TargetLimiter& limiter) {
+bool IsPaced(const TargetLimiter& limiter, TimePoint now) {
+  return limiter.options.use_pace && IsCold(limiter.pace, now);
+}
+
+bool IsPaceFree(const TargetLimiter& limiter, TimePoint now) {
+  return !IsPaced(limiter, now) || EarliestStart(limiter.pace, 0, now) <= now;
+}
+
+std::uint64_t OccupySlot(TargetLimiter& limiter, TimePoint now) {
   ++limiter.in_flight;
+  if (limiter.options.use_pace) {
+    RecordStart(limiter.pace, now);
+  }
   return limiter.ramp.generation;
 }
 
@@ -28,18 +39,31 @@
   return {Admission::State::kRefused, 0, 0, kind};
 }
 
-/// Returns whether a request can still meet its deadline after waiting for
-/// `requests_ahead` others.
+/// Expected start of a request before which `ahead` others start. With a free
+/// slot it waits only for the pace.
+TimePoint ExpectedStart(const TargetLimiter& limiter,
+                        std::uint32_t ahead,
+                        TimePoint now) {
+  const std::uint32_t limit = InFlightLimit(limiter);
+  const std::uint32_t runs_awaited =
+      limiter.in_flight + ahead < limit ? 0 : ahead + 1;
+  const TimePoint slot_free =
+      now + base::Duration{static_cast<std::int64_t>(limiter.run_time_us *
+                                                     runs_awaited / limit)};
+  if (!IsPaced(limiter, now)) {
+    return slot_free;
+  }
+  return std::max(slot_free, EarliestStart(limiter.pace, ahead, now));
+}
+
+/// Returns whether a request that starts at the given time can meet its
+/// deadline.
 bool CanMeetDeadline(const TargetLimiter& limiter,
                      TimePoint deadline,
                      bool deadline_for_start,
-                     std::uint32_t requests_ahead,
-                     TimePoint now) {
-  const double wait =
-      limiter.run_time_us * requests_ahead / InFlightLimit(limiter);
+                     TimePoint start) {
   const double run = deadline_for_start ? 0 : limiter.run_time_us;
-  return now + base::Duration{static_cast<std::int64_t>(wait + run)} <=
-         deadline;
+  return start + base::Duration{static_cast<std::int64_t>(run)} <= deadline;
 }
 
 void RefuseQueued(TargetLimiter& limiter, Ticket ticket, ErrorKind kind) {
@@ -119,6 +143,11 @@
                                 limiter.options.connections, level}));
 }
 
+bool CanStartNow(const TargetLimiter& limiter, TimePoint now) {
+  return limiter.queued == 0 && HasFreeSlot(limiter) &&
+         IsPaceFree(limiter, now);
+}
+
 std::optional<ErrorKind> ExpectedRefusal(const TargetLimiter& limiter,
                                          const AdmissionRequest& request,
                                          TimePoint now) {
@@ -130,12 +159,12 @@
   }
   const std::uint32_t ahead =
       CountRequestsAhead(limiter, request) + request.others_ahead;
-  const bool has_slot =
-      limiter.queued == 0 &&
+  const bool starts_now =
+      CanStartNow(limiter, now) &&
       limiter.in_flight + request.others_ahead < InFlightLimit(limiter);
-  if (!has_slot &&
+  if (!starts_now &&
       !CanMeetDeadline(limiter, request.deadline, request.deadline_for_start,
-                       ahead + 1, now)) {
+                       ExpectedStart(limiter, ahead, now))) {
     return ErrorKind::kOverloaded;
   }
   return std::nullopt;
@@ -148,8 +177,8 @@
   if (const auto refusal = ExpectedRefusal(limiter, request, now)) {
     return MakeRefusal(*refusal);
   }
-  if (limiter.queued == 0 && HasFreeSlot(limiter)) {
-    const std::uint64_t generation = OccupySlot(limiter);
+  if (CanStartNow(limiter, now)) {
+    const std::uint64_t generation = OccupySlot(limiter, now);
     return {Admission::State::kRun, limiter.next_ticket++, generation, {}};
   }
   if (limiter.queued >= limiter.options.queue_capacity &&
@@ -163,21 +192,22 @@
       {ticket, request.deadline, request.deadline_for_start, DueOf(request)});
   ++limiter.queued;
   limiter.next_expiry = std::min(limiter.next_expiry, request.deadline);
+  // The new request may go ahead of others.
+  RefuseUnreachable(limiter, now);
   return {Admission::State::kQueued, ticket, 0, {}};
 }
 
 std::optional<Dispatch> NextDispatch(TargetLimiter& limiter, TimePoint now) {
   RefuseExpired(limiter, now);
   while (limiter.refused.empty() && limiter.queued > 0 &&
-         HasFreeSlot(limiter)) {
+         HasFreeSlot(limiter) && IsPaceFree(limiter, now)) {
     const auto queue = std::find_if(
         limiter.classes.begin(), limiter.classes.end(),
         [](const detail::ClassQueue& item) { return item.size > 0; });
     const detail::QueuedRequest next = detail::PopNext(*queue);
     --limiter.queued;
-    if (CanMeetDeadline(limiter, next.deadline, next.deadline_for_start, 0,
-                        now)) {
-      return Dispatch{next.ticket, std::nullopt, OccupySlot(limiter)};
+    if (CanMeetDeadline(limiter, next.deadline, next.deadline_for_start, now)) {
+      return Dispatch{next.ticket, std::nullopt, OccupySlot(limiter, now)};
     }
     RefuseQueued(limiter, next.ticket, ErrorKind::kDeadlineBeforeRun);
   }
@@ -189,6 +219,36 @@
   return dispatch;
 }
 
+std::optional<TimePoint> NextPacedStart(const TargetLimiter& limiter,
+                                        TimePoint now) {
+  if (limiter.queued == 0 || !HasFreeSlot(limiter) ||
+      IsPaceFree(limiter, now)) {
+    return std::nullopt;
+  }
+  return EarliestStart(limiter.pace, 0, now);
+}
+
+void RefuseUnreachable(TargetLimiter& limiter, TimePoint now) {
+  if (!IsPaced(limiter, now)) {
+    return;
+  }
+  std::uint32_t ahead = 0;
+  for (detail::ClassQueue& queue : limiter.classes) {
+    detail::ClassQueue rest = queue;
+    while (rest.size > 0) {
+      const detail::QueuedRequest next = detail::PopNext(rest);
+      if (CanMeetDeadline(limiter, next.deadline, next.deadline_for_start,
+                          ExpectedStart(limiter, ahead, now))) {
+        ++ahead;
+        continue;
+      }
+      detail::Remove(queue, next.ticket);
+      --limiter.queued;
+      RefuseQueued(limiter, next.ticket, ErrorKind::kOverloaded);
+    }
+  }
+}
+
 bool Withdraw(TargetLimiter& limiter, Ticket ticket) {
   for (detail::ClassQueue& queue : limiter.classes) {
     if (detail::Remove(queue, ticket)) {
--- a/src/eelgrassbridge/node/reports.cpp
+++ b/src/eelgrassbridge/node/reports.cpp
@@ -44,7 +44,6 @@
          {"born", report.born},
          {"slots", std::int64_t{report.slots}},
          {"cold_ms", report.cold_remaining.count() / 1000}});
-    node.admission.cold.cold_until = {};
     http::Notify(node.member_inputs_changed);
     http::Notify(node.lease_inputs_changed);
     ApplyRecordedDeparture(node);
@@ -52,7 +51,7 @@
   } else {
     RecordSignOfLife(node);
   }
-  node.admission.cold.cold_until = now + report.cold_remaining;
+  node.admission.limiter.pace.cold_until = now + report.cold_remaining;
   RecordReportedCold(node, report.cold_remaining);
   if (report.leaving &&
       (!was_leaving || intake == ReportStatus::kNewIncarnation)) {
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -54,6 +54,18 @@
   return std::nullopt;
 }
 
+/// Checks again, at the moment at which the request is to be sent, what may
+/// have changed since it was admitted.
+std::optional<ErrorKind> RefusalAtSend(const Node& node,
+                                       const RequestTerms& terms) {
+  if (const auto reason = RefusalReason(node, terms)) {
+    return reason;
+  }
+  const bool may_send =
+      limits::MaySend(node.admission.limiter.pace, base::BootClock::now());
+  return may_send ? std::nullopt : std::optional(ErrorKind::kOverloaded);
+}
+
 bool OwnsKey(const Node& node, const RequestTerms& terms) {
   const auto found = node.ranges.find(terms.service);
   if (found == node.ranges.end()) {
@@ -164,8 +176,7 @@
                    TimePoint arrived) {
   const TimePoint now = base::BootClock::now();
   const limits::TargetLimiter& limiter = node.admission.limiter;
-  const auto cold =
-      std::max(base::Duration{0}, node.admission.cold.cold_until - now);
+  const auto cold = std::max(base::Duration{0}, limiter.pace.cold_until - now);
   Log(node.log, EventKind::kRequestTurnedAway,
       {{"request", terms.id},
        {"service", terms.service},
@@ -226,7 +237,17 @@
   transmission.headers = HeadersForTarget(node, terms, message);
   transmission.request_id = terms.id;
   SendRecord send;
-  transmission.on_send = [&node, &send] { send = RecordSend(node); };
+  transmission.before_send = [&node, &terms, &slot, &send] {
+    const auto refusal = RefusalAtSend(node, terms);
+    if (refusal) {
+      Count(node, "target_sends_stopped_total",
+            fmt::format("cause=\"{}\"", base::ErrorName(*refusal)));
+      return refusal;
+    }
+    slot->sent = true;
+    send = RecordSend(node);
+    return refusal;
+  };
   RunResult result =
       co_await Transmit(node, message, std::move(transmission), cancellation);
   InterpretAnswer(node, result);
@@ -256,10 +277,11 @@
     return reason;
   }
   const Admission& admission = node.admission;
-  if (terms.max_wait <= base::Duration{0} && !HasFreeSlot(admission.limiter)) {
+  const TimePoint now = base::BootClock::now();
+  if (terms.max_wait <= base::Duration{0} &&
+      !limits::CanStartNow(admission.limiter, now)) {
     return ErrorKind::kOverloaded;
   }
-  const TimePoint now = base::BootClock::now();
   limits::AdmissionRequest request =
       AdmissionRequestOf(terms, LatestStart(node, terms, now), now);
   request.others_ahead = admission.arriving_bodies;
@@ -272,20 +294,19 @@
 }
 
 void RefreshAdmission(Node& node) {
-  if (!node.routes) {
-    return;
-  }
-  const auto* const service =
-      catalogue::FindService(*node.routes, node.settings.service);
-  if (service == nullptr) {
-    return;
+  limits::TargetLimiter& limiter = node.admission.limiter;
+  const catalogue::RoutedService* const service =
+      node.routes ? catalogue::FindService(*node.routes, node.settings.service)
+                  : nullptr;
+  if (service != nullptr) {
+    limiter.pace.requests_per_second = service->cold_requests_per_second;
   }
-  node.admission.cold.requests_per_second = service->cold_requests_per_second;
-  if (node.target.slots > 0) {
+  if (service != nullptr && node.target.slots > 0) {
     limits::SetTargetBounds(
-        node.admission.limiter, node.target.slots,
+        limiter, node.target.slots,
         std::max(node.target.slots, service->max_connections));
   }
+  limits::RefuseUnreachable(limiter, base::BootClock::now());
   DispatchWaiters(node);
 }
 
--- a/src/eelgrassbridge/node/target_slot.cpp
+++ b/src/eelgrassbridge/node/target_slot.cpp
@@ -11,27 +11,14 @@
 using base::ErrorKind;
 using base::TimePoint;
 
-/// Waits until `start`, or until the request is cancelled.
-awaitable<void> AwaitStart(Node& node,
-                           TimePoint start,
-                           Cancellation& cancellation) {
-  http::Event cancelled(node.io);
-  cancellation.abort = [&cancelled] { http::Notify(cancelled); };
-  while (!cancellation.cause && base::BootClock::now() < start) {
-    co_await http::WaitUntil(cancelled, start);
-  }
-  cancellation.abort = nullptr;
-}
-
 /// Waits in the queue until the ticket is dispatched or refused. Withdraws it
 /// when the request is cancelled or `latest` passes.
 awaitable<base::Result<SlotPointer>> AwaitDispatch(
     Node& node,
     limits::Ticket ticket,
+    std::shared_ptr<SlotWaiter> waiter,
     TimePoint latest,
     CancellationPointer cancellation) {
-  auto waiter = std::make_shared<SlotWaiter>(node.io);
-  node.admission.waiters[ticket] = waiter;
   cancellation->abort = [waiter] { http::Notify(waiter->event); };
   while (!waiter->dispatched && !waiter->refusal && !cancellation->cause &&
          base::BootClock::now() < latest) {
@@ -58,6 +45,9 @@
 }  // namespace
 
 Slot::~Slot() {
+  if (!this->sent) {
+    limits::CancelStart(this->node.admission.limiter.pace);
+  }
   limits::Finish(this->node.admission.limiter, this->end,
                  base::BootClock::now() - this->started, this->generation);
   DispatchWaiters(this->node);
@@ -78,11 +68,13 @@
     http::Notify(waiter.event);
     admission.waiters.erase(found);
   }
-}
-
-bool HasFreeSlot(const limits::TargetLimiter& limiter) {
-  return limiter.queued == 0 &&
-         limiter.in_flight < limits::InFlightLimit(limiter);
+  const base::TimePoint now = base::BootClock::now();
+  if (const auto start = limits::NextPacedStart(admission.limiter, now)) {
+    http::Arm(admission.paced_start, *start - now,
+              [&node] { DispatchWaiters(node); });
+  } else {
+    http::Disarm(admission.paced_start);
+  }
 }
 
 limits::AdmissionRequest AdmissionRequestOf(const RequestTerms& terms,
@@ -103,23 +95,20 @@
     const RequestTerms& terms,
     TimePoint latest,
     CancellationPointer cancellation) {
-  const auto start =
-      limits::ReserveStart(node.admission.cold, base::BootClock::now(), latest);
-  if (!start) {
-    co_return base::Fail(ErrorKind::kOverloaded, {});
-  }
-  co_await AwaitStart(node, *start, *cancellation);
-  if (cancellation->cause) {
-    co_return base::Fail(*cancellation->cause, {});
-  }
   const bool may_wait = terms.max_wait > base::Duration{0};
-  if (!may_wait && !HasFreeSlot(node.admission.limiter)) {
+  if (!may_wait &&
+      !limits::CanStartNow(node.admission.limiter, base::BootClock::now())) {
     co_return base::Fail(ErrorKind::kOverloaded, {});
   }
   const limits::Admission admission =
       limits::Admit(node.admission.limiter,
                     AdmissionRequestOf(terms, latest, base::BootClock::now()),
                     base::BootClock::now());
+  std::shared_ptr<SlotWaiter> waiter;
+  if (admission.state == limits::Admission::State::kQueued) {
+    waiter = std::make_shared<SlotWaiter>(node.io);
+    node.admission.waiters[admission.ticket] = waiter;
+  }
   DispatchWaiters(node);
   switch (admission.state) {
     case limits::Admission::State::kRun:
@@ -129,8 +118,8 @@
     case limits::Admission::State::kQueued:
       break;
   }
-  co_return co_await AwaitDispatch(node, admission.ticket, latest,
-                                   cancellation);
+  co_return co_await AwaitDispatch(node, admission.ticket, std::move(waiter),
+                                   latest, cancellation);
 }
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -286,9 +286,13 @@
   RunResult result;
   result.pool = transmission.pool;
   result.connection = std::move(acquired.value());
-  if (cancellation->cause) {
+  auto refusal = cancellation->cause;
+  if (!refusal && transmission.before_send) {
+    refusal = transmission.before_send();
+  }
+  if (refusal) {
     http::Close(*result.connection);
-    co_return NotRunResult(*cancellation->cause, NotRunProof::NeverSent());
+    co_return NotRunResult(*refusal, NotRunProof::NeverSent());
   }
   cancellation->abort = [connection = result.connection,
                          cancelled = cancellation.get()] {
@@ -298,9 +302,6 @@
   const bool chunked = FramingOf(message).kind == http::Framing::Kind::kChunked;
   const bool no_body = message.method == "HEAD";
   Answer answer;
-  if (transmission.on_send) {
-    transmission.on_send();
-  }
   bool sent = co_await SendMessage(connection, message, transmission);
   if (sent && AwaitsContinue(message, transmission)) {
     sent = co_await SendAfterContinue(node, result, message, answer, chunked);
