Send a cold target nothing while its pace is unknown

Cause: the pace comes with the routes, and a pace that was not known counted as no limit. A daemon that has just been started hears from its target within a second, and other daemons send it requests before it has read the routes, above all when many daemons start at once and the store is busy.

Change: an unknown pace is told apart from a stated absence of a limit. Until it is known, requests to a cold target are refused at once as not_ready, so that their daemon can choose another one.

--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -90,7 +90,6 @@
       ranges_changed(event_loop),
       release_possible(event_loop) {
   this->admission.limiter = MakeLimiter();
-  this->admission.limiter.pace.requests_per_second = 0;
   this->retries.options = RetryOptions(this->settings.bounds);
   this->lease.options.hold =
       std::min(this->lease.options.hold, this->settings.bounds.max_hold);
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -51,6 +51,10 @@
   if (!TargetTakesRequests(node) || node.refusing_requests) {
     return ErrorKind::kDraining;
   }
+  if (limits::IsPaceUnknown(node.admission.limiter.pace,
+                            base::BootClock::now())) {
+    return ErrorKind::kNotReady;
+  }
   return std::nullopt;
 }
 
