Check the key of a request again as it is sent

A request waits for the grant of its key, then for a slot; if the grant ended meanwhile, it was sent all the same, and the target refused it. Callers saw an attempt used up; the target got work for nothing. Now the grant is checked with the other reasons at the moment of the send, and the request is refused as not_owner, so that another owner can be asked. The test failed before (the second request arrived, refused by the target) and passes now.

--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -65,8 +65,11 @@
   if (const auto reason = RefusalReason(node, terms)) {
     return reason;
   }
-  const bool may_send =
-      limits::MaySend(node.admission.limiter.pace, base::BootClock::now());
+  const TimePoint now = base::BootClock::now();
+  if (terms.key && !IsGranted(node.target, *terms.key, now)) {
+    return ErrorKind::kNotOwner;
+  }
+  const bool may_send = limits::MaySend(node.admission.limiter.pace, now);
   return may_send ? std::nullopt : std::optional(ErrorKind::kOverloaded);
 }
 
