Let targets become cold in the soak, with real processes

Targets now become cold in series, behind queues of slow runs, bursts of callers, pauses by SIGSTOP, kills of all daemons at once and restarts without the store; the soak counts the requests that reach a target in one second while its daemon knows that it is cold, leaving out arrivals that a link or a pause of the soak itself may have bunched.

--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -185,6 +185,12 @@
   }
 }
 
+double ColdSecondsLeft(const TargetStandin& target) {
+  const std::chrono::duration<double> left =
+      target.cold_until - base::BootClock::now();
+  return std::max(target.cold_seconds, left.count());
+}
+
 awaitable<void> HandleRequest(TargetStandin& target, http::Exchange& exchange) {
   if (target.down) {
     http::Abort(exchange);
@@ -197,6 +203,10 @@
     co_await RefuseRun(target, exchange, kMisdirected);
     co_return;
   }
+  if (target.on_cold_arrival && ColdSecondsLeft(target) > 0 &&
+      target.cold_acknowledged_at != base::TimePoint{}) {
+    target.on_cold_arrival(target);
+  }
   if (target.fault == TargetFault::kFull || target.running >= target.slots) {
     co_await RefuseRun(target, exchange, kServiceUnavailable);
     co_return;
@@ -261,7 +271,7 @@
           {"status",
            {{"phase", target.leaving ? "draining" : "ready"},
             {"sequence", ++target.sequence},
-            {"cold_remaining_s", target.cold_seconds}}}};
+            {"cold_remaining_s", std::max(0.0, ColdSecondsLeft(target))}}}};
 }
 
 /// Applies the ranges granted by a heartbeat response. Held ranges that it does
@@ -304,6 +314,7 @@
   while (target.reporting && generation == target.generation) {
     const base::TimePoint sent_at = base::BootClock::now();
     const bool leaving = target.leaving;
+    const bool cold = ColdSecondsLeft(target) > 0;
     http::BufferedRequest request;
     request.method = "POST";
     request.target = "/api/rpc?call=instances.heartbeat&of=" + target.id;
@@ -320,6 +331,11 @@
       if (leaving && target.leaving_acknowledged_at == base::TimePoint{}) {
         target.leaving_acknowledged_at = base::BootClock::now();
       }
+      if (!cold) {
+        target.cold_acknowledged_at = {};
+      } else if (target.cold_acknowledged_at == base::TimePoint{}) {
+        target.cold_acknowledged_at = base::BootClock::now();
+      }
       target.released.clear();
       report_now =
           ApplyGrant(target, json::parse(answer.value().body), sent_at);
@@ -371,6 +387,7 @@
   target.sequence = 0;
   target.leaving = false;
   target.leaving_acknowledged_at = {};
+  target.cold_acknowledged_at = {};
   StartReports(target);
 }
 
--- a/standins/platform/target_standin.hpp
+++ b/standins/platform/target_standin.hpp
@@ -54,6 +54,9 @@
   kEndlessLongAnswers,
 };
 
+/// Time that a run takes, unless a test sets another.
+constexpr std::chrono::milliseconds kServiceTime{5};
+
 /// @brief A request that a target starts to run.
 struct TargetRun {
   std::string request;
@@ -83,12 +86,18 @@
   std::int64_t start_time_ms = 0;
   std::uint64_t sequence = 0;
   std::uint32_t slots = 9;
+  /// The target is cold for this long after each report.
   double cold_seconds = 0;
+  /// The target is cold until then.
+  base::TimePoint cold_until{};
+  /// When the daemon first acknowledged a heartbeat that said that the target
+  /// is cold; the epoch: not yet, or the target is warm.
+  base::TimePoint cold_acknowledged_at{};
   bool divided = false;
   bool leaving = false;
   bool reporting = true;
   std::chrono::milliseconds report_interval{200};
-  std::chrono::milliseconds service_time{5};
+  std::chrono::milliseconds service_time = kServiceTime;
   TargetFault fault = TargetFault::kNone;
   std::vector<Hold> holds;
   base::TimePoint holds_expire_at{};
@@ -112,6 +121,9 @@
   double clock_slowdown = 1;
   /// Called with the id of each request that arrives, run or refused.
   std::function<void(std::string_view)> on_arrival;
+  /// Called when a request for this target arrives that its daemon sent knowing
+  /// that the target is cold, run or refused.
+  std::function<void(const TargetStandin&)> on_cold_arrival;
   /// Called when a request starts to run, and after each change of the holds.
   std::function<void(const TargetStandin&, const TargetRun&)> on_run;
   std::function<void(const TargetStandin&)> on_holds_changed;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -66,6 +66,15 @@
   --callers.active;
 }
 
+awaitable<void> RunBurstCaller(Callers& callers, Vm& vm) {
+  static constexpr Kind kPatient{"GET", "/patient/x", "desk", true, false, 0};
+  http::ConnectionPool pool(callers.checker.fleet.io, {});
+  ++callers.active;
+  const Answer answer = co_await AskAndCheck(callers, pool, vm, kPatient);
+  CountAnswer(callers.checker, answer.status);
+  --callers.active;
+}
+
 /// Requests the probe route of the newest version. It must be served once it is
 /// due, and the same process must not return 404 for it afterwards.
 awaitable<void> RunProbe(Callers& callers, Vm& vm) {
@@ -132,6 +141,15 @@
   }
 }
 
+void LaunchBurst(Callers& callers, std::uint64_t count) {
+  Fleet& fleet = callers.checker.fleet;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    asio::co_spawn(fleet.io,
+                   RunBurstCaller(callers, *fleet.vms[i % fleet.vms.size()]),
+                   asio::detached);
+  }
+}
+
 awaitable<void> AwaitRecovery(Callers& callers) {
   Checker& checker = callers.checker;
   const TimePoint latest = base::BootClock::now() + kRecoveryBound;
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -36,6 +36,10 @@
 /// @brief Starts all callers and probes.
 void Start(Callers& callers);
 
+/// @brief Sends requests that may wait for long, all at once and spread over
+/// the daemons.
+void LaunchBurst(Callers& callers, std::uint64_t count);
+
 /// @brief Waits until each daemon serves all services again. Records a
 /// violation for each daemon that does not within the guaranteed recovery time.
 asio::awaitable<void> AwaitRecovery(Callers& callers);
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -26,6 +26,12 @@
 constexpr base::Duration kMaxOverlap = base::milliseconds{500};
 /// A planned stop may end this long before the end of the grace period.
 constexpr base::Duration kGraceMargin = base::milliseconds{600};
+/// Requests that a cold target may get in one second: the rate of its service,
+/// 17, times 1.5, plus 5.
+constexpr std::size_t kMaxColdArrivals = 30;
+/// Longer pauses of this program are noted.
+constexpr base::Duration kNotedPause = base::milliseconds{120};
+constexpr std::chrono::milliseconds kPauseWatchInterval{20};
 constexpr int kServiceUnavailable = 503;
 constexpr int kTooManyRequests = 429;
 constexpr int kMisdirected = 421;
@@ -109,6 +115,35 @@
   }
 }
 
+void NotePause(Checker& checker, TimePoint now) {
+  if (now - checker.running_at > kNotedPause) {
+    checker.paused_at = now;
+  }
+  checker.running_at = now;
+}
+
+/// Arrivals that a link or a pause of this program may have bunched are not
+/// counted: the limit is one of the sends.
+void CheckColdArrival(Checker& checker, const TargetStandin& target) {
+  const TimePoint now = base::BootClock::now();
+  NotePause(checker, now);
+  const Vm& vm = FindVm(checker.fleet, target);
+  auto& arrivals = checker.cold_arrivals[vm.name];
+  const TimePoint bunched_until =
+      std::max(vm.target_link.undisturbed_since, checker.paused_at);
+  const TimePoint first = std::max(bunched_until, now - base::seconds{1});
+  arrivals.push_back(now);
+  std::erase_if(arrivals, [first](TimePoint at) { return at <= first; });
+  ++checker.cold_arrival_count;
+  checker.most_cold_arrivals =
+      std::max(checker.most_cold_arrivals, arrivals.size());
+  if (arrivals.size() > kMaxColdArrivals) {
+    AddViolation(checker, "cold",
+                 target.id + " got more requests in one second than a cold " +
+                     "target may");
+  }
+}
+
 bool HoldsOverlap(const TargetStandin& left, const TargetStandin& right) {
   return std::ranges::any_of(left.holds, [&right](const auto& hold) {
     return std::ranges::any_of(right.holds, [&hold](const auto& other) {
@@ -189,6 +224,9 @@
                                    const TargetRun& run) {
       CheckRun(checker, target, run);
     };
+    vm->target.on_cold_arrival = [&checker](const TargetStandin& target) {
+      CheckColdArrival(checker, target);
+    };
     vm->target.on_holds_changed = [&checker](const TargetStandin& target) {
       CheckTokens(checker, target);
       CheckHolds(checker);
@@ -204,6 +242,13 @@
   return base::BootClock::now() > checker.disturbance.undisturbed_since + time;
 }
 
+asio::awaitable<void> WatchPauses(Checker& checker) {
+  while (true) {
+    co_await http::Sleep(checker.fleet.io, kPauseWatchInterval);
+    NotePause(checker, base::BootClock::now());
+  }
+}
+
 void CheckHolds(Checker& checker) {
   const TimePoint now = base::BootClock::now();
   const auto& vms = checker.fleet.vms;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -2,7 +2,9 @@
 #ifndef EELGRASSBRIDGE_TESTS_SOAK_CHECKER_HPP
 #define EELGRASSBRIDGE_TESTS_SOAK_CHECKER_HPP
 
+#include <asio/awaitable.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -90,6 +92,15 @@
   };
   /// Highest fencing token of each key so far.
   std::vector<Token> tokens;
+  /// Arrivals in the last second at each target that its daemon knows to be
+  /// cold, by its name, and the peak of their number.
+  std::map<std::string, std::deque<base::TimePoint>> cold_arrivals;
+  std::size_t most_cold_arrivals = 0;
+  std::uint64_t cold_arrival_count = 0;
+  /// When this program last noticed that it had not run for a while (what
+  /// arrived meanwhile is seen at the same time), and when it last ran.
+  base::TimePoint paused_at{};
+  base::TimePoint running_at = base::BootClock::now();
   /// Since when two targets have held the same key, by their ids.
   std::map<std::string, base::TimePoint> overlaps;
   std::set<std::string> violations;
@@ -118,6 +129,9 @@
 /// @brief Whether the last unplanned disturbance ended longer than `time` ago.
 bool IsUndisturbedFor(const Checker& checker, base::Duration time);
 
+/// @brief Notes pauses of this program for as long as it runs.
+asio::awaitable<void> WatchPauses(Checker& checker);
+
 /// @brief Checks that no two targets hold the same key for too long.
 void CheckHolds(Checker& checker);
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -66,34 +66,12 @@
 
 awaitable<void> Kill(Faults& faults) {
   Vm& vm = DrawVm(faults);
-  const milliseconds down = DrawDuration(faults, 200, 2500);
-  if (vm.stopping) {
-    co_return;
-  }
-  const Disturbance disturbance(faults);
-  RecordEvent(faults, fmt::format("kill {} for {} ms", vm.name, down.count()));
-  vm.stopping = true;
-  vm.events.killed_at = base::BootClock::now();
-  bench::Signal(vm.process, SIGCONT);
-  bench::Stop(vm.process, SIGKILL);
-  co_await Pause(faults, down);
-  StartDaemon(faults.checker.fleet, vm);
+  return KillFor(faults, vm, DrawDuration(faults, 200, 2500));
 }
 
 awaitable<void> Freeze(Faults& faults) {
   Vm& vm = DrawVm(faults);
-  const milliseconds time = DrawDuration(faults, 300, 7000);
-  const Disturbance disturbance(faults);
-  const std::uint64_t generation = vm.generation;
-  RecordEvent(faults,
-              fmt::format("freeze {} for {} ms", vm.name, time.count()));
-  bench::Signal(vm.process, SIGSTOP);
-  ExtendTo(vm.events.frozen_until, base::BootClock::now() + time);
-  co_await Pause(faults, time);
-  if (generation == vm.generation) {
-    bench::Signal(vm.process, SIGCONT);
-    ExtendTo(vm.events.frozen_until, base::BootClock::now());
-  }
+  return FreezeFor(faults, vm, DrawDuration(faults, 300, 7000));
 }
 
 /// Planned stop. The daemon is killed if it has not exited within the grace
@@ -255,11 +233,6 @@
   --faults.active;
 }
 
-void Launch(Faults& faults, FaultKind kind) {
-  asio::co_spawn(faults.checker.fleet.io, RunFault(faults, kind(faults)),
-                 asio::detached);
-}
-
 /// Records a violation for each daemon that exited unexpectedly, and restarts
 /// it.
 void CheckProcesses(Faults& faults) {
@@ -283,11 +256,54 @@
   faults.history.push_back(fmt::format("{:.2f} {}", at.count(), text));
 }
 
-void LaunchStop(Faults& faults, Vm& vm) {
-  asio::co_spawn(faults.checker.fleet.io, RunFault(faults, StopVm(faults, vm)),
+void LaunchFault(Faults& faults, awaitable<void> fault) {
+  asio::co_spawn(faults.checker.fleet.io, RunFault(faults, std::move(fault)),
                  asio::detached);
 }
 
+awaitable<void> KillFor(Faults& faults, Vm& vm, milliseconds down) {
+  if (vm.stopping) {
+    co_return;
+  }
+  const Disturbance disturbance(faults);
+  RecordEvent(faults, fmt::format("kill {} for {} ms", vm.name, down.count()));
+  vm.stopping = true;
+  vm.events.killed_at = base::BootClock::now();
+  bench::Signal(vm.process, SIGCONT);
+  bench::Stop(vm.process, SIGKILL);
+  co_await Pause(faults, down);
+  StartDaemon(faults.checker.fleet, vm);
+}
+
+awaitable<void> RestartWithoutStore(Faults& faults, Vm& vm, milliseconds time) {
+  const Disturbance disturbance(faults);
+  RecordEvent(faults,
+              fmt::format("no store for {} for {} ms", vm.name, time.count()));
+  ExtendTo(vm.events.cut_until, base::BootClock::now() + time);
+  SetFault(vm.store_link, LinkFault::kCutBoth);
+  co_await KillFor(faults, vm, milliseconds{100});
+  co_await Pause(faults, time);
+  SetFault(vm.store_link, LinkFault::kNone);
+}
+
+awaitable<void> FreezeFor(Faults& faults, Vm& vm, milliseconds time) {
+  const Disturbance disturbance(faults);
+  const std::uint64_t generation = vm.generation;
+  RecordEvent(faults,
+              fmt::format("freeze {} for {} ms", vm.name, time.count()));
+  bench::Signal(vm.process, SIGSTOP);
+  ExtendTo(vm.events.frozen_until, base::BootClock::now() + time);
+  co_await Pause(faults, time);
+  if (generation == vm.generation) {
+    bench::Signal(vm.process, SIGCONT);
+    ExtendTo(vm.events.frozen_until, base::BootClock::now());
+  }
+}
+
+void LaunchStop(Faults& faults, Vm& vm) {
+  LaunchFault(faults, StopVm(faults, vm));
+}
+
 void ReloadSettings(Faults& faults, const Vm& vm) {
   RecordEvent(faults, "reload " + vm.name);
   if (!vm.stopping) {
@@ -301,10 +317,10 @@
     // Sometimes several at once, so that faults overlap.
     const std::uint64_t count = Draw(faults, 4) == 0 ? 3 : 1;
     for (std::uint64_t i = 0; i < count; ++i) {
-      Launch(faults, kKinds[Draw(faults, kKinds.size())]);
+      LaunchFault(faults, kKinds[Draw(faults, kKinds.size())](faults));
     }
     if (Draw(faults, 8) == 0) {
-      Launch(faults, EvacuateDataCentre);
+      LaunchFault(faults, EvacuateDataCentre(faults));
     }
     const auto next = base::BootClock::now() + DrawDuration(faults, 200, 3500);
     while (base::BootClock::now() < next) {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -31,6 +31,25 @@
 /// @brief Adds an event to the history.
 void RecordEvent(Faults& faults, std::string text);
 
+/// @brief Runs a fault beside the others.
+void LaunchFault(Faults& faults, asio::awaitable<void> fault);
+
+/// @brief Kills the VM's daemon and starts it again after the given time.
+asio::awaitable<void> KillFor(Faults& faults,
+                              Vm& vm,
+                              std::chrono::milliseconds down);
+
+/// @brief Kills the VM's daemon and starts it again without the store, which it
+/// cannot reach for the given time.
+asio::awaitable<void> RestartWithoutStore(Faults& faults,
+                                          Vm& vm,
+                                          std::chrono::milliseconds time);
+
+/// @brief Stops the VM's daemon by SIGSTOP for the given time.
+asio::awaitable<void> FreezeFor(Faults& faults,
+                                Vm& vm,
+                                std::chrono::milliseconds time);
+
 /// @brief Starts a planned stop of the VM's daemon, and its next start.
 void LaunchStop(Faults& faults, Vm& vm);
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -93,6 +93,7 @@
       R"(["r2","h","/read/","idempotent",2,0.5,1,"desk",2,[],null],)"
       R"(["r3","h","/write/","non_idempotent",2,0.5,0,"desk",2,[],null],)"
       R"(["r4","h","/upload/","upload",4,1,1,"desk",2,[],null],)"
+      R"(["r5","h","/patient/","idempotent",6,2,1,"desk",2,[],null],)"
       R"(["p{0}","h","/version-{0}/","idempotent",2,0.5,1,"desk",2,[],null])",
       fleet.routes_version);
   standins::PutOperatorRow(
--- a/tests/soak/link.cpp
+++ b/tests/soak/link.cpp
@@ -111,6 +111,9 @@
 void SetFault(Link& link, LinkFault fault, std::chrono::milliseconds delay) {
   link.fault = fault;
   link.delay = delay;
+  link.undisturbed_since = fault == LinkFault::kNone
+                               ? base::BootClock::now()
+                               : base::TimePoint::max() - base::seconds{60};
   http::Notify(link.changed);
 }
 
--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "eelgrassbridge/base/time.hpp"
 #include "eelgrassbridge/http/event.hpp"
 
 namespace eelgrassbridge::soak {
@@ -44,6 +45,8 @@
   std::string address;
   LinkFault fault = LinkFault::kNone;
   std::chrono::milliseconds delay{0};
+  /// End of the last fault; far in the future while one lasts.
+  base::TimePoint undisturbed_since{};
   http::Event changed;
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
   std::list<std::weak_ptr<Session>> sessions;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 
 #include "callers.hpp"
 #include "checker.hpp"
+#include "cold_changes.hpp"
 #include "faults.hpp"
 #include "fleet.hpp"
 #include "kept_callers.hpp"
@@ -31,13 +32,15 @@
         checker(fleet),
         callers(checker, seed, {}),
         faults(checker, seed),
-        limit_changes(faults, seed) {}
+        limit_changes(faults, seed),
+        cold_changes(faults, callers, seed) {}
 
   Fleet fleet;
   Checker checker;
   Callers callers;
   Faults faults;
   LimitChanges limit_changes;
+  ColdChanges cold_changes;
 };
 
 asio::awaitable<void> RunSoak(Run& run, std::chrono::seconds time) {
@@ -49,6 +52,8 @@
   Start(run.callers);
   StartKept(run.callers);
   asio::co_spawn(io, RunLimitChanges(run.limit_changes, time), asio::detached);
+  asio::co_spawn(io, RunColdChanges(run.cold_changes, time), asio::detached);
+  asio::co_spawn(io, WatchPauses(run.checker), asio::detached);
   co_await RunFaults(run.faults, time);
   co_await AwaitRecovery(run.callers);
   run.callers.running = false;
@@ -76,6 +81,10 @@
           {"refused", run.checker.refused},
           {"failed", run.checker.failed},
           {"kept", KeptReport(run)},
+          {"cold",
+           {{"changes", run.cold_changes.count},
+            {"arrivals", run.checker.cold_arrival_count},
+            {"most_in_one_second", run.checker.most_cold_arrivals}}},
           {"violations", run.checker.violations},
           {"faults", run.faults.history}};
 }
