Keep a refutation that is read before its crashes

Callers saw: a daemon that had been started again refused each request of one kind as quarantined, while all others served it.

Cause: the rows with crashes and with the answers that refute them come in the order of the daemons' addresses. An answer to a request without a known crash had no effect, so when its row came first it was dropped, and the crashes read after it stood unrefuted. Daemons that ran all the while had seen the crashes first.

Change: what a row says of an answer is kept, whatever is known of crashes. The test failed before (quarantined after both crashes) and passes now.

--- a/include/eelgrassbridge/routing/crash_suspects.hpp
+++ b/include/eelgrassbridge/routing/crash_suspects.hpp
@@ -25,7 +25,8 @@
   base::Duration quarantine{base::seconds{60}};
   /// Time after the last crash in which the request is not repeated.
   base::Duration memory{base::seconds{600}};
-  /// Maximum number of suspects; the one whose last crash is oldest goes first.
+  /// Maximum number of suspects; the one of which the latest news is oldest
+  /// goes first.
   std::size_t capacity = 1024;
   /// Maximum number of crashes kept for one suspect.
   std::size_t max_crashes = 4;
@@ -51,8 +52,8 @@
 
 /// @brief Suspects known to one daemon.
 ///
-/// Invariant: crashes are merged without regard to the order in which they
-/// become known.
+/// Invariant: crashes and what refutes them are merged without regard to the
+/// order in which they become known.
 struct CrashSuspects {
   SuspectOptions options;
   std::map<Fingerprint, Suspect> suspects;
@@ -81,7 +82,13 @@
                        const Fingerprint& fingerprint,
                        base::Duration run_began);
 
-/// @brief Drops suspects whose last crash is older than `memory`.
+/// @brief Notes that another daemon has told of such a run. The crashes that it
+/// refutes may become known later.
+void RecordRefutation(CrashSuspects& suspects,
+                      const Fingerprint& fingerprint,
+                      base::Duration run_began);
+
+/// @brief Drops suspects of which nothing newer than `memory` is known.
 void DropExpired(CrashSuspects& suspects, base::Duration now);
 
 }  // namespace eelgrassbridge::routing
--- a/src/eelgrassbridge/node/crash_watch.cpp
+++ b/src/eelgrassbridge/node/crash_watch.cpp
@@ -154,8 +154,8 @@
       continue;
     }
     if (record.answered) {
-      routing::RecordAnsweredRun(node.crashes.suspects, record.request,
-                                 record.crash.run_began);
+      routing::RecordRefutation(node.crashes.suspects, record.request,
+                                record.crash.run_began);
     } else {
       routing::RecordCrash(node.crashes.suspects, record.request, record.crash);
     }
--- a/src/eelgrassbridge/routing/crash_suspects.cpp
+++ b/src/eelgrassbridge/routing/crash_suspects.cpp
@@ -12,6 +12,10 @@
                                  : suspect.crashes.back().crashed_at;
 }
 
+base::Duration LatestNews(const Suspect& suspect) {
+  return std::max(LastCrash(suspect), suspect.answered_run_began);
+}
+
 /// Crashes during runs that each began after the one before, and after the
 /// latest answered run.
 std::size_t CrashesInARow(const Suspect& suspect) {
@@ -29,10 +33,19 @@
 void DropOldest(CrashSuspects& suspects) {
   const auto oldest = std::ranges::min_element(
       suspects.suspects, {},
-      [](const auto& entry) { return LastCrash(entry.second); });
+      [](const auto& entry) { return LatestNews(entry.second); });
   suspects.suspects.erase(oldest);
 }
 
+/// Returns the entry of the request, a new one if it has none.
+Suspect& SuspectOf(CrashSuspects& suspects, const Fingerprint& fingerprint) {
+  if (!suspects.suspects.contains(fingerprint) &&
+      suspects.suspects.size() >= suspects.options.capacity) {
+    DropOldest(suspects);
+  }
+  return suspects.suspects[fingerprint];
+}
+
 }  // namespace
 
 CrashVerdict VerdictOf(const CrashSuspects& suspects,
@@ -56,11 +69,7 @@
 void RecordCrash(CrashSuspects& suspects,
                  const Fingerprint& fingerprint,
                  const TargetCrash& crash) {
-  if (!suspects.suspects.contains(fingerprint) &&
-      suspects.suspects.size() >= suspects.options.capacity) {
-    DropOldest(suspects);
-  }
-  std::vector<TargetCrash>& crashes = suspects.suspects[fingerprint].crashes;
+  std::vector<TargetCrash>& crashes = SuspectOf(suspects, fingerprint).crashes;
   if (std::ranges::find(crashes, crash.target_run, &TargetCrash::target_run) !=
       crashes.end()) {
     return;
@@ -83,9 +92,16 @@
   }
 }
 
+void RecordRefutation(CrashSuspects& suspects,
+                      const Fingerprint& fingerprint,
+                      base::Duration run_began) {
+  SuspectOf(suspects, fingerprint);
+  RecordAnsweredRun(suspects, fingerprint, run_began);
+}
+
 void DropExpired(CrashSuspects& suspects, base::Duration now) {
   std::erase_if(suspects.suspects, [&suspects, now](const auto& entry) {
-    return now - LastCrash(entry.second) >= suspects.options.memory;
+    return now - LatestNews(entry.second) >= suspects.options.memory;
   });
 }
 
--- a/src/eelgrassbridge/routing/crash_suspects_test.cpp
+++ b/src/eelgrassbridge/routing/crash_suspects_test.cpp
@@ -46,6 +46,21 @@
   CHECK(Verdict(suspects, 1100) == CrashVerdict::kNoRetry);
 }
 
+TEST_CASE("a refutation that is known before its crashes counts") {
+  // Guards against a daemon that has just been started, reads the row with the
+  // answer before those with the crashes, and refuses the request.
+  CrashSuspects suspects;
+  RecordRefutation(suspects, kRequest, At(1500));
+  CHECK(Verdict(suspects, 1600) == CrashVerdict::kNormal);
+  RecordCrash(suspects, kRequest, Crash(1, 950, 1000));
+  RecordCrash(suspects, kRequest, Crash(2, 1100, 1200));
+  CHECK(Verdict(suspects, 1600) == CrashVerdict::kNormal);
+  RecordCrash(suspects, kRequest, Crash(3, 1800, 1900));
+  CHECK(Verdict(suspects, 2000) == CrashVerdict::kNoRetry);
+  DropExpired(suspects, At(1000000));
+  CHECK(suspects.suspects.empty());
+}
+
 TEST_CASE("an answered run refutes the crashes before it") {
   // Guards against the quarantine of a request that targets run well.
   CrashSuspects suspects;
