Keep the crashes in its row when a daemon is started again

Cause: a daemon tells its crashes, and the answers that refute them, in a row of its own. A process that was started again wrote the row anew with its first crash, so whoever read the rows later did not get what its former process had told. Change: a process takes over the records of its row when it has read the rows of its service, and does not write before. With the take-over left out, the test waits for both records in vain; it passes with it.

--- a/include/eelgrassbridge/node/crash_watch.hpp
+++ b/include/eelgrassbridge/node/crash_watch.hpp
@@ -38,9 +38,13 @@
 /// ended with the one before.
 void RecordRestart(Node& node);
 
-/// @brief Applies the crashes in another daemon's row.
+/// @brief Applies the crashes in a daemon's row. Those in this daemon's row
+/// were written by a former process, and stay in it.
 void ApplyCrashRow(Node& node, const StoredRow& row);
 
+/// @brief Notes that the rows of this daemon's service have been read.
+void RecordOwnRowsRead(Node& node);
+
 /// @brief Writes this daemon's crashes to the store after each change.
 asio::awaitable<void> PublishCrashes(Node& node);
 
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -251,6 +251,9 @@
   std::vector<CrashRecord> broken_runs;
   /// What this daemon's row has or is to have.
   std::vector<CrashRecord> own;
+  /// The row that a former process of this daemon may have written has been
+  /// read. Until then it is not replaced.
+  bool former_row_read = false;
   bool unpublished = false;
   /// Notified when `unpublished` is set.
   http::Event changed;
--- a/src/eelgrassbridge/node/crash_watch.cpp
+++ b/src/eelgrassbridge/node/crash_watch.cpp
@@ -63,6 +63,17 @@
   http::Notify(crashes.changed);
 }
 
+/// Puts the records of a former process before those of this one.
+void AdoptFormerRecords(CrashWatch& crashes,
+                        std::span<const CrashRecord> records) {
+  crashes.own.insert(crashes.own.begin(), records.begin(), records.end());
+  if (crashes.own.size() > kMaxOwnRecords) {
+    crashes.own.erase(
+        crashes.own.begin(),
+        crashes.own.end() - static_cast<std::ptrdiff_t>(kMaxOwnRecords));
+  }
+}
+
 /// A row from before a restore of the store may have times of another clock.
 bool IsPlausible(const routing::TargetCrash& crash, base::Duration now) {
   return crash.run_began <= crash.crashed_at &&
@@ -148,6 +159,12 @@
         {{"row", row.name.key}, {"cause", decoded.error().detail}});
     return;
   }
+  const bool own =
+      row.name == CrashRow(node.settings.service, node.settings.peers);
+  if (own && !node.crashes.former_row_read) {
+    AdoptFormerRecords(node.crashes, decoded.value());
+    RecordOwnRowsRead(node);
+  }
   const base::Duration now = StoreTimeAt(node, base::BootClock::now());
   for (const CrashRecord& record : decoded.value()) {
     if (!IsPlausible(record.crash, now)) {
@@ -163,9 +180,14 @@
   routing::DropExpired(node.crashes.suspects, now);
 }
 
+void RecordOwnRowsRead(Node& node) {
+  node.crashes.former_row_read = true;
+  http::Notify(node.crashes.changed);
+}
+
 awaitable<void> PublishCrashes(Node& node) {
   while (true) {
-    if (!node.crashes.unpublished) {
+    if (!node.crashes.unpublished || !node.crashes.former_row_read) {
       co_await http::Wait(node.crashes.changed);
       continue;
     }
--- a/src/eelgrassbridge/node/fleet_feed.cpp
+++ b/src/eelgrassbridge/node/fleet_feed.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "eelgrassbridge/node/crash_watch.hpp"
 #include "eelgrassbridge/node/fleet_relay.hpp"
 #include "eelgrassbridge/node/row_intake.hpp"
 #include "eelgrassbridge/node/rows.hpp"
@@ -72,6 +73,7 @@
   RebuildStaleTargetTables(node);
   if (service == node.settings.service) {
     node.fleet.own_rows_read = true;
+    RecordOwnRowsRead(node);
     http::Notify(node.member_inputs_changed);
   }
   co_return page.value().state.version;
