Send a cold target nothing in the first second of a process

A daemon that is started again beside a cold target does not know what its former process sent in the same second, and added its own full rate to it. By arithmetic the sum stays within what the platform allows as long as both keep the pace and few sends are bunched; the invariant of the pacer did not hold. Now the second before counts as full until the process knows it. The unit test failed without the check and passes with it.

--- a/include/eelgrassbridge/limits/cold_pacer.hpp
+++ b/include/eelgrassbridge/limits/cold_pacer.hpp
@@ -29,6 +29,9 @@
   std::uint32_t unsent = 0;
   /// Requests sent in the last second, to a warm target too, oldest first.
   std::deque<base::TimePoint> sent;
+  /// Sends before this time are not known: a former process of the daemon may
+  /// have sent as many as the rate allows.
+  base::TimePoint known_since{};
 };
 
 /// @brief Whether requests to the target are paced now.
--- a/src/eelgrassbridge/limits/cold_pacer.cpp
+++ b/src/eelgrassbridge/limits/cold_pacer.cpp
@@ -27,15 +27,17 @@
 TimePoint WindowFreeAt(const ColdPacer& pacer,
                        std::size_t most,
                        TimePoint now) {
+  const TimePoint known_at = std::max(now, pacer.known_since + kPaceWindow);
   if (pacer.unsent + 1 > most) {
     // Some of them must be sent and a second must pass.
-    return now + kPaceWindow;
+    return known_at + kPaceWindow;
   }
   const std::size_t room = most - 1 - pacer.unsent;
   if (pacer.sent.size() <= room) {
-    return now;
+    return known_at;
   }
-  return pacer.sent[pacer.sent.size() - room - 1] + kPaceWindow;
+  return std::max(known_at,
+                  pacer.sent[pacer.sent.size() - room - 1] + kPaceWindow);
 }
 
 }  // namespace
@@ -82,7 +84,7 @@
   if (!IsCold(pacer, now)) {
     return true;
   }
-  return pacer.requests_per_second &&
+  return pacer.requests_per_second && now >= pacer.known_since + kPaceWindow &&
          SentInLastSecond(pacer, now) < MaxInWindow(*pacer.requests_per_second);
 }
 
--- a/src/eelgrassbridge/limits/cold_pacer_test.cpp
+++ b/src/eelgrassbridge/limits/cold_pacer_test.cpp
@@ -131,6 +131,18 @@
   CHECK(pacer.unsent == 0);
 }
 
+TEST_CASE("a cold target gets nothing while its last second is not known") {
+  // Guards against a daemon that is started again and adds its full rate to
+  // what its former process has sent in the same second.
+  ColdPacer pacer = MakePacer(10, kStart + base::seconds{30});
+  pacer.known_since = kStart;
+  const TimePoint known_at = kStart + base::seconds{1};
+  CHECK(EarliestStart(pacer, 0, kStart) == known_at);
+  RecordStart(pacer, kStart);
+  CHECK(!MaySend(pacer, known_at - milliseconds{1}));
+  CHECK(MaySend(pacer, known_at));
+}
+
 TEST_CASE("the expected starts of those who wait are spaced") {
   ColdPacer pacer = MakePacer(10, kStart + base::seconds{30});
   CHECK(TrySend(pacer, kStart));
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -90,6 +90,7 @@
       ranges_changed(event_loop),
       release_possible(event_loop) {
   this->admission.limiter = MakeLimiter();
+  this->admission.limiter.pace.known_since = base::BootClock::now();
   this->retries.options = RetryOptions(this->settings.bounds);
   this->lease.options.hold =
       std::min(this->lease.options.hold, this->settings.bounds.max_hold);
