Refuse queued requests at once when their target leaves

When the target left, or its data centre was taken out of service, requests that waited for a slot were only refused when a run ended, though the target would not run them: callers waited for nothing. Now the limiter stops accepting at that moment and refuses its queue as draining.

--- a/include/eelgrassbridge/node/target_run.hpp
+++ b/include/eelgrassbridge/node/target_run.hpp
@@ -36,7 +36,9 @@
 /// do so once their bodies have arrived.
 std::uint32_t InFlight(const Node& node);
 
-/// @brief Updates the target's limits from its last report and the routes.
+/// @brief Updates the target's limits from its last report, the routes and the
+/// data centres out of service. Refuses queued requests that the target will
+/// not run.
 void RefreshAdmission(Node& node);
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/row_intake.cpp
+++ b/src/eelgrassbridge/node/row_intake.cpp
@@ -199,6 +199,7 @@
   Log(node.log, out ? EventKind::kDataCentreOut : EventKind::kDataCentreBack,
       {{"data_centre", data_centre}});
   RebuildTargetTables(node);
+  RefreshAdmission(node);
   http::Notify(node.lease_inputs_changed);
   http::Notify(node.target_changed);
 }
--- a/src/eelgrassbridge/node/target_run.cpp
+++ b/src/eelgrassbridge/node/target_run.cpp
@@ -313,6 +313,7 @@
         limiter, node.target.slots,
         std::max(node.target.slots, service->max_connections));
   }
+  limits::SetAccepting(limiter, TargetTakesRequests(node));
   limits::RefuseUnreachable(limiter, base::BootClock::now());
   DispatchWaiters(node);
 }
