Let targets become cold in a part of the soak's runs only

Two smaller faults: arrivals counted as known to be cold although the cold time that the daemon had been told was over, and Kill and Freeze drew from the seed at another moment than before. The report counts the pauses of the soak itself that left arrivals out.

--- a/standins/platform/target_standin.cpp
+++ b/standins/platform/target_standin.cpp
@@ -203,8 +203,8 @@
     co_await RefuseRun(target, exchange, kMisdirected);
     co_return;
   }
-  if (target.on_cold_arrival && ColdSecondsLeft(target) > 0 &&
-      target.cold_acknowledged_at != base::TimePoint{}) {
+  if (target.on_cold_arrival &&
+      base::BootClock::now() < target.known_cold_until) {
     target.on_cold_arrival(target);
   }
   if (target.fault == TargetFault::kFull || target.running >= target.slots) {
@@ -314,7 +314,8 @@
   while (target.reporting && generation == target.generation) {
     const base::TimePoint sent_at = base::BootClock::now();
     const bool leaving = target.leaving;
-    const bool cold = ColdSecondsLeft(target) > 0;
+    const base::Duration cold_left{
+        static_cast<std::int64_t>(ColdSecondsLeft(target) * 1e6)};
     http::BufferedRequest request;
     request.method = "POST";
     request.target = "/api/rpc?call=instances.heartbeat&of=" + target.id;
@@ -331,11 +332,7 @@
       if (leaving && target.leaving_acknowledged_at == base::TimePoint{}) {
         target.leaving_acknowledged_at = base::BootClock::now();
       }
-      if (!cold) {
-        target.cold_acknowledged_at = {};
-      } else if (target.cold_acknowledged_at == base::TimePoint{}) {
-        target.cold_acknowledged_at = base::BootClock::now();
-      }
+      target.known_cold_until = sent_at + cold_left;
       target.released.clear();
       report_now =
           ApplyGrant(target, json::parse(answer.value().body), sent_at);
@@ -387,7 +384,7 @@
   target.sequence = 0;
   target.leaving = false;
   target.leaving_acknowledged_at = {};
-  target.cold_acknowledged_at = {};
+  target.known_cold_until = {};
   StartReports(target);
 }
 
--- a/standins/platform/target_standin.hpp
+++ b/standins/platform/target_standin.hpp
@@ -90,9 +90,9 @@
   double cold_seconds = 0;
   /// The target is cold until then.
   base::TimePoint cold_until{};
-  /// When the daemon first acknowledged a heartbeat that said that the target
-  /// is cold; the epoch: not yet, or the target is warm.
-  base::TimePoint cold_acknowledged_at{};
+  /// Until when the target is cold as told by its last heartbeat that the
+  /// daemon has acknowledged.
+  base::TimePoint known_cold_until{};
   bool divided = false;
   bool leaving = false;
   bool reporting = true;
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -118,6 +118,7 @@
 void NotePause(Checker& checker, TimePoint now) {
   if (now - checker.running_at > kNotedPause) {
     checker.paused_at = now;
+    ++checker.pause_count;
   }
   checker.running_at = now;
 }
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -97,6 +97,7 @@
   std::map<std::string, std::deque<base::TimePoint>> cold_arrivals;
   std::size_t most_cold_arrivals = 0;
   std::uint64_t cold_arrival_count = 0;
+  std::uint64_t pause_count = 0;
   /// When this program last noticed that it had not run for a while (what
   /// arrived meanwhile is seen at the same time), and when it last ran.
   base::TimePoint paused_at{};
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -66,12 +66,14 @@
 
 awaitable<void> Kill(Faults& faults) {
   Vm& vm = DrawVm(faults);
-  return KillFor(faults, vm, DrawDuration(faults, 200, 2500));
+  const milliseconds down = DrawDuration(faults, 200, 2500);
+  co_await KillFor(faults, vm, down);
 }
 
 awaitable<void> Freeze(Faults& faults) {
   Vm& vm = DrawVm(faults);
-  return FreezeFor(faults, vm, DrawDuration(faults, 300, 7000));
+  const milliseconds time = DrawDuration(faults, 300, 7000);
+  co_await FreezeFor(faults, vm, time);
 }
 
 /// Planned stop. The daemon is killed if it has not exited within the grace
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -41,6 +41,8 @@
   Faults faults;
   LimitChanges limit_changes;
   ColdChanges cold_changes;
+  /// Targets become cold.
+  bool cold = false;
 };
 
 asio::awaitable<void> RunSoak(Run& run, std::chrono::seconds time) {
@@ -52,7 +54,9 @@
   Start(run.callers);
   StartKept(run.callers);
   asio::co_spawn(io, RunLimitChanges(run.limit_changes, time), asio::detached);
-  asio::co_spawn(io, RunColdChanges(run.cold_changes, time), asio::detached);
+  if (run.cold) {
+    asio::co_spawn(io, RunColdChanges(run.cold_changes, time), asio::detached);
+  }
   asio::co_spawn(io, WatchPauses(run.checker), asio::detached);
   co_await RunFaults(run.faults, time);
   co_await AwaitRecovery(run.callers);
@@ -84,7 +88,8 @@
           {"cold",
            {{"changes", run.cold_changes.count},
             {"arrivals", run.checker.cold_arrival_count},
-            {"most_in_one_second", run.checker.most_cold_arrivals}}},
+            {"most_in_one_second", run.checker.most_cold_arrivals},
+            {"pauses", run.checker.pause_count}}},
           {"violations", run.checker.violations},
           {"faults", run.faults.history}};
 }
@@ -93,13 +98,15 @@
 bool RunSeed(const std::string& program,
              const std::string& folder,
              std::uint64_t seed,
-             std::chrono::seconds time) {
+             std::chrono::seconds time,
+             bool cold) {
   // Suspended coroutines refer to the run until the process ends, so neither
   // the io_context nor the run is destroyed, and the daemons are stopped
   // explicitly.
   auto* const io = new asio::io_context(1);
   auto* const run = new Run(
       *io, {program, folder + "/seed-" + std::to_string(seed), seed}, seed);
+  run->cold = cold;
   asio::co_spawn(*io, RunSoak(*run, time), asio::detached);
   io->run();
   for (const auto& vm : run->fleet.vms) {
@@ -118,6 +125,8 @@
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seconds", "Duration of the faults of each seed",
       cxxopts::value<int>()->default_value("20"))(
+      "cold",
+      "Make targets cold, with faults that leave little undisturbed time")(
       "program", "Path of the eelgrassbridge binary",
       cxxopts::value<std::string>()->default_value("build/bin/eelgrassbridge"))(
       "folder", "Folder for settings and logs",
@@ -134,7 +143,8 @@
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     passed = RunSeed(parsed["program"].as<std::string>(),
                      parsed["folder"].as<std::string>(), seed,
-                     std::chrono::seconds{parsed["seconds"].as<int>()}) &&
+                     std::chrono::seconds{parsed["seconds"].as<int>()},
+                     parsed.count("cold") > 0) &&
              passed;
   }
   return passed ? 0 : 1;
