Give the place of a cancelled start to the next request

The unit test guards it; it and the property that a request started at a cold target may be sent pass. What bounds the sends is the window, which did not change.

--- a/src/eelgrassbridge/limits/cold_pacer.cpp
+++ b/src/eelgrassbridge/limits/cold_pacer.cpp
@@ -78,6 +78,10 @@
 
 void CancelStart(ColdPacer& pacer) {
   --pacer.unsent;
+  if (pacer.requests_per_second.value_or(0) > 0) {
+    // Its place goes to the next request.
+    pacer.next_start -= IntervalOf(*pacer.requests_per_second);
+  }
 }
 
 bool MaySend(const ColdPacer& pacer, TimePoint now) {
--- a/src/eelgrassbridge/limits/cold_pacer_test.cpp
+++ b/src/eelgrassbridge/limits/cold_pacer_test.cpp
@@ -131,6 +131,19 @@
   CHECK(pacer.unsent == 0);
 }
 
+TEST_CASE("a start that is cancelled leaves its place to the next request") {
+  // Guards against requests that are refused as they are to be sent and use up
+  // the pace of a cold target.
+  ColdPacer pacer = MakePacer(10, kStart + base::seconds{30});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(EarliestStart(pacer, 0, kStart) == kStart);
+    RecordStart(pacer, kStart);
+    CancelStart(pacer);
+  }
+  CHECK(TrySend(pacer, kStart));
+  CHECK(EarliestStart(pacer, 0, kStart) == kStart + milliseconds{100});
+}
+
 TEST_CASE("a cold target gets nothing while its last second is not known") {
   // Guards against a daemon that is started again and adds its full rate to
   // what its former process has sent in the same second.
--- a/src/eelgrassbridge/limits/paced_limiter_test.cpp
+++ b/src/eelgrassbridge/limits/paced_limiter_test.cpp
@@ -151,6 +151,34 @@
   }));
 }
 
+TEST_CASE("a request that was started at a cold target may be sent") {
+  // Guards against starts beyond the pace that only the check at the send
+  // stops: such requests would be refused after they had waited.
+  CHECK(rc::check([](const std::vector<std::pair<unsigned, unsigned>>& steps) {
+    TargetLimiter limiter = MakePacedLimiter(6, 20);
+    limiter.pace.cold_until = kStart + base::seconds{100'000};
+    Started started{limiter, {}, 0, 0};
+    TimePoint now = kStart;
+    for (const auto& [kind, pick] : steps) {
+      now += milliseconds{pick % 16 == 0 ? 2000 : pick % 40};
+      if (kind % 4 < 2) {
+        started.unsent +=
+            AdmitFor(limiter, now, base::seconds{10}).state == State::kRun ? 1
+                                                                           : 0;
+      } else if (kind % 4 == 2 && started.unsent > 0) {
+        RC_ASSERT(MaySend(limiter.pace, now));
+        started.Send(now);
+      } else if (started.running > 0) {
+        --started.running;
+        Finish(limiter, RunEnd::kAnswered, milliseconds{pick % 500}, 0);
+      }
+      while (const auto next = NextDispatch(limiter, now)) {
+        started.unsent += next->refusal ? 0 : 1;
+      }
+    }
+  }));
+}
+
 TEST_CASE("a request that the pace lets start too late is refused at once") {
   // Guards against a caller that waits until its time is up for a start that a
   // cold target cannot give it.
