--- a/src/eelgrassbridge/node/crash_watch.cpp
+++ b/src/eelgrassbridge/node/crash_watch.cpp
@@ -2,7 +2,9 @@
 #include "eelgrassbridge/node/crash_watch.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <string>
+#include <utility>
 
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/store_calls.hpp"
@@ -63,23 +65,29 @@
   http::Notify(crashes.changed);
 }
 
-/// Puts the records of a former process before those of this one.
+/// Whether a record of a row may still count. A row from before a restore of
+/// the store may have times of another clock.
+bool IsUsable(const Node& node,
+              const routing::TargetCrash& crash,
+              base::Duration now) {
+  return crash.run_began <= crash.crashed_at &&
+         crash.crashed_at <= now + base::seconds{1} &&
+         now - crash.crashed_at < node.crashes.suspects.options.memory;
+}
+
+/// Puts the records of a former process before those of this one. A write of it
+/// that arrives late has replaced the row, which is then written again.
 void AdoptFormerRecords(CrashWatch& crashes,
                         std::span<const CrashRecord> records) {
-  crashes.own.insert(crashes.own.begin(), records.begin(), records.end());
-  if (crashes.own.size() > kMaxOwnRecords) {
-    crashes.own.erase(
-        crashes.own.begin(),
-        crashes.own.end() - static_cast<std::ptrdiff_t>(kMaxOwnRecords));
+  for (const CrashRecord& record : std::views::reverse(records)) {
+    if (crashes.own.size() < kMaxOwnRecords &&
+        std::ranges::find(crashes.own, record) == crashes.own.end()) {
+      crashes.own.insert(crashes.own.begin(), record);
+      crashes.unpublished |= crashes.former_row_read;
+    }
   }
 }
 
-/// A row from before a restore of the store may have times of another clock.
-bool IsPlausible(const routing::TargetCrash& crash, base::Duration now) {
-  return crash.run_began <= crash.crashed_at &&
-         crash.crashed_at <= now + base::seconds{1};
-}
-
 }  // namespace
 
 routing::CrashVerdict CrashVerdictOf(const Node& node,
@@ -153,23 +161,22 @@
   if (row.removed || !node.store.clock.known) {
     return;
   }
-  const auto decoded = DecodeCrashes(row.value);
+  auto decoded = DecodeCrashes(row.value);
   if (!decoded) {
     Log(node.log, EventKind::kRowRejected,
         {{"row", row.name.key}, {"cause", decoded.error().detail}});
     return;
   }
-  const bool own =
-      row.name == CrashRow(node.settings.service, node.settings.peers);
-  if (own && !node.crashes.former_row_read) {
-    AdoptFormerRecords(node.crashes, decoded.value());
+  const base::Duration now = StoreTimeAt(node, base::BootClock::now());
+  std::vector<CrashRecord> records = std::move(decoded.value());
+  std::erase_if(records, [&node, now](const CrashRecord& record) {
+    return !IsUsable(node, record.crash, now);
+  });
+  if (row.name == CrashRow(node.settings.service, node.settings.peers)) {
+    AdoptFormerRecords(node.crashes, records);
     RecordOwnRowsRead(node);
   }
-  const base::Duration now = StoreTimeAt(node, base::BootClock::now());
-  for (const CrashRecord& record : decoded.value()) {
-    if (!IsPlausible(record.crash, now)) {
-      continue;
-    }
+  for (const CrashRecord& record : records) {
     if (record.answered) {
       routing::RecordRefutation(node.crashes.suspects, record.request,
                                 record.crash.run_began);
