Refuse the queue at once in a planned stop and after a restart

The test of the planned stop failed before (the queued requests ended after the run) and passes; the recorded departure has no test of its own.

--- a/src/eelgrassbridge/node/departure.cpp
+++ b/src/eelgrassbridge/node/departure.cpp
@@ -1,6 +1,8 @@
 // Announces, restores and confirms the departure of the target.
 #include "eelgrassbridge/node/departure.hpp"
 
+#include "eelgrassbridge/node/target_run.hpp"
+
 namespace eelgrassbridge::node {
 
 namespace {
@@ -23,6 +25,7 @@
 void AnnounceDeparture(Node& node, std::string_view cause) {
   Log(node.log, EventKind::kTargetLeaving,
       {{"target", node.target.id}, {"cause", cause}});
+  RefreshAdmission(node);
   http::Notify(node.member_inputs_changed);
   http::Notify(node.lease_inputs_changed);
   http::Notify(node.target_changed);
--- a/src/eelgrassbridge/node/reports.cpp
+++ b/src/eelgrassbridge/node/reports.cpp
@@ -127,7 +127,6 @@
   switch (ApplyDeparture(node.target,
                          node.port.decode_departure(target, message.body))) {
     case DepartureStatus::kLeaving:
-      RefreshAdmission(node);
       AnnounceDeparture(node, "the target announced its departure");
       acknowledged = co_await AwaitRecordedDeparture(node);
       break;
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -24,6 +24,7 @@
 #include "eelgrassbridge/node/peer_call.hpp"
 #include "eelgrassbridge/node/reports.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
+#include "eelgrassbridge/node/target_slot.hpp"
 
 namespace eelgrassbridge::node {
 
@@ -80,7 +81,10 @@
 
 void RefuseRequests(Node& node) {
   node.refusing_requests = true;
-  // Uploads that wait for their turn need not wait to be refused.
+  // Requests that wait for a slot, or uploads for their turn, need not wait to
+  // be refused.
+  limits::SetAccepting(node.admission.limiter, false);
+  DispatchWaiters(node);
   http::Notify(node.admission.body_arrived);
 }
 
