--- a/src/eelgrassbridge/node/target_pace.cpp
+++ b/src/eelgrassbridge/node/target_pace.cpp
@@ -47,7 +47,7 @@
   Log(node.log, cold ? EventKind::kTargetCold : EventKind::kTargetWarm,
       {{"target", node.target.id},
        {"cold_ms", cold_left.count() / 1000},
-       {"pace", pacer.requests_per_second.value_or(0)},
+       {"pace", pacer.requests_per_second.value_or(-1)},
        {"routes_version",
         node.routes ? static_cast<std::int64_t>(node.routes->version) : 0},
        {"in_flight", std::int64_t{admission.limiter.in_flight}},
