Leave out arrivals that a link of the soak released late

The limit is one of requests that are sent and arrive in the same second. Not a violation; the bound of 30 is unchanged.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -29,6 +29,8 @@
 /// Requests that a cold target may get in one second: the rate of its service,
 /// 17, times 1.5, plus 5.
 constexpr std::size_t kMaxColdArrivals = 30;
+/// What a link has held or delayed arrives for this long after its fault.
+constexpr base::Duration kLinkSettleTime = base::milliseconds{500};
 /// Longer pauses of this program are noted.
 constexpr base::Duration kNotedPause = base::milliseconds{120};
 constexpr std::chrono::milliseconds kPauseWatchInterval{20};
@@ -130,8 +132,8 @@
   NotePause(checker, now);
   const Vm& vm = FindVm(checker.fleet, target);
   auto& arrivals = checker.cold_arrivals[vm.name];
-  const TimePoint bunched_until =
-      std::max(vm.target_link.undisturbed_since, checker.paused_at);
+  const TimePoint bunched_until = std::max(
+      vm.target_link.undisturbed_since + kLinkSettleTime, checker.paused_at);
   const TimePoint first = std::max(bunched_until, now - base::seconds{1});
   arrivals.push_back(now);
   std::erase_if(arrivals, [first](TimePoint at) { return at <= first; });
