--- a/src/eelgrassbridge/node/crash_watch.cpp
+++ b/src/eelgrassbridge/node/crash_watch.cpp
@@ -2,9 +2,9 @@
 #include "eelgrassbridge/node/crash_watch.hpp"
 
 #include <algorithm>
-#include <ranges>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "eelgrassbridge/node/rows.hpp"
 #include "eelgrassbridge/node/store_calls.hpp"
@@ -79,13 +79,20 @@
 /// that arrives late has replaced the row, which is then written again.
 void AdoptFormerRecords(CrashWatch& crashes,
                         std::span<const CrashRecord> records) {
-  for (const CrashRecord& record : std::views::reverse(records)) {
-    if (crashes.own.size() < kMaxOwnRecords &&
-        std::ranges::find(crashes.own, record) == crashes.own.end()) {
-      crashes.own.insert(crashes.own.begin(), record);
-      crashes.unpublished |= crashes.former_row_read;
+  std::vector<CrashRecord> missing;
+  for (const CrashRecord& record : records) {
+    if (std::ranges::find(crashes.own, record) == crashes.own.end()) {
+      missing.push_back(record);
     }
   }
+  // The latest records are the last ones.
+  const std::size_t room =
+      kMaxOwnRecords - std::min(kMaxOwnRecords, crashes.own.size());
+  const std::size_t kept = std::min(room, missing.size());
+  crashes.own.insert(crashes.own.begin(),
+                     missing.end() - static_cast<std::ptrdiff_t>(kept),
+                     missing.end());
+  crashes.unpublished |= kept > 0 && crashes.former_row_read;
 }
 
 }  // namespace
