Complete no response by an end that comes before the request

Callers saw: a target answered a long upload at once with a 200 without length, sent part of its body and reset the connection; the caller got the part as a whole answer, directly and through a second daemon, with HTTP/1.1 and 1.0.

Cause: the reset goes to whichever operation on the socket asks first. If the waiting write takes it, the read returns an end that looks orderly. The failed write marked the connection, but its completion may be handled after that of the read. A target that fails may also end its side in order before the reset.

Why this works: an end completes a response without length only if all of the request has been written. A write that takes a reset has not succeeded, whatever the order of the completions, so no order matters.

A target that answers an upload early, without length, and ends in order now gets 502.

--- a/include/eelgrassbridge/http/client.hpp
+++ b/include/eelgrassbridge/http/client.hpp
@@ -47,10 +47,12 @@
   /// Set on a connection from the pool: the server may have closed it while it
   /// was idle.
   bool reused = false;
-  /// A write has failed although the server had not ended the connection in
-  /// order, e.g. by a reset. The failed write takes the error from the socket,
-  /// so that the next read returns an end of the connection that looks orderly.
-  bool broken = false;
+  /// Parts of the current request that have not been written: in progress,
+  /// failed, or still to come of a streamed body. While there are any, the end
+  /// of the connection completes no response: a write may have taken a reset
+  /// from the socket, after which the end looks orderly, and a server that has
+  /// not read the request may have failed.
+  std::uint32_t unwritten_parts = 0;
   /// Received bytes that may still be read; none before the connection expires.
   std::optional<std::size_t> unread_at_expiry;
   /// Whether the server had ended the connection in order before it expired.
@@ -114,8 +116,8 @@
 /// its pool. Has no effect after Release.
 void Expire(CallConnection& call);
 
-/// @brief Sends two buffers, one after the other. Returns false if the
-/// connection failed.
+/// @brief Sends two buffers, one after the other, as one part of the request.
+/// Returns false if the connection failed.
 asio::awaitable<bool> Send(ClientConnection& connection,
                            std::string_view first,
                            std::string_view second = {});
@@ -133,7 +135,7 @@
 
 /// @brief Reads the next piece of the body and appends it to `parser.body`. A
 /// body that the end of the connection delimits is truncated unless that end is
-/// orderly.
+/// orderly and follows the last byte of the request.
 asio::awaitable<ResponseRead> ReadResponseBody(ClientConnection& connection);
 
 /// @brief A response whose body was read completely.
--- a/src/eelgrassbridge/http/client.cpp
+++ b/src/eelgrassbridge/http/client.cpp
@@ -60,13 +60,6 @@
   return (events & POLLRDHUP) != 0 && (events & POLLERR) == 0;
 }
 
-/// Whether a failed write means that the connection has ended out of order. A
-/// write that follows an orderly end of the server fails with a broken pipe.
-bool IsBreak(std::error_code error) {
-  return error && error != asio::error::broken_pipe &&
-         error != asio::error::operation_aborted;
-}
-
 awaitable<std::size_t> ReadSome(ClientConnection& connection,
                                 std::span<char> buffer,
                                 std::error_code& error) {
@@ -91,7 +84,7 @@
     std::array<char, kReadBufferBytes> buffer;
     std::error_code error;
     const std::size_t size = co_await ReadSome(connection, buffer, error);
-    if (error == asio::error::eof && !connection.broken) {
+    if (error == asio::error::eof && connection.unwritten_parts == 0) {
       ParseEnd(connection.parser);
       if (connection.parser.state == ParseState::kComplete) {
         co_return true;
@@ -209,14 +202,15 @@
   const std::array<asio::const_buffer, 2> buffers = {asio::buffer(first),
                                                      asio::buffer(second)};
   std::error_code error;
+  ++connection.unwritten_parts;
   const std::size_t size = co_await asio::async_write(
       connection.socket, buffers,
       asio::redirect_error(asio::use_awaitable, error));
   if (connection.sent_bytes != nullptr) {
     *connection.sent_bytes += size;
   }
-  if (IsBreak(error)) {
-    connection.broken = true;
+  if (!error) {
+    --connection.unwritten_parts;
   }
   co_return !error;
 }
--- a/src/eelgrassbridge/http/connection_pool.cpp
+++ b/src/eelgrassbridge/http/connection_pool.cpp
@@ -184,7 +184,8 @@
         std::min(connection->idle_limit, *announced - kIdleMargin);
   }
   if (!response.keep_alive || !connection->input.empty() ||
-      connection->unread_at_expiry || !connection->socket.is_open() ||
+      connection->unwritten_parts > 0 || connection->unread_at_expiry ||
+      !connection->socket.is_open() ||
       connection->idle_limit <= std::chrono::milliseconds{0} ||
       connections.size() >= pool.options.max_idle_per_address) {
     Close(*connection);
--- a/src/eelgrassbridge/node/transmit.cpp
+++ b/src/eelgrassbridge/node/transmit.cpp
@@ -55,7 +55,8 @@
   http::Notify(pump.ended);
 }
 
-/// Forwards the rest of a caller's body until the pump is stopped.
+/// Forwards the rest of a caller's body, which StartBodyPump has counted as an
+/// unwritten part of the request, until the pump is stopped.
 awaitable<void> PumpBody(std::shared_ptr<BodyPump> pump,
                          http::ClientConnectionPtr connection,
                          bool chunked) {
@@ -82,6 +83,9 @@
       const std::string last = http::FormatChunk({});
       sent = co_await http::Send(*connection, last);
     }
+    if (sent) {
+      --connection->unwritten_parts;
+    }
     pump->complete = sent;
   } else if (sent && !pump->stopped) {
     // The server must not mistake a truncated body for a complete one. After a
@@ -190,6 +194,7 @@
                    const Message& message,
                    bool chunked) {
   result.pump = std::make_shared<BodyPump>(node.io, *message.body_source);
+  ++result.connection->connection->unwritten_parts;
   asio::co_spawn(node.io,
                  PumpBody(result.pump, result.connection->connection, chunked),
                  asio::detached);
