Reject heads whose lines do not end with CRLF or continue

Callers saw: after a line that began with a CR, such as "\rX-Bad: v", the rest of the head came as the body of a 200, cut to the length of the answer. The same came of a single LF, and of "Transfer-Encoding: chun\r\n ked".

Cause: http-parser without its strict mode takes any byte after the CR of an empty line for its LF, a single LF for the end of a line, and joins a continued value of which it has read only the first line.

Why this works: http-parser pauses before the last line feed of a head, so each byte of a head is checked before anyone sees the head. RFC 9112 lets a recipient reject single LFs (2.2) and continued values (5.2).

--- a/include/eelgrassbridge/http/parser.hpp
+++ b/include/eelgrassbridge/http/parser.hpp
@@ -30,8 +30,9 @@
 
 /// @brief Parses consecutive messages from a byte stream.
 ///
-/// Invariant: parsing pauses after each head and at the end of each message, so
-/// bytes of the next message are consumed only after Reset.
+/// Invariants: parsing pauses after each head and at the end of each message,
+/// so bytes of the next message are consumed only after Reset. `head_done` is
+/// set only for a head that is well formed to its last byte.
 struct MessageParser {
   explicit MessageParser(MessageKind kind);
   MessageParser(const MessageParser&) = delete;
@@ -45,6 +46,11 @@
   /// Decoded body bytes that the user hasn't removed yet.
   std::string body;
   bool head_done = false;
+  /// http-parser has reached the end of the head; it accepts some that are not
+  /// well formed.
+  bool head_parsed = false;
+  /// Last byte that http-parser has consumed.
+  char last_byte = 0;
   /// Set for the response to a HEAD request, which has no body.
   bool no_body = false;
   /// Start of the status line, as far as it is needed to check the status.
@@ -60,7 +66,8 @@
 /// @brief Parses up to the next pause or the end of the input. Returns the
 /// number of bytes consumed and sets `state`. Invalid are a response whose
 /// status is not three digits from 100 to 599, and a message with a header
-/// whose name is not a token.
+/// whose name is not a token, that continues on a second line, or whose line
+/// does not end with CRLF.
 std::size_t Parse(MessageParser& parser, std::string_view input);
 
 /// @brief Handles the end of the connection. Sets `state` to kComplete if it
--- a/src/eelgrassbridge/http/broken_answer_test.cpp
+++ b/src/eelgrassbridge/http/broken_answer_test.cpp
@@ -206,7 +206,8 @@
   for (const std::string start :
        {"HTTP/1.1 000 None\r\n", "HTTP/1.1 600 High\r\n",
         "HTTP/1.1 200 OK\r\nX Bad: v\r\n", "HTTP/1.1 200 OK\r\nX : v\r\n",
-        "HTTP/1.1 200 OK\r\nX\x01: v\r\n",
+        "HTTP/1.1 200 OK\r\nX\x01: v\r\n", "HTTP/1.1 200 OK\r\n\rX: v\r\n",
+        "HTTP/1.1 200 OK\r\nX: v\r\n folded\r\n",
         "HTTP/1.1 103 Hints\r\nX Bad: v\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
     INFO(start);
     CHECK(CallError(start + rest) == base::ErrorKind::kPeerLost);
--- a/src/eelgrassbridge/http/parser.cpp
+++ b/src/eelgrassbridge/http/parser.cpp
@@ -91,8 +91,7 @@
   if (!IsTransferCodingKnown(self.headers)) {
     return -1;
   }
-  self.head_done = true;
-  self.state = ParseState::kHead;
+  self.head_parsed = true;
   http_parser_pause(raw, 1);
   return self.no_body || IsInterim(self) ? 1 : 0;
 }
@@ -157,6 +156,40 @@
          parser.raw.status_code <= kLastStatus;
 }
 
+/// Whether the lines in this piece of a head end with CRLF and none continues
+/// the line before it. http-parser takes a single LF for the end of a line, and
+/// joins continued values in another way than it reads them.
+bool AreLinesValid(MessageParser& parser, std::string_view head) {
+  return std::ranges::all_of(head, [&parser](char byte) {
+    const char before = std::exchange(parser.last_byte, byte);
+    const bool continues_line = before == '\n' && (byte == ' ' || byte == '\t');
+    return (before == '\r') == (byte == '\n') && !continues_line;
+  });
+}
+
+/// Checks what http-parser leaves unchecked in the piece of a head that it has
+/// consumed. It stops before the last line feed, and takes any byte for it.
+void CheckHead(MessageParser& parser,
+               std::string_view consumed,
+               std::string_view rest) {
+  if (parser.kind == MessageKind::kResponse) {
+    RecordStatusLine(parser, consumed);
+  }
+  if (!AreLinesValid(parser, consumed)) {
+    parser.state = ParseState::kInvalid;
+    return;
+  }
+  if (!parser.head_parsed) {
+    return;
+  }
+  const bool ends_with_crlf =
+      parser.last_byte == '\r' && rest.starts_with('\n');
+  const bool has_status =
+      parser.kind == MessageKind::kRequest || IsStatusValid(parser);
+  parser.head_done = ends_with_crlf && has_status;
+  parser.state = parser.head_done ? ParseState::kHead : ParseState::kInvalid;
+}
+
 /// Length of the body as the parser reads it; none for a chunked body and
 /// without a length.
 std::optional<std::uint64_t> LengthOf(const MessageParser& parser) {
@@ -185,6 +218,8 @@
   parser.headers.clear();
   parser.body.clear();
   parser.head_done = false;
+  parser.head_parsed = false;
+  parser.last_byte = 0;
   parser.no_body = false;
   parser.status_line.clear();
   parser.last_was_value = false;
@@ -195,8 +230,6 @@
   if (HTTP_PARSER_ERRNO(&parser.raw) == HPE_PAUSED) {
     http_parser_pause(&parser.raw, 0);
   }
-  const bool is_status_open =
-      parser.kind == MessageKind::kResponse && !parser.head_done;
   const std::size_t consumed =
       http_parser_execute(&parser.raw, &Settings(), input.data(), input.size());
   const http_errno code = HTTP_PARSER_ERRNO(&parser.raw);
@@ -205,12 +238,8 @@
   } else if (parser.raw.upgrade != 0) {
     // CONNECT and protocol upgrades are not supported.
     parser.state = ParseState::kInvalid;
-  }
-  if (is_status_open) {
-    RecordStatusLine(parser, input.substr(0, consumed));
-    if (parser.head_done && !IsStatusValid(parser)) {
-      parser.state = ParseState::kInvalid;
-    }
+  } else if (!parser.head_done) {
+    CheckHead(parser, input.substr(0, consumed), input.substr(consumed));
   }
   return consumed;
 }
--- a/src/eelgrassbridge/http/parser_test.cpp
+++ b/src/eelgrassbridge/http/parser_test.cpp
@@ -245,15 +245,57 @@
   // end the next reader finds elsewhere, because http-parser accepts spaces in
   // names.
   for (const std::string name :
-       {"X Bad", "X-Bad ", "X  Bad", "Transfer Encoding", "Content-Length ",
-        "Transfer-Encoding ", "X\tBad", "X-Bad\t", "X\x01", "X\x7f", "X\x80",
-        "X(", "X\"", "X/", "X@", ""}) {
+       {"X Bad", "X-Bad ", " X-Bad", "X  Bad", "Transfer Encoding",
+        "Content-Length ", "Transfer-Encoding ", "X\tBad", "X-Bad\t", "X\x01",
+        "X\x7f", "X\x80", "X(", "X\"", "X/", "X@", "", " "}) {
     CheckHeadersRejected(name + ": 2\r\n");
   }
   CheckHeadersRejected(std::string("X\0Bad: 2\r\n", 10));
   CheckHeadersRejected("no colon\r\n");
 }
 
+TEST_CASE("a head whose lines do not end with CRLF is rejected") {
+  // Guards against a header that is taken for the end of the head, after which
+  // the rest of the head is passed on as the body: http-parser takes any byte
+  // after the CR of an empty line for its LF.
+  for (const std::string headers :
+       {"\rX: y\r\n", "\nX: y\r\n", "X: y\n", "X: y\r", "X: y\rZ: y\r\n",
+        "\r\rX: y\r\n", "X: y\r\r\n"}) {
+    CheckHeadersRejected(headers);
+  }
+  for (const std::size_t piece : {1, 7, 4096}) {
+    CHECK(BodyOf(MessageKind::kResponse,
+                 "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\rXabc",
+                 piece) == "invalid");
+    CHECK(BodyOf(MessageKind::kResponse,
+                 "HTTP/1.1 200 OK\rContent-Length: 3\r\n\r\nabc",
+                 piece) == "invalid");
+    CHECK(BodyOf(MessageKind::kResponse,
+                 "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+                 piece) == "abc");
+    CHECK(BodyOf(MessageKind::kRequest, "GET / HTTP/1.1\r\nHost: h\r\n\rX",
+                 piece) == "invalid");
+    CHECK(BodyOf(MessageKind::kRequest, "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                 piece)
+              .empty());
+  }
+}
+
+TEST_CASE("a header that continues on the next line is rejected") {
+  // Guards against a value that http-parser reads line by line, and the next
+  // reader as one: "chunked" in two lines is not a coding to http-parser.
+  for (const std::string headers :
+       {"X: y\r\n z\r\n", "X: y\r\n\tz\r\n", "X:\r\n y\r\n", "X: y\r\n \r\n"}) {
+    CheckHeadersRejected(headers);
+  }
+  for (const std::size_t piece : {1, 7, 4096}) {
+    CHECK(BodyOf(MessageKind::kResponse,
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n "
+                 "ked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                 piece) == "invalid");
+  }
+}
+
 TEST_CASE("a trailer whose name is not a token is rejected") {
   // Trailers are not passed on, but their sender is as faulty as that of such a
   // header.
--- a/src/eelgrassbridge/http/server_test.cpp
+++ b/src/eelgrassbridge/http/server_test.cpp
@@ -179,8 +179,9 @@
     return AnswerPath(exchange);
   });
   for (const std::string header :
-       {"X Bad: v", "X-Bad : v", "Content-Length : 1",
-        "Transfer-Encoding : chunked", "X\x01: v"}) {
+       {"X Bad: v", "X-Bad : v", " X-Bad: v", "Content-Length : 1",
+        "Transfer-Encoding : chunked", "X\x01: v", "\rX-Bad: v",
+        "X: v\r\n folded"}) {
     RawClient client(server.port);
     client.Send("POST /x HTTP/1.1\r\nHost: h\r\n" + header +
                 "\r\nContent-Length: 4\r\n\r\nbody");
