Reject answers with a malformed head in the daemon

Callers of `eelgrassbridge daemon` saw: an answer of the target, or of the owner's daemon, with status 099 to 199 or above 599 was passed on, and one with status 000 became a response that the caller could not read. Answers with a header whose name is not a token, or whose value holds a control byte, were passed on with it; "X: a%0d%0aY: b" reached the caller as two headers.

Cause: the HTTP library takes any three digits for a status and any bytes before a colon for a name, and decodes percent signs in values.

The test of forwarding keeps its checks; its view is a function that both tests use.

Why this works: status and headers are checked before the body is read, in the one function that reads all answers. The outcome is unknown, `answer_cut`.

--- a/include/eelgrassbridge/base/header_syntax.hpp
+++ b/include/eelgrassbridge/base/header_syntax.hpp
@@ -3,6 +3,7 @@
 #ifndef EELGRASSBRIDGE_BASE_HEADER_SYNTAX_HPP
 #define EELGRASSBRIDGE_BASE_HEADER_SYNTAX_HPP
 
+#include <algorithm>
 #include <string_view>
 
 namespace eelgrassbridge::base {
@@ -11,6 +12,28 @@
 /// name of a header must be.
 bool IsToken(std::string_view text);
 
+/// @brief Returns whether the text has no control bytes except tabs.
+bool IsHeaderValue(std::string_view text);
+
+/// @brief Returns whether the status is that of a final response: 200 to 599.
+bool IsFinalStatus(int status);
+
+/// @brief Returns whether all headers, pairs of a name and a value, are well
+/// formed.
+template <typename Headers>
+bool AreHeadersValid(const Headers& headers) {
+  return std::ranges::all_of(headers, [](const auto& header) {
+    return IsToken(header.first) && IsHeaderValue(header.second);
+  });
+}
+
+/// @brief Returns whether the head of a library's response, with the members
+/// `status` and `headers`, is that of an answer.
+template <typename Response>
+bool IsAnswerHead(const Response& response) {
+  return IsFinalStatus(response.status) && AreHeadersValid(response.headers);
+}
+
 }  // namespace eelgrassbridge::base
 
 #endif  // EELGRASSBRIDGE_BASE_HEADER_SYNTAX_HPP
--- /dev/null
+++ b/src/eelgrassbridge/daemon/broken_answer_test.cpp
@@ -0,0 +1,87 @@
+// Malformed answers of the target and of another daemon. Guards against callers
+// that get such an answer as a complete one.
+#include <vector>
+
+#include "raw_server.hpp"
+#include "request_path_test_support.hpp"
+
+namespace eelgrassbridge::daemon {
+namespace {
+
+using test::RawEnd;
+using test::RawServer;
+
+struct BrokenAnswer {
+  std::string bytes;
+  RawEnd end = RawEnd::kOrderly;
+};
+
+std::string Head(const std::string& status, const std::string& headers) {
+  return "HTTP/1.1 " + status + "\r\nEelgrassbridge-Outcome: answered\r\n" +
+         headers + "\r\n";
+}
+
+const std::string kLength = "Content-Length: 2\r\n";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+
+std::vector<BrokenAnswer> AnswersWithStatus() {
+  std::vector<BrokenAnswer> answers;
+  for (const char* status :
+       {"000 None", "000", "099 Low", "101 Switching", "103 Hints", "199 Low",
+        "600 High", "999 Highest", "20 OK", "0200 OK"}) {
+    answers.push_back({Head(status, kLength) + "ok"});
+  }
+  return answers;
+}
+
+std::vector<BrokenAnswer> AnswersWithHeader() {
+  std::vector<BrokenAnswer> answers;
+  for (const std::string header :
+       {"X Bad: v", "X-Bad : v", "X-Bad\t: v", " X-Bad: v", "X\x01: v",
+        "X\x7f: v", "X\x80: v", "\rX-Bad: v", "X(: v", ": v",
+        "X: v\r\n folded: x", "Transfer Encoding: chunked",
+        "Transfer-Encoding : chunked", "Content-Length : 1", "X: a\x01z"}) {
+    answers.push_back({Head("200 OK", kLength + header + "\r\n") + "ok"});
+    answers.push_back({Head("200 OK", header + "\r\n" + kLength) + "ok"});
+  }
+  // The HTTP library decodes the values of headers.
+  answers.push_back({Head("200 OK", kLength + "X: a%0d%0aY: b\r\n") + "ok"});
+  return answers;
+}
+
+/// Sends a request for each answer to a daemon whose target is a server with
+/// this answer, and to one whose owner of all keys is.
+void CheckBrokenAnswers(const std::vector<BrokenAnswer>& answers) {
+  for (const BrokenAnswer& answer : answers) {
+    RawServer server(answer.bytes, answer.end);
+    const Daemon daemon(server.port, kPort);
+    httplib::Client caller("127.0.0.1", kPort);
+    const auto result = caller.Get("/s/listing/view/1", kKey);
+    INFO(answer.bytes);
+    CHECK(OutcomeOf(result).starts_with("unknown "));
+    CHECK(server.requests == 1);
+  }
+  for (const BrokenAnswer& answer : answers) {
+    RawServer owner(answer.bytes, answer.end);
+    Daemon daemon(1, kPort);
+    ForwardToOwner(daemon, owner.port);
+    httplib::Client caller("127.0.0.1", kPort);
+    // Idempotent requests are repeated.
+    const auto result =
+        caller.Post("/s/listing/claim/1", kKey, "claim", "text/plain");
+    INFO("from the owner: ", answer.bytes);
+    CHECK(OutcomeOf(result).starts_with("unknown "));
+    CHECK(owner.requests == 1);
+  }
+}
+
+TEST_CASE("an answer whose status is not that of an answer is not passed on") {
+  CheckBrokenAnswers(AnswersWithStatus());
+}
+
+TEST_CASE("an answer with a malformed header is not passed on") {
+  CheckBrokenAnswers(AnswersWithHeader());
+}
+
+}  // namespace
+}  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/http_exchange.cpp
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <array>
 
+#include "eelgrassbridge/base/header_syntax.hpp"
+
 namespace eelgrassbridge::daemon {
 
 namespace {
@@ -179,8 +181,13 @@
   ExchangeAnswer answer;
   bool too_large = false;
   bool is_reserved = true;
+  bool is_head_valid = true;
   if (request.method != "HEAD") {
     outgoing.response_handler = [&](const httplib::Response& response) {
+      is_head_valid = base::IsAnswerHead(response);
+      if (!is_head_valid) {
+        return false;
+      }
       is_reserved =
           ReserveResponseBody(pool, response, deadline, answer.reservation);
       return is_reserved;
@@ -206,6 +213,10 @@
     }
     is_complete = client->send(outgoing, incoming, error);
   }
+  if (!is_head_valid || (is_complete && !base::IsAnswerHead(incoming))) {
+    return base::Fail(base::ErrorKind::kAnswerCut,
+                      "the head of the response is malformed");
+  }
   if (!is_complete) {
     if (!is_reserved) {
       return base::Fail(base::ErrorKind::kAnswerCut,
--- a/src/eelgrassbridge/daemon/request_path_test.cpp
+++ b/src/eelgrassbridge/daemon/request_path_test.cpp
@@ -156,21 +156,7 @@
   FakeTarget target;
   const Daemon owner(target.port, kPort);
   Daemon entry(1, kPort + 1);
-  auto view = std::make_shared<RoutingView>(*entry.context.routing.view.load());
-  view->owned.clear();
-  const base::DaemonId owner_id{42};
-  GroupMap::Chunk chunk(4, GroupOwner{owner_id, 1});
-  view->groups["listing/sur"].chunks = {
-      std::make_shared<const GroupMap::Chunk>(chunk)};
-  PeerView peer;
-  peer.id = owner_id;
-  peer.http = {"127.0.0.1", kPort};
-  peer.region = "sur";
-  peer.service = "listing";
-  view->peers =
-      std::make_shared<const std::unordered_map<base::DaemonId, PeerView>>(
-          std::unordered_map<base::DaemonId, PeerView>{{owner_id, peer}});
-  entry.context.routing.view = view;
+  ForwardToOwner(entry, kPort);
 
   httplib::Client caller("127.0.0.1", kPort + 1);
   const auto result = caller.Post("/s/listing/view/1", kKey, "photo",
--- a/src/eelgrassbridge/daemon/request_path_test_support.hpp
+++ b/src/eelgrassbridge/daemon/request_path_test_support.hpp
@@ -132,6 +132,25 @@
   HttpServer server;
 };
 
+/// @brief Lets the daemon forward all requests to an owner at this port.
+inline void ForwardToOwner(Daemon& entry, std::uint16_t owner_port) {
+  auto view = std::make_shared<RoutingView>(*entry.context.routing.view.load());
+  view->owned.clear();
+  const base::DaemonId owner_id{42};
+  GroupMap::Chunk chunk(4, GroupOwner{owner_id, 1});
+  view->groups["listing/sur"].chunks = {
+      std::make_shared<const GroupMap::Chunk>(chunk)};
+  PeerView peer;
+  peer.id = owner_id;
+  peer.http = {"127.0.0.1", owner_port};
+  peer.region = "sur";
+  peer.service = "listing";
+  view->peers =
+      std::make_shared<const std::unordered_map<base::DaemonId, PeerView>>(
+          std::unordered_map<base::DaemonId, PeerView>{{owner_id, peer}});
+  entry.context.routing.view = view;
+}
+
 inline const std::uint16_t kPort = TestPort(0);
 inline const httplib::Headers kKey{{"Eelgrassbridge-Key", "pallet-1"}};
 
