Refuse requests with a malformed header in the daemon

Callers saw: a request with a header such as "X Bad: v" was run, and its target got the line; "Content-Length : 1" reached the target beside the length that the daemon had set, and "X: a%0d%0aY: b" as two headers.

Cause: the HTTP library accepts any bytes in names and decodes percent signs in values; the daemon passed on what it was given.

Evidence: the new case of daemon/broken_answer_test.cpp failed on: none of eight requests was refused, and the target ran them.

Why this works: names and values are checked before the body is read. The answer is 400 `bad_request`, not run.

--- a/src/eelgrassbridge/daemon/broken_answer_test.cpp
+++ b/src/eelgrassbridge/daemon/broken_answer_test.cpp
@@ -83,5 +83,36 @@
   CheckBrokenAnswers(AnswersWithHeader());
 }
 
+/// Sends a request with this line in its head. Returns the status line.
+std::string StatusOf(const std::string& header) {
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
+  asio::write(socket,
+              asio::buffer("POST /s/listing/view/1 HTTP/1.1\r\nHost: h\r\n"
+                           "Eelgrassbridge-Key: k\r\nConnection: close\r\n" +
+                           header + "\r\nContent-Length: 5\r\n\r\nphoto"));
+  std::string received;
+  while (received.find('\r') == std::string::npos &&
+         RawServer::Receive(socket, received)) {
+  }
+  return received.substr(0, received.find('\r'));
+}
+
+TEST_CASE("a request with a malformed header is not run") {
+  // Guards against a line that the target reads as another header.
+  FakeTarget target;
+  const Daemon daemon(target.port, kPort);
+  for (const std::string header :
+       {"X Bad: v", "X-Bad : v", " X-Bad: v", "X\x01: v", "X(: v",
+        "Content-Length : 1", "X: a\x01z", "X: a%0d%0aY: b"}) {
+    INFO(header);
+    CHECK(StatusOf(header).starts_with("HTTP/1.1 400"));
+  }
+  CHECK(target.runs == 0);
+  CHECK(StatusOf("X-Good: v").starts_with("HTTP/1.1 200"));
+  CHECK(target.runs == 1);
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/daemon/http_server.cpp
+++ b/src/eelgrassbridge/daemon/http_server.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 
+#include "eelgrassbridge/base/header_syntax.hpp"
 #include "eelgrassbridge/daemon/admin_http.hpp"
 #include "eelgrassbridge/daemon/connection_workers.hpp"
 #include "eelgrassbridge/daemon/request_handler.hpp"
@@ -120,10 +121,23 @@
   return is_refused;
 }
 
+/// Refuses a request whose headers the target might read differently.
+bool RefuseIfMalformed(const RequestContext& context,
+                       const httplib::Request& request,
+                       httplib::Response& response) {
+  const bool is_refused = !base::AreHeadersValid(request.headers);
+  if (is_refused) {
+    Refuse(context, base::ErrorKind::kBadRequest,
+           "the name or the value of a header is malformed", response);
+  }
+  return is_refused;
+}
+
 void HandleWithoutBody(RequestContext& context,
                        const httplib::Request& request,
                        httplib::Response& response) {
-  if (RefuseIfOverflow(context, response)) {
+  if (RefuseIfOverflow(context, response) ||
+      RefuseIfMalformed(context, request, response)) {
     return;
   }
   if (request.get_header_value<std::uint64_t>("Content-Length") > 0 ||
@@ -141,7 +155,8 @@
                     const httplib::Request& request,
                     httplib::Response& response,
                     const httplib::ContentReader& reader) {
-  if (RefuseIfOverflow(context, response)) {
+  if (RefuseIfOverflow(context, response) ||
+      RefuseIfMalformed(context, request, response)) {
     return;
   }
   const std::uint64_t max = context.settings.max_body_bytes;
