Decode chunks of answers strictly in the daemon

Callers saw: an answer in chunks that broke off after the CR of a chunk's line end, or had other bytes in its place, came as a complete one with the part as its body. So did the part of an answer with another transfer coding than chunks, or with a length beside chunks.

Cause: the HTTP library ends a chunked body with success if anything but CRLF follows the data of a chunk, and reads a body with a coding that it does not know up to the end of the connection, whatever that end is.

All other cuts were refused before; their cases stay.

Why this works: the daemon hides the coding from the library and decodes the bytes with the strict parser of the node, so only the last chunk ends such a body. The connection is closed after it, since the library cannot go on there; answers between daemons have a length and keep their connections.

--- a/include/eelgrassbridge/base/header_syntax.hpp
+++ b/include/eelgrassbridge/base/header_syntax.hpp
@@ -34,6 +34,22 @@
   return IsFinalStatus(response.status) && AreHeadersValid(response.headers);
 }
 
+/// @brief Returns whether the value of Transfer-Encoding is "chunked" alone.
+bool IsChunkedCoding(std::string_view value);
+
+/// @brief Returns whether the body of a library's response has chunks or a
+/// length, but not both. The part of any other body cannot be told apart from
+/// the whole.
+template <typename Response>
+bool HasBodyFraming(const Response& response) {
+  const auto codings = response.get_header_value_count("Transfer-Encoding");
+  if (codings == 0) {
+    return response.has_header("Content-Length");
+  }
+  return codings == 1 && !response.has_header("Content-Length") &&
+         IsChunkedCoding(response.get_header_value("Transfer-Encoding"));
+}
+
 }  // namespace eelgrassbridge::base
 
 #endif  // EELGRASSBRIDGE_BASE_HEADER_SYNTAX_HPP
--- a/src/eelgrassbridge/base/header_syntax.cpp
+++ b/src/eelgrassbridge/base/header_syntax.cpp
@@ -1,6 +1,8 @@
 // Character classes of names and values of headers.
 #include "eelgrassbridge/base/header_syntax.hpp"
 
+#include <strings.h>
+
 namespace eelgrassbridge::base {
 
 namespace {
@@ -40,4 +42,10 @@
   return status >= kFirstFinalStatus && status <= kLastStatus;
 }
 
+bool IsChunkedCoding(std::string_view value) {
+  constexpr std::string_view kChunked = "chunked";
+  return value.size() == kChunked.size() &&
+         strncasecmp(value.data(), kChunked.data(), kChunked.size()) == 0;
+}
+
 }  // namespace eelgrassbridge::base
--- a/src/eelgrassbridge/daemon/broken_answer_test.cpp
+++ b/src/eelgrassbridge/daemon/broken_answer_test.cpp
@@ -49,6 +49,31 @@
   return answers;
 }
 
+std::vector<BrokenAnswer> AnswersCutOff() {
+  std::vector<BrokenAnswer> answers;
+  for (const RawEnd end : {RawEnd::kOrderly, RawEnd::kReset}) {
+    answers.push_back({Head("200 OK", "") + "part", end});
+    for (const char* coding :
+         {"identity", "gzip", "gzip, chunked", "chunked, identity"}) {
+      answers.push_back({Head("200 OK", std::string("Transfer-Encoding: ") +
+                                            coding + "\r\n") +
+                             "4\r\npart\r\n0\r\n\r\n",
+                         end});
+    }
+    answers.push_back(
+        {Head("200 OK", kChunked + kLength) + "2\r\nok\r\n0\r\n\r\n", end});
+    answers.push_back({Head("200 OK", "Content-Length: 9\r\n") + "part", end});
+    for (const std::string chunks :
+         {"", "4", "4\r\n", "9\r\npart", "4\r\npart", "4\r\npart\r\n",
+          "4\r\npart\r\n1", "4\r\npart\r\n0", "4\r\npart\r\n0\r\n",
+          "4\r\npart\r", "4\r\npartXX0\r\n\r\n", "4\r\npart\r\n-1\r\n\r\n",
+          "4\r\npart\r\nzz\r\n\r\n"}) {
+      answers.push_back({Head("200 OK", kChunked) + chunks, end});
+    }
+  }
+  return answers;
+}
+
 /// Sends a request for each answer to a daemon whose target is a server with
 /// this answer, and to one whose owner of all keys is.
 void CheckBrokenAnswers(const std::vector<BrokenAnswer>& answers) {
@@ -83,6 +108,21 @@
   CheckBrokenAnswers(AnswersWithHeader());
 }
 
+TEST_CASE("an answer that is cut off is not passed on as complete") {
+  CheckBrokenAnswers(AnswersCutOff());
+}
+
+TEST_CASE("a chunked answer is passed on at its end") {
+  // Guards against a caller that waits until the connection ends.
+  RawServer server(Head("200 OK", kChunked) +
+                   "3\r\nabc\r\n2\r\nde\r\n0\r\nX: y\r\n\r\n");
+  const Daemon daemon(server.port, kPort);
+  httplib::Client caller("127.0.0.1", kPort);
+  const auto result = caller.Get("/s/listing/view/1", kKey);
+  CHECK(OutcomeOf(result) == "answered ");
+  CHECK(result->body == "abcde");
+}
+
 /// Sends a request with this line in its head. Returns the status line.
 std::string StatusOf(const std::string& header) {
   asio::io_context io;
--- a/src/eelgrassbridge/daemon/http_exchange.cpp
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 #include "eelgrassbridge/base/header_syntax.hpp"
+#include "eelgrassbridge/daemon/chunked_body.hpp"
 
 namespace eelgrassbridge::daemon {
 
@@ -84,14 +86,33 @@
   return converted;
 }
 
-/// Returns whether the end of the body is defined by a length or by chunks. A
-/// body that ends when the connection closes cannot be told apart from a
-/// truncated one.
-bool HasBodyFraming(const httplib::Response& response,
-                    std::string_view method) {
-  return response.has_header("Content-Length") ||
-         response.has_header("Transfer-Encoding") || method == "HEAD" ||
-         response.status == 204 || response.status == 304;
+/// @brief What has been read of a response.
+struct ResponseRead {
+  ExchangeAnswer answer;
+  bool is_well_formed = true;
+  bool is_reserved = true;
+  bool is_too_large = false;
+  /// Set if the body is chunked.
+  std::optional<ChunkedBody> chunked;
+  ChunkRead chunk_read = ChunkRead::kMore;
+};
+
+/// Returns whether the response has no body at all.
+bool IsWithoutBody(const httplib::Response& response, std::string_view method) {
+  return method == "HEAD" || response.status == 204 || response.status == 304;
+}
+
+bool IsWellFormed(const httplib::Response& response, std::string_view method) {
+  return base::IsAnswerHead(response) &&
+         (IsWithoutBody(response, method) || base::HasBodyFraming(response));
+}
+
+/// Prevents the library from decoding chunks. Returns whether there are any.
+bool TakeChunking(const httplib::Response& response) {
+  // The const_cast is valid: the library passes a const reference to the
+  // caller's variable, which is not const.
+  return const_cast<httplib::Response&>(response).headers.erase(
+             "Transfer-Encoding") > 0;
 }
 
 /// Reserves memory for the response body before any of it is read. A response
@@ -120,6 +141,43 @@
   return true;
 }
 
+/// Checks the head of a response and prepares to read its body.
+bool StartBody(const ConnectionPool& pool,
+               const httplib::Response& response,
+               std::string_view method,
+               base::TimePoint deadline,
+               ResponseRead& read) {
+  read.is_well_formed = IsWellFormed(response, method);
+  if (!read.is_well_formed) {
+    return false;
+  }
+  if (TakeChunking(response)) {
+    read.chunked.emplace();
+  }
+  read.is_reserved =
+      ReserveResponseBody(pool, response, deadline, read.answer.reservation);
+  return read.is_reserved;
+}
+
+/// Takes the next bytes of a body. Returns whether more may follow.
+bool ReceiveBody(const ConnectionPool& pool,
+                 std::string_view bytes,
+                 base::TimePoint deadline,
+                 ResponseRead& read) {
+  if (base::BootClock::now() >= deadline) {
+    return false;
+  }
+  std::string& body = read.answer.body;
+  if (read.chunked) {
+    read.chunk_read = Decode(*read.chunked, bytes, body);
+    read.is_well_formed = read.chunk_read != ChunkRead::kInvalid;
+  } else {
+    body.append(bytes);
+  }
+  read.is_too_large = body.size() > pool.options.max_answer_bytes;
+  return !read.is_too_large && read.chunk_read == ChunkRead::kMore;
+}
+
 base::Error ToError(httplib::Error error,
                     base::TimePoint deadline,
                     const ExchangeErrors& errors) {
@@ -178,29 +236,15 @@
   client->set_write_timeout(left);
 
   httplib::Request outgoing = ToLibraryRequest(request);
-  ExchangeAnswer answer;
-  bool too_large = false;
-  bool is_reserved = true;
-  bool is_head_valid = true;
+  ResponseRead read;
   if (request.method != "HEAD") {
     outgoing.response_handler = [&](const httplib::Response& response) {
-      is_head_valid = base::IsAnswerHead(response);
-      if (!is_head_valid) {
-        return false;
-      }
-      is_reserved =
-          ReserveResponseBody(pool, response, deadline, answer.reservation);
-      return is_reserved;
+      return StartBody(pool, response, request.method, deadline, read);
     };
   }
   outgoing.content_receiver = [&](const char* data, std::size_t size,
                                   std::uint64_t, std::uint64_t) {
-    too_large = answer.body.size() + size > pool.options.max_answer_bytes;
-    if (too_large || base::BootClock::now() >= deadline) {
-      return false;
-    }
-    answer.body.append(data, size);
-    return true;
+    return ReceiveBody(pool, {data, size}, deadline, read);
   };
   httplib::Response incoming;
   httplib::Error error = httplib::Error::Success;
@@ -213,12 +257,21 @@
     }
     is_complete = client->send(outgoing, incoming, error);
   }
-  if (!is_head_valid || (is_complete && !base::IsAnswerHead(incoming))) {
+  if (read.chunked && is_complete) {
+    return base::Fail(errors.lost, "connection lost before the last chunk");
+  }
+  // The library reads a body whose chunks it does not see to the end of the
+  // connection. It is stopped at the last chunk.
+  is_complete = is_complete || read.chunk_read == ChunkRead::kComplete;
+  if (is_complete && !read.chunked) {
+    read.is_well_formed = IsWellFormed(incoming, request.method);
+  }
+  if (!read.is_well_formed) {
     return base::Fail(base::ErrorKind::kAnswerCut,
-                      "the head of the response is malformed");
+                      "the response is malformed, or its body has no length");
   }
   if (!is_complete) {
-    if (!is_reserved) {
+    if (!read.is_reserved) {
       return base::Fail(base::ErrorKind::kAnswerCut,
                         "timed out waiting for memory for the response body");
     }
@@ -226,17 +279,13 @@
       return base::Fail(base::ErrorKind::kCancelled,
                         "cancelled because another copy was answered first");
     }
-    if (too_large) {
+    if (read.is_too_large) {
       return base::Fail(base::ErrorKind::kAnswerCut,
                         "the response is larger than the configured limit");
     }
     return base::outcome::failure(ToError(error, deadline, errors));
   }
-  if (!HasBodyFraming(incoming, request.method)) {
-    return base::Fail(base::ErrorKind::kAnswerCut,
-                      "the response has neither a Content-Length nor a "
-                      "Transfer-Encoding header");
-  }
+  ExchangeAnswer& answer = read.answer;
   answer.status = incoming.status;
   for (const auto& [name, value] : incoming.headers) {
     if (!IsHopByHopHeader(name)) {
@@ -244,8 +293,10 @@
     }
   }
   ShrinkReservation(answer.reservation, answer.body.size());
-  ReleaseConnection(pool, address, std::move(client));
-  return answer;
+  if (!read.chunked) {
+    ReleaseConnection(pool, address, std::move(client));
+  }
+  return std::move(answer);
 }
 
 }  // namespace eelgrassbridge::daemon
