Reject replies of the store with a malformed head in the daemon

Operators of `eelgrassbridge daemon` would have seen: a reply of the table service or the object store with such a header name, or with a control byte in a value, was used as its content, and one with status 404, 409 or 503 as its refusal, although its sender was in trouble.

Cause: the store client took whatever its HTTP library accepts as a head.

Replies with status 000 were not used there before; their cases stay.

Why this works: all replies pass one check, and one that fails it counts as lost: reads are `store_unavailable`, and the result of a write is unknown.

--- a/src/eelgrassbridge/store/store.cpp
+++ b/src/eelgrassbridge/store/store.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <utility>
 
+#include "eelgrassbridge/base/header_syntax.hpp"
 #include "eelgrassbridge/store/table_json.hpp"
 
 namespace eelgrassbridge::store {
@@ -39,6 +40,14 @@
          (status >= kBadRequest && status < kServerError);
 }
 
+// Turns a reply with a malformed head into one that was lost.
+httplib::Result Checked(httplib::Result reply) {
+  if (!reply || base::IsAnswerHead(*reply)) {
+    return reply;
+  }
+  return {nullptr, httplib::Error::Read};
+}
+
 std::string Describe(const httplib::Result& reply) {
   return reply ? "the store responded with status " +
                      std::to_string(reply->status)
@@ -47,7 +56,7 @@
 }
 
 base::Result<std::string> Get(HttpStore& store, const std::string& path) {
-  const auto reply = store.client->Get(path);
+  const auto reply = Checked(store.client->Get(path));
   if (reply && reply->status == kOk) {
     return reply->body;
   }
@@ -95,7 +104,7 @@
 base::Result<ReadResult> ReadKeysFrom(HttpStore& store,
                                       std::span<const std::string> keys) {
   const auto reply =
-      store.client->Post("/table/read", KeysToJson(keys), kJsonType);
+      Checked(store.client->Post("/table/read", KeysToJson(keys), kJsonType));
   if (!reply || reply->status != kOk) {
     return base::Fail(ErrorKind::kStoreUnavailable, Describe(reply));
   }
@@ -127,8 +136,8 @@
 TransactionResult TransactOn(HttpStore& store, const Transaction& transaction) {
   TransactionResult result;
   result.status = Status::kUnknown;
-  const auto reply = store.client->Post(
-      "/table/transact", TransactionToJson(transaction), kJsonType);
+  const auto reply = Checked(store.client->Post(
+      "/table/transact", TransactionToJson(transaction), kJsonType));
   if (!reply) {
     if (IsNotSent(reply.error())) {
       result.status = Status::kNotSent;
@@ -178,8 +187,8 @@
                                std::string_view name,
                                std::string_view content) {
   const auto reply =
-      store.client->Put(ObjectPath(name), content.data(), content.size(),
-                        "application/octet-stream");
+      Checked(store.client->Put(ObjectPath(name), content.data(),
+                                content.size(), "application/octet-stream"));
   if (reply && reply->status >= kOk && reply->status < kMultipleChoices) {
     return base::outcome::success();
   }
--- a/src/eelgrassbridge/store/store_test.cpp
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "eelgrassbridge/store/table_json.hpp"
+#include "raw_server.hpp"
 
 namespace eelgrassbridge::store {
 namespace {
@@ -183,5 +184,49 @@
   CHECK(read.error().kind == base::ErrorKind::kStoreUnavailable);
 }
 
+Store StoreAt(std::uint16_t port) {
+  return MakeHttpStore(
+      {.ip = "127.0.0.1", .port = port, .timeout = base::milliseconds{200}});
+}
+
+// Body that a reply to a read and to a transaction may have.
+constexpr const char* kReplyBody =
+    R"({"versions":[7],"conflicts":[],"rows":[]})";
+
+// Guards against a malformed reply, or a part of one, that is taken for the
+// content of the store, and against a write that may have been applied being
+// reported as not sent because of such a reply.
+TEST_CASE("A malformed reply is neither read nor a refusal") {
+  const std::string body = kReplyBody;
+  const std::string length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  std::vector<std::string> heads;
+  for (const char* status : {"000 None", "099 Low", "199 Low", "600 High"}) {
+    heads.push_back(std::string("HTTP/1.1 ") + status + "\r\n" + length);
+  }
+  for (const char* status :
+       {"200 OK", "404 None", "409 Conflict", "503 Full"}) {
+    for (const char* header :
+         {"X Bad: v", "X-Bad : v", " X-Bad: v", "X\x01: v", "\rX-Bad: v", ": v",
+          "X: a\x01z", "X: a%0d%0aY: b", "Transfer Encoding: chunked"}) {
+      heads.push_back(std::string("HTTP/1.1 ") + status + "\r\n" + length +
+                      header + "\r\n");
+    }
+  }
+  for (const std::string& head : heads) {
+    INFO(head);
+    const test::RawServer server(head + "\r\n" + body);
+    Store store = StoreAt(server.port);
+    const auto content = GetObject(store, "name");
+    REQUIRE(!content);
+    CHECK(content.error().kind == base::ErrorKind::kStoreUnavailable);
+    CHECK_FALSE(ReadRow(store, "a").has_value());
+    CHECK(Transact(store, Write("a", 0, "1")).status == Status::kUnknown);
+    const auto put = PutObject(store, "name", "content");
+    REQUIRE(!put);
+    CHECK(put.error().kind == base::ErrorKind::kStoreResultUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::store
