Use no reply of the store whose body has no length in the daemon

Operators of `eelgrassbridge daemon` would have seen: the part of an object or of rows, without length and ended by a reset, was taken for the whole, and such a reply to a write for its result.

Cause: the HTTP library takes the reset for the end of such a body.

Why this works: a body is used only with a length or chunks. Refusals are told by their status alone, so those without a length stay refusals (new test).

--- a/src/eelgrassbridge/store/store.cpp
+++ b/src/eelgrassbridge/store/store.cpp
@@ -58,6 +58,10 @@
 base::Result<std::string> Get(HttpStore& store, const std::string& path) {
   const auto reply = Checked(store.client->Get(path));
   if (reply && reply->status == kOk) {
+    if (!base::HasBodyFraming(*reply)) {
+      return base::Fail(ErrorKind::kStoreUnavailable,
+                        "the response of the store has no length");
+    }
     return reply->body;
   }
   if (reply && reply->status == kNotFoundStatus) {
@@ -109,7 +113,8 @@
     return base::Fail(ErrorKind::kStoreUnavailable, Describe(reply));
   }
   auto page = ParseRows(reply->body);
-  if (!page || !MatchesKeys(keys, page->read)) {
+  if (!base::HasBodyFraming(*reply) || !page ||
+      !MatchesKeys(keys, page->read)) {
     return base::Fail(ErrorKind::kStoreUnavailable,
                       "malformed response to POST /table/read");
   }
@@ -144,7 +149,11 @@
     }
     return result;
   }
-  if (reply->status == kOk) {
+  if (IsRejection(reply->status) && reply->status != kConflictStatus) {
+    result.status = Status::kNotSent;
+  } else if (!base::HasBodyFraming(*reply)) {
+    return result;
+  } else if (reply->status == kOk) {
     if (auto versions = ParseVersions(reply->body)) {
       result.status = Status::kApplied;
       result.versions = std::move(*versions);
@@ -154,8 +163,6 @@
       result.status = Status::kConflict;
       result.conflicts = std::move(*conflicts);
     }
-  } else if (IsRejection(reply->status)) {
-    result.status = Status::kNotSent;
   }
   return result;
 }
--- a/src/eelgrassbridge/store/store_test.cpp
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -228,5 +228,40 @@
   }
 }
 
+// Guards against the part of an object that is taken for the whole of it.
+TEST_CASE("A reply that is cut off is not read") {
+  using test::RawEnd;
+  for (const RawEnd end : {RawEnd::kOrderly, RawEnd::kReset}) {
+    for (const std::string rest :
+         {"Content-Length: 9\r\n\r\npart",
+          "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n"}) {
+      const test::RawServer server(std::string("HTTP/1.1 200 OK\r\n") + rest,
+                                   end);
+      INFO(rest);
+      Store store = StoreAt(server.port);
+      CHECK_FALSE(GetObject(store, "name").has_value());
+    }
+  }
+  for (const RawEnd end : {RawEnd::kOrderly, RawEnd::kReset}) {
+    for (const char* status : {"200 OK", "409 Conflict"}) {
+      const test::RawServer server(
+          std::string("HTTP/1.1 ") + status + "\r\n\r\n" + kReplyBody, end);
+      Store store = StoreAt(server.port);
+      CHECK_FALSE(GetObject(store, "name").has_value());
+      CHECK_FALSE(ReadRow(store, "a").has_value());
+      CHECK(Transact(store, Write("a", 0, "1")).status == Status::kUnknown);
+    }
+  }
+}
+
+// Guards against a refusal that is taken for a lost reply because it has no
+// body.
+TEST_CASE("A refusal needs no length") {
+  const test::RawServer server("HTTP/1.1 503 Full\r\n\r\n");
+  Store store = StoreAt(server.port);
+  CHECK(Transact(store, Write("a", 0, "1")).status == Status::kNotSent);
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::store
