Reject malformed answers of daemons in commands

Operators saw: a command used an answer whose head was malformed, or whose body had no length, as that of a daemon.

Cause: the client of the commands took whatever its HTTP library accepts.

Why this works: all answers to commands pass one check; one that fails it counts as lost, which the exit code already tells as unknown for a change.

--- a/src/eelgrassbridge/cli/admin_client.cpp
+++ b/src/eelgrassbridge/cli/admin_client.cpp
@@ -10,6 +10,7 @@
 
 #include "eelgrassbridge/base/error_table.hpp"
 #include "eelgrassbridge/base/file.hpp"
+#include "eelgrassbridge/base/header_syntax.hpp"
 #include "eelgrassbridge/base/yaml_fields.hpp"
 #include "eelgrassbridge/settings/read_settings.hpp"
 
@@ -117,6 +118,13 @@
                 : "the connection was closed before the answer arrived")};
     return reply;
   }
+  if (!base::IsAnswerHead(*result) || !base::HasBodyFraming(*result)) {
+    reply.error = base::Error{
+        base::ErrorKind::kPeerLost,
+        fmt::format("{}: the answer is malformed, or its body has no length",
+                    settings::ToString(client.address))};
+    return reply;
+  }
   if (result->status == 200) {
     reply.body = result->body;
     return reply;
