List three faults of the older daemon as known red

Three tests of `eelgrassbridge daemon` show faults that are not repaired: the outcome of a repeated request, lines of a head that the HTTP library drops, and a chunk of a reply of the store that breaks off in its line end.

--- a/src/eelgrassbridge/daemon/broken_answer_test.cpp
+++ b/src/eelgrassbridge/daemon/broken_answer_test.cpp
@@ -154,5 +154,30 @@
   CHECK(target.runs == 1);
 }
 
+// KNOWN-RED.txt lists this test: the library drops such lines unseen.
+TEST_CASE("an answer with a malformed line without value is not passed on" *
+          doctest::skip()) {
+  CheckBrokenAnswers({{Head("200 OK", kLength + "X Bad:\r\n") + "ok"},
+                      {Head("200 OK", kLength + "X Bad\r\n") + "ok"}});
+}
+
+// KNOWN-RED.txt lists this test.
+TEST_CASE("a request that may have run is not reported as not run" *
+          doctest::skip()) {
+  // Guards against an idempotent request whose first attempts lost their answer
+  // and whose last one had too little time left to be sent.
+  RawServer owner("", RawEnd::kReset);
+  Daemon daemon(1, kPort);
+  ForwardToOwner(daemon, owner.port);
+  httplib::Client caller("127.0.0.1", kPort);
+  for (int deadline_ms = 100; deadline_ms < 150; ++deadline_ms) {
+    httplib::Headers headers = kKey;
+    headers.emplace("Eelgrassbridge-Deadline-Ms", std::to_string(deadline_ms));
+    const auto result = caller.Get("/s/listing/view/1", headers);
+    INFO(deadline_ms, " ms");
+    CHECK(OutcomeOf(result).starts_with("unknown "));
+  }
+}
+
 }  // namespace
 }  // namespace eelgrassbridge::daemon
--- a/src/eelgrassbridge/store/store_test.cpp
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -255,6 +255,16 @@
   }
 }
 
+// KNOWN-RED.txt lists this test: the library ends a chunked body with success
+// if anything but CRLF follows the data of a chunk.
+TEST_CASE("A chunk that is cut off in its line end is not read" *
+          doctest::skip()) {
+  const test::RawServer server(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r");
+  Store store = StoreAt(server.port);
+  CHECK_FALSE(GetObject(store, "name").has_value());
+}
+
 // Guards against a refusal that is taken for a lost reply because it has no
 // body.
 TEST_CASE("A refusal needs no length") {
