Join the strings of two tests without temporary ones

The linter rejected two concatenations in loops of daemon/broken_answer_test.cpp and store/store_test.cpp. What they check is unchanged; clang-tidy has no finding in either file now.

--- a/src/eelgrassbridge/daemon/broken_answer_test.cpp
+++ b/src/eelgrassbridge/daemon/broken_answer_test.cpp
@@ -41,8 +41,9 @@
         "X\x7f: v", "X\x80: v", "\rX-Bad: v", "X(: v", ": v",
         "X: v\r\n folded: x", "Transfer Encoding: chunked",
         "Transfer-Encoding : chunked", "Content-Length : 1", "X: a\x01z"}) {
-    answers.push_back({Head("200 OK", kLength + header + "\r\n") + "ok"});
-    answers.push_back({Head("200 OK", header + "\r\n" + kLength) + "ok"});
+    const std::string line = header + "\r\n";
+    answers.push_back({Head("200 OK", kLength + line) + "ok"});
+    answers.push_back({Head("200 OK", line + kLength) + "ok"});
   }
   // The HTTP library decodes the values of headers.
   answers.push_back({Head("200 OK", kLength + "X: a%0d%0aY: b\r\n") + "ok"});
--- a/src/eelgrassbridge/store/store_test.cpp
+++ b/src/eelgrassbridge/store/store_test.cpp
@@ -198,6 +198,7 @@
 // reported as not sent because of such a reply.
 TEST_CASE("A malformed reply is neither read nor a refusal") {
   const std::string body = kReplyBody;
+  const std::string rest = "\r\n" + body;
   const std::string length =
       "Content-Length: " + std::to_string(body.size()) + "\r\n";
   std::vector<std::string> heads;
@@ -215,7 +216,7 @@
   }
   for (const std::string& head : heads) {
     INFO(head);
-    const test::RawServer server(head + "\r\n" + body);
+    const test::RawServer server(head + rest);
     Store store = StoreAt(server.port);
     const auto content = GetObject(store, "name");
     REQUIRE(!content);
