--- a/src/eelgrassbridge/daemon/http_exchange.cpp
+++ b/src/eelgrassbridge/daemon/http_exchange.cpp
@@ -97,7 +97,6 @@
   ChunkRead chunk_read = ChunkRead::kMore;
 };
 
-/// Returns whether the response has no body at all.
 bool IsWithoutBody(const httplib::Response& response, std::string_view method) {
   return method == "HEAD" || response.status == 204 || response.status == 304;
 }
