Let answers of relays carry the age of the read they rest on

The relay that it polled was cut off from the store and answered "no change" from its copy; the announcement of the change reaches a follower only through that relay, and no answer said how old its knowledge was.

The first relay of a data centre now polls the store at an interval of 0.4 of the bound, and other daemons hold a request open at it. The answer has the version of the latest change and the age of the read behind it, so "no change" counts only up to that read. A relay whose last read failed refuses at once, for the operator's and for the fleet's rows; the follower asks the next relay, and after three of them reads the store.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -32,6 +32,7 @@
 #include "eelgrassbridge/node/platform_port.hpp"
 #include "eelgrassbridge/node/quota_state.hpp"
 #include "eelgrassbridge/node/renewal_batch.hpp"
+#include "eelgrassbridge/node/row_freshness.hpp"
 #include "eelgrassbridge/node/settings.hpp"
 #include "eelgrassbridge/node/table_copy.hpp"
 #include "eelgrassbridge/ranges/lease.hpp"
@@ -221,7 +222,12 @@
   std::uint64_t announcement_row_version = 0;
   /// When a call to the store last failed, or a restore was noticed.
   base::TimePoint store_failed_at{};
-  /// Notified when the version of the copy has risen.
+  Freshness freshness;
+  /// When another daemon last asked for a confirmation.
+  base::TimePoint asked_at{};
+  /// Notified when the version of the copy has risen, when a confirmation has
+  /// arrived, when a read of the store has ended, and when a planned stop
+  /// begins.
   http::Event changed;
 };
 
@@ -235,6 +241,9 @@
   base::TimePoint store_read_at{};
   /// When another daemon last asked for changes.
   base::TimePoint asked_at{};
+  /// The last poll of the store by this daemon failed, so it cannot tell others
+  /// that nothing has changed.
+  bool read_failing = false;
   /// The last answer that was encoded, which most followers get alike.
   struct Encoded {
     std::uint64_t after = 0;
@@ -242,7 +251,8 @@
     std::string text;
   };
   Encoded encoded;
-  /// Notified when changes have arrived, and when a planned stop begins.
+  /// Notified when changes have arrived, when polls of the store begin to fail,
+  /// and when a planned stop begins.
   http::Event changed;
 };
 
--- /dev/null
+++ b/include/eelgrassbridge/node/row_freshness.hpp
@@ -0,0 +1,96 @@
+// How recent a daemon's knowledge of the operator's rows is, and when and from
+// whom to get a more recent one. Decisions on plain data.
+//
+// A change of the operator has to be in force within a bound after the store
+// has acknowledged it. Silence of the store or of a relay therefore counts as
+// "no change" only up to the last read that reached the store: each statement
+// of one daemon to another rests on such a read and carries its moment.
+#ifndef EELGRASSBRIDGE_NODE_ROW_FRESHNESS_HPP
+#define EELGRASSBRIDGE_NODE_ROW_FRESHNESS_HPP
+
+#include <cstddef>
+#include <cstdint>
+
+#include "eelgrassbridge/base/time.hpp"
+
+namespace eelgrassbridge::node {
+
+/// @brief Time limits that follow from the bound within which a change has to
+/// be in force.
+struct FreshnessOptions {
+  /// Interval at which a relay reads the store though there is no change.
+  base::Duration confirm_interval{base::milliseconds{1000}};
+  /// Pause between reads of the store that fail.
+  base::Duration retry_interval{base::milliseconds{1500}};
+  /// Relays that are asked before a daemon reads the store itself. A relay that
+  /// refuses costs a round trip; more of them would use up the bound.
+  std::size_t relays_asked = 3;
+};
+
+/// @brief Limits for a bound on the time until a change is in force.
+FreshnessOptions FreshnessOptionsFor(base::Duration bound);
+
+/// @brief A statement about the operator's rows in the present era of the
+/// store: the latest change at a moment.
+struct Confirmation {
+  std::uint64_t version = 0;
+  /// Moment on the clock of the daemon that holds the statement. All changes
+  /// that the store had acknowledged by then have at most this version.
+  base::TimePoint as_of{};
+};
+
+/// @brief What a daemon knows of the operator's rows, and which attempts to
+/// learn more have failed.
+struct Freshness {
+  Confirmation latest;
+  /// The last read of the operator's rows by this daemon failed, so it cannot
+  /// tell others that nothing has changed.
+  bool read_failing = false;
+  base::TimePoint read_failed_at{};
+  /// Relays that failed to give a later statement than `latest`.
+  std::size_t failed_relays = 0;
+};
+
+/// @brief Whether a statement is worth an answer to a daemon that knows
+/// `known`: it tells of a change, or is later by at least half of the confirm
+/// interval.
+bool IsNews(const Confirmation& statement,
+            const Confirmation& known,
+            const FreshnessOptions& options);
+
+/// @brief Takes a statement over. An earlier one changes nothing.
+void Confirm(Freshness& freshness, const Confirmation& statement);
+
+/// @brief Records a relay that has no later statement.
+void RecordRelayWithoutNews(Freshness& freshness);
+
+/// @brief Records the end of a read of the store by this daemon.
+void RecordRead(Freshness& freshness, bool succeeded, base::TimePoint now);
+
+/// @brief Moment on which the answer to a poll of the store rests: the store
+/// holds a poll without changes for the whole wait; one with changes may have
+/// been answered at once.
+base::TimePoint AsOfPoll(base::TimePoint sent_at,
+                         base::Duration wait,
+                         bool has_changes,
+                         base::TimePoint received_at);
+
+/// @brief Wait of a relay's next poll of the store. Together with the time
+/// since the last confirmation it makes up the confirm interval.
+base::Duration NextPollWait(const Freshness& freshness,
+                            base::TimePoint now,
+                            const FreshnessOptions& options);
+
+/// @brief Whether as many relays have failed as are asked, so that only a read
+/// of the store helps.
+bool AreRelaysExhausted(const Freshness& freshness,
+                        const FreshnessOptions& options);
+
+/// @brief Time at which a daemon that is no relay reads the store itself; the
+/// maximum if other daemons keep it informed.
+base::TimePoint StoreReadDue(const Freshness& freshness,
+                             const FreshnessOptions& options);
+
+}  // namespace eelgrassbridge::node
+
+#endif  // EELGRASSBRIDGE_NODE_ROW_FRESHNESS_HPP
--- a/include/eelgrassbridge/node/settings.hpp
+++ b/include/eelgrassbridge/node/settings.hpp
@@ -22,6 +22,9 @@
   double retry_ratio = 0.2;
   double retry_extra = 0;
   base::Duration retry_window{base::seconds{10}};
+  /// Time after its acknowledgement by the store within which each change of
+  /// the operator has to be in force.
+  base::Duration change_in_force{base::milliseconds{2500}};
   /// Maximum time for which a target may hold ranges without a renewal.
   base::Duration max_hold{base::seconds{10}};
   /// Bound on the requests of an account with a rate, over all daemons in a
--- a/src/eelgrassbridge/node/fleet_feed.cpp
+++ b/src/eelgrassbridge/node/fleet_feed.cpp
@@ -127,7 +127,11 @@
                                            FeedPosition position,
                                            Backoff& backoff) {
   auto page = co_await Poll(node, std::move(position), backoff);
-  if (page) {
+  node.fleet_copy.read_failing = !page;
+  if (!page) {
+    // Followers choose another relay.
+    http::Notify(node.fleet_copy.changed);
+  } else {
     node.fleet_copy.store_read_at = base::BootClock::now();
     KeepFleetPage(node, page.value());
   }
--- a/src/eelgrassbridge/node/fleet_relay.cpp
+++ b/src/eelgrassbridge/node/fleet_relay.cpp
@@ -182,13 +182,13 @@
   copy.asked_at = base::BootClock::now();
   http::Notify(node.store.changed);
   while (after && era == node.store.era && !node.stopping &&
-         !exchange.connection->caller_disconnected &&
+         !copy.read_failing && !exchange.connection->caller_disconnected &&
          HasChangesSince(copy.table, *after) &&
          copy.table.latest_change <= *after &&
          base::BootClock::now() < latest) {
     co_await http::WaitUntil(copy.changed, latest);
   }
-  if (!after || era != node.store.era || node.stopping ||
+  if (!after || era != node.store.era || node.stopping || copy.read_failing ||
       copy.table.version == 0) {
     co_await http::Respond(exchange, kRelayUnavailable, {}, {});
     co_return;
--- /dev/null
+++ b/src/eelgrassbridge/node/operator_confirmation.cpp
@@ -0,0 +1,224 @@
+// The requests for confirmations, and the loop that sends them.
+#include "eelgrassbridge/node/operator_confirmation.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+
+#include "eelgrassbridge/http/endpoint.hpp"
+#include "eelgrassbridge/node/request.hpp"
+#include "eelgrassbridge/node/row_relay.hpp"
+#include "eelgrassbridge/node/store_era.hpp"
+
+namespace eelgrassbridge::node {
+
+namespace {
+
+using asio::awaitable;
+using base::ErrorKind;
+
+/// In a request: era, version and age in microseconds of what the asker knows.
+/// In an answer: version and age of the statement, and the time in microseconds
+/// for which the request was held.
+constexpr std::string_view kConfirmationHeader =
+    "Eelgrassbridge-Operator-Version";
+/// Time for which a daemon that was asked polls the store; longer than a few
+/// confirm intervals, so that it goes on while it is asked.
+constexpr base::Duration kAskedTime = base::seconds{8};
+/// Confirm intervals for which a relay holds a request without news, and time
+/// added for the answer to arrive.
+constexpr int kHeldIntervals = 2;
+constexpr std::chrono::milliseconds kAnswerTime{300};
+
+bool WasAskedLately(const Node& node) {
+  const base::TimePoint asked_at = node.operator_copy.asked_at;
+  return asked_at != base::TimePoint{} &&
+         base::BootClock::now() < asked_at + kAskedTime;
+}
+
+/// Relays that this daemon may ask, in the order in which it asks them.
+std::vector<std::string> RelaysToAsk(const Node& node) {
+  auto relays =
+      RankRelays(RelayCandidates(node), FreshnessLimits(node).relays_asked + 1);
+  std::erase(relays, node.settings.peers);
+  return relays;
+}
+
+/// Takes the next number from a list that is separated by semicolons.
+std::optional<std::int64_t> TakeNumber(std::string_view& text) {
+  const auto number = http::ParseNumber(TakePart(text));
+  return number ? std::optional{static_cast<std::int64_t>(*number)}
+                : std::nullopt;
+}
+
+base::Result<Confirmation> ConfirmationOfAnswer(const http::Response& answer,
+                                                base::TimePoint sent_at) {
+  if (answer.head.status != kRelayOk) {
+    return base::Fail(ErrorKind::kStoreUnavailable,
+                      "the relay cannot answer now");
+  }
+  std::string_view text =
+      http::HeaderValue(answer.head.headers, kConfirmationHeader);
+  const auto version = TakeNumber(text);
+  const auto age = TakeNumber(text);
+  const auto held = TakeNumber(text);
+  if (!version || !age || !held) {
+    return base::Fail(ErrorKind::kFrameInvalid, "malformed confirmation");
+  }
+  // The request arrived after `sent_at` and was held before the answer, so the
+  // moment is never too late, however long both were on their way.
+  return Confirmation{static_cast<std::uint64_t>(*version),
+                      sent_at + base::Duration{*held} - base::Duration{*age}};
+}
+
+awaitable<base::Result<Confirmation>> AskRelay(Node& node,
+                                               const std::string& relay) {
+  const auto endpoint = http::ParseEndpoint(relay);
+  if (!endpoint) {
+    co_return base::Fail(ErrorKind::kPeerUnreachable, "invalid address");
+  }
+  const base::TimePoint sent_at = base::BootClock::now();
+  const Confirmation known = node.operator_copy.freshness.latest;
+  http::BufferedRequest request;
+  request.method = "GET";
+  request.target = "/operator-version";
+  request.headers = {{"Host", relay},
+                     {std::string(kConfirmationHeader),
+                      fmt::format("{};{};{}", node.store.era, known.version,
+                                  (sent_at - known.as_of).count())}};
+  request.timeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          kHeldIntervals * FreshnessLimits(node).confirm_interval) +
+      kAnswerTime;
+  const auto answer =
+      co_await http::Call(node.peers, *endpoint, std::move(request));
+  if (!answer) {
+    co_return base::Fail(answer.error().kind, answer.error().detail);
+  }
+  co_return ConfirmationOfAnswer(answer.value(), sent_at);
+}
+
+/// Asks a relay once and records what it says.
+awaitable<void> GetConfirmation(Node& node, std::string relay) {
+  const std::uint64_t era = node.store.era;
+  Freshness& freshness = node.operator_copy.freshness;
+  const Confirmation known = freshness.latest;
+  const auto statement = co_await AskRelay(node, relay);
+  if (node.store.era != era) {
+    co_return;
+  }
+  if (statement && (statement.value().version > known.version ||
+                    statement.value().as_of > known.as_of)) {
+    RecordConfirmation(node, statement.value());
+    RecordPeerVersion(node, node.store.operator_rows,
+                      statement.value().version);
+    co_return;
+  }
+  RecordRelayFailure(node, relay);
+  RecordRelayWithoutNews(freshness);
+  Count(node, "operator_confirmations_failed_total");
+  http::Notify(node.store.changed);
+}
+
+/// Whether this daemon is to ask relays: it does not read the store itself, or
+/// cannot.
+bool IsToAskRelays(const Node& node) {
+  const Freshness& freshness = node.operator_copy.freshness;
+  return node.fleet.loaded && node.routes && !IsEraOutdated(node) &&
+         (!PollsOperatorRows(node) || freshness.read_failing) &&
+         !AreRelaysExhausted(freshness, FreshnessLimits(node));
+}
+
+}  // namespace
+
+FreshnessOptions FreshnessLimits(const Node& node) {
+  return FreshnessOptionsFor(node.settings.bounds.change_in_force);
+}
+
+bool PollsOperatorRows(const Node& node) {
+  const auto first = RankRelays(RelayCandidates(node), 1);
+  return !node.routes || first.empty() ||
+         first.front() == node.settings.peers || WasAskedLately(node);
+}
+
+void RecordConfirmation(Node& node, const Confirmation& statement) {
+  Confirm(node.operator_copy.freshness, statement);
+  http::Notify(node.operator_copy.changed);
+}
+
+void RecordOperatorRead(Node& node, bool succeeded) {
+  Freshness& freshness = node.operator_copy.freshness;
+  const bool was_failing = freshness.read_failing;
+  RecordRead(freshness, succeeded, base::BootClock::now());
+  if (freshness.read_failing != was_failing) {
+    http::Notify(node.operator_copy.changed);
+    http::Notify(node.store.changed);
+  }
+}
+
+awaitable<void> FollowConfirmations(Node& node) {
+  while (true) {
+    auto relays =
+        IsToAskRelays(node) ? RelaysToAsk(node) : std::vector<std::string>{};
+    if (relays.empty()) {
+      // Members and the time since this daemon was asked change without a
+      // notification.
+      co_await http::WaitUntil(
+          node.store.changed,
+          base::BootClock::now() + FreshnessLimits(node).confirm_interval);
+      continue;
+    }
+    co_await GetConfirmation(node, std::move(relays.front()));
+  }
+}
+
+bool IsConfirmationRequest(const http::RequestHead& head) {
+  return http::Find(head.headers, kConfirmationHeader) != nullptr;
+}
+
+awaitable<void> HandleConfirmationRequest(Node& node,
+                                          http::Exchange& exchange) {
+  std::string_view text =
+      http::HeaderValue(exchange.head.headers, kConfirmationHeader);
+  const auto era = TakeNumber(text);
+  const auto version = TakeNumber(text);
+  const auto age = TakeNumber(text);
+  const auto asked_era = static_cast<std::uint64_t>(era.value_or(0));
+  RecordPeerEra(node, asked_era);
+  const base::TimePoint asked_at = base::BootClock::now();
+  OperatorCopy& copy = node.operator_copy;
+  copy.asked_at = asked_at;
+  http::Notify(node.store.changed);
+  const Confirmation known{static_cast<std::uint64_t>(version.value_or(0)),
+                           asked_at - base::Duration{age.value_or(0)}};
+  const FreshnessOptions options = FreshnessLimits(node);
+  const base::TimePoint latest =
+      asked_at + kHeldIntervals * options.confirm_interval;
+  const bool valid = era && version && age;
+  // A relay that learns of a later era here has to read the rows first.
+  while (valid && asked_era >= node.store.era && !node.stopping &&
+         !exchange.connection->caller_disconnected &&
+         !copy.freshness.read_failing &&
+         (asked_era > node.store.era ||
+          !IsNews(copy.freshness.latest, known, options)) &&
+         base::BootClock::now() < latest) {
+    co_await http::WaitUntil(copy.changed, latest);
+  }
+  const Confirmation& statement = copy.freshness.latest;
+  if (!valid || asked_era != node.store.era || node.stopping ||
+      copy.freshness.read_failing || !IsNews(statement, known, options)) {
+    co_await http::Respond(exchange, kRelayUnavailable, {}, {});
+    co_return;
+  }
+  const base::TimePoint now = base::BootClock::now();
+  http::Headers headers = {
+      {std::string(kConfirmationHeader),
+       fmt::format("{};{};{}", statement.version,
+                   (now - statement.as_of).count(), (now - asked_at).count())}};
+  Count(node, "operator_confirmations_total");
+  co_await http::Respond(exchange, kRelayOk, std::move(headers), {});
+}
+
+}  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -1,13 +1,16 @@
-// A relay polls the store for the operator's rows; other daemons fetch reported
-// changes from the relays of their data centre.
+// The first relay polls the store for the operator's rows; other daemons fetch
+// reported changes, the second relay from the store and the others from the
+// relays of their data centre.
 #include "eelgrassbridge/node/operator_feed.hpp"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "eelgrassbridge/node/operator_confirmation.hpp"
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/row_intake.hpp"
 #include "eelgrassbridge/node/row_relay.hpp"
@@ -22,10 +25,6 @@
 using asio::awaitable;
 using base::ErrorKind;
 
-/// Maximum wait of a poll for the operator's changes. A poll that the store may
-/// have lost is abandoned sooner: when another call fails, or when another
-/// daemon reports a later version.
-constexpr std::chrono::milliseconds kOperatorPollTime{8000};
 /// After a failed call or a restore, daemons that are no relays read the
 /// operator's rows this often for this time: a relay cannot announce a change
 /// while the store refuses its commits, and a change has to be in force
@@ -40,8 +39,11 @@
 /// Reads the operator's rows. They are first asked from the relays if all
 /// daemons need them at the same time: after a restore, or for a change that
 /// was reported. Otherwise a relay that is cut off from the store might give
-/// rows that are older than those in the store.
-awaitable<base::Result<RowPage>> ReadOperatorTable(Node& node) {
+/// rows that are older than those in the store. `store_read_at` is set to the
+/// start of a read of the store.
+awaitable<base::Result<RowPage>> ReadOperatorTable(
+    Node& node,
+    std::optional<base::TimePoint>& store_read_at) {
   const std::uint64_t era = node.store.era;
   const std::uint64_t reported = node.store.operator_rows.peer_version;
   const bool of_new_era =
@@ -54,8 +56,11 @@
       co_return page;
     }
   }
-  co_return co_await ReadPartition(node, StorePurpose::kOperatorRows,
-                                   node.port.operator_table, "");
+  store_read_at = base::BootClock::now();
+  auto page = co_await ReadPartition(node, StorePurpose::kOperatorRows,
+                                     node.port.operator_table, "");
+  RecordOperatorRead(node, page.has_value());
+  co_return page;
 }
 
 /// Data centres that rows of the present era take out of service.
@@ -102,13 +107,16 @@
 
 /// Reads the operator's rows. Returns the version from which to follow them.
 awaitable<base::Result<std::uint64_t>> ReadOperatorRows(Node& node) {
-  auto page = co_await ReadOperatorTable(node);
+  std::optional<base::TimePoint> store_read_at;
+  auto page = co_await ReadOperatorTable(node, store_read_at);
   if (!page) {
     co_return base::Fail(page.error().kind, page.error().detail);
   }
   const auto out_before = DataCentresOutByRows(node);
+  const TableCopy& copy = node.operator_copy.table;
   RestartCopy(node.operator_copy.table, page.value());
-  http::Notify(node.operator_copy.changed);
+  RecordConfirmation(
+      node, {copy.latest_change, store_read_at.value_or(base::TimePoint{})});
   for (const StoredRow& row : page.value().rows) {
     ApplyOperatorRow(node, row);
   }
@@ -134,25 +142,26 @@
 }
 
 /// Waits until another daemon reports a change of the operator's rows, this
-/// daemon becomes a relay, the store was restored, or the time for a read
+/// daemon has to poll the store, the store was restored, or the time for a read
 /// without a report has come.
 awaitable<void> AwaitOperatorChange(Node& node, const FeedPosition& position) {
   std::uniform_real_distribution<double> distribution(0.75, 1);
   const double jitter = distribution(node.random);
   const base::TimePoint started_at = base::BootClock::now();
   const std::uint64_t era = node.store.era;
-  while (!IsOperatorRelay(node) && node.store.era == era &&
+  while (!PollsOperatorRows(node) && node.store.era == era &&
          !IsEraOutdated(node) &&
          node.store.operator_rows.peer_version <= position.after) {
     const base::TimePoint now = base::BootClock::now();
     const bool doubtful =
         now < node.operator_copy.store_failed_at + kDoubtfulTime;
-    const base::TimePoint end =
+    const base::TimePoint end = std::min(
+        StoreReadDue(node.operator_copy.freshness, FreshnessLimits(node)),
         started_at +
-        std::chrono::duration_cast<base::Duration>(
-            (doubtful ? kDoubtfulReadInterval
-                      : UnreportedReadInterval(DaemonsOfDataCentre(node))) *
-            jitter);
+            std::chrono::duration_cast<base::Duration>(
+                (doubtful ? kDoubtfulReadInterval
+                          : UnreportedReadInterval(DaemonsOfDataCentre(node))) *
+                jitter));
     if (now >= end) {
       break;
     }
@@ -160,44 +169,64 @@
   }
 }
 
-/// Returns the next changes of the operator's rows: a relay polls the store,
-/// other daemons fetch reported changes from the relays.
+/// Polls the store, and keeps what it returns and confirms for other daemons.
+awaitable<base::Result<RowPage>> PollOperatorRows(Node& node,
+                                                  FeedPosition position,
+                                                  Backoff& backoff) {
+  const base::TimePoint sent_at = base::BootClock::now();
+  const base::Duration wait = position.wait;
+  auto page = co_await Poll(node, std::move(position), backoff);
+  RecordOperatorRead(node, page.has_value());
+  if (page) {
+    const bool has_changes = !page.value().rows.empty();
+    KeepOperatorPage(node, page.value());
+    RecordConfirmation(
+        node, {node.operator_copy.table.latest_change,
+               AsOfPoll(sent_at, wait, has_changes, base::BootClock::now())});
+    if (has_changes) {
+      asio::co_spawn(node.io, AnnounceOperatorRows(node), asio::detached);
+    }
+  }
+  co_return page;
+}
+
+/// Returns the next changes of the operator's rows: the first relay polls the
+/// store, other daemons fetch reported changes.
 awaitable<base::Result<RowPage>> NextOperatorPage(Node& node,
                                                   FeedPosition position,
                                                   Backoff& backoff) {
   const std::uint64_t era = node.store.era;
-  if (!IsOperatorRelay(node)) {
+  const Freshness& freshness = node.operator_copy.freshness;
+  if (!PollsOperatorRows(node)) {
     co_await AwaitOperatorChange(node, position);
   }
   if (node.store.era != era || IsEraOutdated(node)) {
     // The position is one of a former era.
     co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
   }
-  if (!IsOperatorRelay(node)) {
-    const std::uint64_t reported = node.store.operator_rows.peer_version;
-    if (reported > position.after) {
-      auto page = co_await FetchFromRelays(node, position.after, reported);
-      if (node.store.era != era) {
-        co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
-      }
-      if (page) {
-        KeepOperatorPage(node, page.value());
-        co_return page;
-      }
-      if (page.error().kind == ErrorKind::kNotFound) {
-        co_return page;
-      }
+  const std::uint64_t reported = node.store.operator_rows.peer_version;
+  if (reported > position.after &&
+      (!IsOperatorRelay(node) || freshness.read_failing)) {
+    auto page = co_await FetchFromRelays(node, position.after, reported);
+    if (node.store.era != era) {
+      co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
     }
-    position.wait = std::chrono::milliseconds{0};
-  }
-  auto page = co_await Poll(node, position, backoff);
-  if (page) {
-    KeepOperatorPage(node, page.value());
-    if (!page.value().rows.empty()) {
-      asio::co_spawn(node.io, AnnounceOperatorRows(node), asio::detached);
+    if (page) {
+      KeepOperatorPage(node, page.value());
+      co_return page;
+    }
+    if (page.error().kind == ErrorKind::kNotFound) {
+      co_return page;
     }
   }
-  co_return page;
+  const base::Duration wait =
+      PollsOperatorRows(node) ? NextPollWait(freshness, base::BootClock::now(),
+                                             FreshnessLimits(node))
+                              : base::Duration{0};
+  position.wait =
+      std::min(position.wait,
+               std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+  co_return co_await PollOperatorRows(node, std::move(position), backoff);
 }
 
 }  // namespace
@@ -214,8 +243,9 @@
       continue;
     }
     backoff = Backoff{};
-    FeedPosition position{node.port.operator_table, start.value(),
-                          kOperatorPollTime};
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(
+        FreshnessLimits(node).confirm_interval);
+    FeedPosition position{node.port.operator_table, start.value(), interval};
     co_await FollowTable(node, std::move(position), backoff, feed);
   }
 }
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -121,6 +121,7 @@
                                                  std::uint64_t after,
                                                  std::uint64_t needed) {
   std::vector<std::string> relays = OperatorRelays(node);
+  std::erase(relays, node.settings.peers);
   // Each relay serves about the same number of daemons first.
   if (DaemonIdOf(node.settings.peers).value % 2 == 1) {
     std::ranges::reverse(relays);
--- a/src/eelgrassbridge/node/peer_call.cpp
+++ b/src/eelgrassbridge/node/peer_call.cpp
@@ -10,6 +10,7 @@
 #include "eelgrassbridge/node/fleet_relay.hpp"
 #include "eelgrassbridge/node/lease_delegate.hpp"
 #include "eelgrassbridge/node/link_share.hpp"
+#include "eelgrassbridge/node/operator_confirmation.hpp"
 #include "eelgrassbridge/node/operator_relay.hpp"
 #include "eelgrassbridge/node/quota_coordinator.hpp"
 #include "eelgrassbridge/node/request_watch.hpp"
@@ -405,6 +406,9 @@
 }
 
 awaitable<void> HandlePeerRequest(Node& node, http::Exchange& exchange) {
+  if (IsConfirmationRequest(exchange.head)) {
+    return HandleConfirmationRequest(node, exchange);
+  }
   if (IsOperatorRowsRequest(exchange.head)) {
     return HandleOperatorRowsRequest(node, exchange);
   }
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -19,6 +19,7 @@
 #include "eelgrassbridge/node/entry.hpp"
 #include "eelgrassbridge/node/fleet_feed.hpp"
 #include "eelgrassbridge/node/node.hpp"
+#include "eelgrassbridge/node/operator_confirmation.hpp"
 #include "eelgrassbridge/node/operator_feed.hpp"
 #include "eelgrassbridge/node/ownership.hpp"
 #include "eelgrassbridge/node/peer_call.hpp"
@@ -300,8 +301,9 @@
        {"address", node.settings.peers},
        {"process", node.process}});
   for (auto* loop :
-       {FollowOperator, FollowFleet, PublishMember, PublishCrashes, KeepLease,
-        PlanRanges, HandOverRanges, CoordinateQuotas, ReportQuotas, FlushLog}) {
+       {FollowOperator, FollowConfirmations, FollowFleet, PublishMember,
+        PublishCrashes, KeepLease, PlanRanges, HandOverRanges, CoordinateQuotas,
+        ReportQuotas, FlushLog}) {
     StartLoop(node, loop(node));
   }
 }
@@ -317,6 +319,7 @@
   node.peers_server.draining = true;
   // Followers choose another relay.
   http::Notify(node.fleet_copy.changed);
+  http::Notify(node.operator_copy.changed);
   Log(node.log, EventKind::kStopping,
       {{"active", std::int64_t{ActiveRequests(node)}}});
   Flush(node.log);
--- a/src/eelgrassbridge/node/settings.cpp
+++ b/src/eelgrassbridge/node/settings.cpp
@@ -81,6 +81,7 @@
   ReadOptional(reader, "retry_ratio", bounds.retry_ratio);
   ReadOptional(reader, "retry_extra", bounds.retry_extra);
   ReadSeconds(reader, "retry_window_seconds", bounds.retry_window);
+  ReadSeconds(reader, "change_in_force_seconds", bounds.change_in_force);
   ReadSeconds(reader, "longest_hold_seconds", bounds.max_hold);
   ReadSeconds(reader, "quota_window_seconds", bounds.quota_window);
   ReadNotNegative(reader, "quota_overage", bounds.quota_overage);
--- a/src/eelgrassbridge/node/store_era.cpp
+++ b/src/eelgrassbridge/node/store_era.cpp
@@ -20,6 +20,7 @@
   node.operator_copy.announced_version = 0;
   node.operator_copy.store_failed_at = base::BootClock::now();
   node.operator_copy.announcement_row_version = 0;
+  node.operator_copy.freshness = {};
   node.fleet.versions.clear();
   node.fleet.own_rows_read = false;
   for (auto& [service, ranges] : node.ranges) {
