Count the silence of a relay as no news

Its relay was frozen; the kernel kept the connection alive, and the follower waited for the 5 s of a hold and 1 s more.

A daemon now watches the age of what it knows while it waits. At 0.76 of the bound the relay has failed, also for polls of the fleet's rows, and the daemon reads the store itself. This replaces reads without a report every 8 s or more and every 1.5 s after a failed call. A fetch of a reported change ends in time for such a read. A read is not repeated on a report, and a poll of at most 2 s not because another call failed: on a full link that only adds to the load. Daemons that know no relay hold no polls at the store. Confirmations are divided between one relay for 64 daemons, as polls of the fleet's rows are. The event relay_failed tells which relay failed and why.

Evidence: platform/relay_silence_test.cpp.

--- a/include/eelgrassbridge/node/event_log.hpp
+++ b/include/eelgrassbridge/node/event_log.hpp
@@ -31,6 +31,7 @@
   kStoreRestored,
   kStoreRefused,
   kPollAbandoned,
+  kRelayFailed,
   kRoutesInForce,
   kRoutesRejected,
   kRowRejected,
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -220,8 +220,6 @@
   /// announces it.
   std::uint64_t announced_version = 0;
   std::uint64_t announcement_row_version = 0;
-  /// When a call to the store last failed, or a restore was noticed.
-  base::TimePoint store_failed_at{};
   Freshness freshness;
   /// When another daemon last asked for a confirmation.
   base::TimePoint asked_at{};
--- a/include/eelgrassbridge/node/operator_confirmation.hpp
+++ b/include/eelgrassbridge/node/operator_confirmation.hpp
@@ -23,7 +23,8 @@
 
 /// @brief Whether this daemon polls the store for changes of the operator's
 /// rows: it is the first relay of its data centre, was asked by another daemon
-/// lately, knows no relay, or has no routes yet.
+/// lately, or has no routes yet. A daemon that knows no relay only reads them
+/// when what it knows is too old.
 bool PollsOperatorRows(const Node& node);
 
 /// @brief Takes a statement over and wakes the daemons that wait for one.
--- a/include/eelgrassbridge/node/operator_relay.hpp
+++ b/include/eelgrassbridge/node/operator_relay.hpp
@@ -2,12 +2,12 @@
 //
 // A version of the routes may have hundreds of kilobytes, and links between
 // regions carry all requests as well, so only a few daemons of each data
-// centre, the relays, poll the store for the operator's rows. A relay that has
+// centre, the relays, read the operator's rows from the store. A relay that has
 // received a change announces its version in a small row of the fleet's table,
-// which all daemons follow. The others then fetch the changed rows from a relay
-// of their data centre. They read the store themselves if no relay has the
-// change in time, and now and then in case no relay of any data centre can
-// announce it.
+// which all daemons follow; those of its data centre learn it sooner, see
+// operator_confirmation.hpp. The others then fetch the changed rows from a
+// relay of their data centre. They read the store themselves if no relay has
+// the change in time, and when what they know is too old.
 #ifndef EELGRASSBRIDGE_NODE_OPERATOR_RELAY_HPP
 #define EELGRASSBRIDGE_NODE_OPERATOR_RELAY_HPP
 
@@ -36,11 +36,13 @@
 
 /// @brief Fetches the changes after a version from the relays, or all rows if
 /// `after` is 0. Fails with kNotFound if a relay does not know all rows that
-/// were removed since, and with kStoreUnavailable if none of them has received
-/// the change `needed` in time.
-asio::awaitable<base::Result<RowPage>> FetchFromRelays(Node& node,
-                                                       std::uint64_t after,
-                                                       std::uint64_t needed);
+/// were removed since, and with kStoreUnavailable if none of them has begun to
+/// send the change `needed` by `latest`.
+asio::awaitable<base::Result<RowPage>> FetchFromRelays(
+    Node& node,
+    std::uint64_t after,
+    std::uint64_t needed,
+    base::TimePoint latest = base::TimePoint::max());
 
 /// @brief Whether the request of another daemon asks for the operator's rows.
 bool IsOperatorRowsRequest(const http::RequestHead& head);
--- a/include/eelgrassbridge/node/row_freshness.hpp
+++ b/include/eelgrassbridge/node/row_freshness.hpp
@@ -20,6 +20,15 @@
 struct FreshnessOptions {
   /// Interval at which a relay reads the store though there is no change.
   base::Duration confirm_interval{base::milliseconds{1000}};
+  /// Least time for a relay that is asked: a read of the store across regions.
+  base::Duration relay_time{base::milliseconds{250}};
+  /// Age of the latest statement at which the relay that is asked has failed,
+  /// and of the applied rows at which a daemon reads the store itself. The rest
+  /// of the bound is for the read.
+  base::Duration store_limit{base::milliseconds{1900}};
+  /// Time over which the reads of daemons are spread that lose their relays at
+  /// one moment.
+  base::Duration read_spread{base::milliseconds{100}};
   /// Pause between reads of the store that fail.
   base::Duration retry_interval{base::milliseconds{1500}};
   /// Relays that are asked before a daemon reads the store itself. A relay that
@@ -43,6 +52,9 @@
 /// learn more have failed.
 struct Freshness {
   Confirmation latest;
+  /// Moment up to which this daemon has all changes; before `latest.as_of` if
+  /// the latest change has not arrived yet.
+  base::TimePoint applied_as_of{};
   /// The last read of the operator's rows by this daemon failed, so it cannot
   /// tell others that nothing has changed.
   bool read_failing = false;
@@ -61,6 +73,9 @@
 /// @brief Takes a statement over. An earlier one changes nothing.
 void Confirm(Freshness& freshness, const Confirmation& statement);
 
+/// @brief Records that this daemon has all changes up to a version.
+void RecordApplied(Freshness& freshness, std::uint64_t complete_version);
+
 /// @brief Records a relay that has no later statement.
 void RecordRelayWithoutNews(Freshness& freshness);
 
@@ -81,15 +96,24 @@
                             base::TimePoint now,
                             const FreshnessOptions& options);
 
-/// @brief Whether as many relays have failed as are asked, so that only a read
-/// of the store helps.
+/// @brief Time at which a relay that was asked has failed if it has not
+/// answered. Silence is no news, however long a relay may hold a request.
+base::TimePoint RelayDeadline(const Freshness& freshness,
+                              base::TimePoint asked_at,
+                              const FreshnessOptions& options);
+
+/// @brief Whether as many relays have failed as are asked before this daemon
+/// reads the store.
 bool AreRelaysExhausted(const Freshness& freshness,
                         const FreshnessOptions& options);
 
-/// @brief Time at which a daemon that is no relay reads the store itself; the
-/// maximum if other daemons keep it informed.
+/// @brief Time at which a daemon that is no relay reads the store itself unless
+/// its rows are confirmed before.
+/// @param spread Place of this daemon among those that read at the same moment,
+/// from 0 to 1.
 base::TimePoint StoreReadDue(const Freshness& freshness,
-                             const FreshnessOptions& options);
+                             const FreshnessOptions& options,
+                             double spread);
 
 }  // namespace eelgrassbridge::node
 
--- a/include/eelgrassbridge/node/row_relay.hpp
+++ b/include/eelgrassbridge/node/row_relay.hpp
@@ -27,8 +27,14 @@
 /// @brief Number of members in this daemon's data centre.
 std::size_t DaemonsOfDataCentre(const Node& node);
 
-/// @brief Notes that a daemon did not answer as a relay.
-void RecordRelayFailure(Node& node, const std::string& address);
+/// @brief Whether a daemon has failed to answer as a relay lately.
+bool HasFailedAsRelay(const Node& node, const std::string& address);
+
+/// @brief Notes that a daemon did not answer as a relay, and ends the polls of
+/// it.
+void RecordRelayFailure(Node& node,
+                        const std::string& address,
+                        std::string_view cause);
 
 /// Statuses of a relay's answer.
 inline constexpr int kRelayOk = 200;
--- a/src/eelgrassbridge/node/event_log.cpp
+++ b/src/eelgrassbridge/node/event_log.cpp
@@ -27,6 +27,7 @@
     "store_restored",
     "store_refused",
     "poll_abandoned",
+    "relay_failed",
     "routes_in_force",
     "routes_rejected",
     "row_rejected",
--- a/src/eelgrassbridge/node/fleet_relay.cpp
+++ b/src/eelgrassbridge/node/fleet_relay.cpp
@@ -60,6 +60,7 @@
 /// Waits until the answer has arrived or is to be abandoned. Returns the reason
 /// to abandon it, or an empty string.
 awaitable<std::string_view> AwaitAnswer(Node& node,
+                                        const std::string& relay,
                                         std::uint64_t after,
                                         const PendingAnswer& pending) {
   const std::uint64_t era = node.store.era;
@@ -73,6 +74,9 @@
     if (WasAskedLately(node)) {
       co_return "this daemon has become a relay";
     }
+    if (HasFailedAsRelay(node, relay)) {
+      co_return "the relay has failed";
+    }
     const TableProgress& table = node.store.fleet_rows;
     if (!behind_since && table.peer_version > after) {
       behind_since = std::max(started_at, table.peer_version_at);
@@ -127,7 +131,7 @@
                                            std::uint64_t after) {
   const auto endpoint = http::ParseEndpoint(relay);
   if (!endpoint) {
-    RecordRelayFailure(node, relay);
+    RecordRelayFailure(node, relay, "invalid address");
     co_return base::Fail(ErrorKind::kPeerUnreachable, "invalid address");
   }
   http::BufferedRequest request;
@@ -141,11 +145,12 @@
   request.progress = pending->progress;
   asio::co_spawn(node.io, Ask(node, *endpoint, std::move(request), pending),
                  asio::detached);
-  const std::string_view cause = co_await AwaitAnswer(node, after, *pending);
+  const std::string_view cause =
+      co_await AwaitAnswer(node, relay, after, *pending);
   if (!cause.empty()) {
     http::Cancel(*pending->progress);
     if (node.store.fleet_rows.peer_version > after) {
-      RecordRelayFailure(node, relay);
+      RecordRelayFailure(node, relay, cause);
     }
     Count(node, "relay_polls_abandoned_total");
     Log(node.log, EventKind::kPollAbandoned,
@@ -156,13 +161,13 @@
     co_return base::Fail(ErrorKind::kStoreUnavailable, std::string(cause));
   }
   if (!*pending->answer) {
-    RecordRelayFailure(node, relay);
+    RecordRelayFailure(node, relay, pending->answer->error().detail);
     co_return base::Fail(pending->answer->error().kind,
                          pending->answer->error().detail);
   }
   auto page = PageOfAnswer(pending->answer->value());
   if (!page && page.error().kind != ErrorKind::kNotFound) {
-    RecordRelayFailure(node, relay);
+    RecordRelayFailure(node, relay, page.error().detail);
   }
   co_return page;
 }
--- a/src/eelgrassbridge/node/lease_delegate.cpp
+++ b/src/eelgrassbridge/node/lease_delegate.cpp
@@ -152,7 +152,7 @@
   const auto answer =
       co_await http::Call(node.peers, *endpoint, std::move(request));
   if (!answer) {
-    RecordRelayFailure(node, delegate);
+    RecordRelayFailure(node, delegate, answer.error().detail);
     co_return base::Fail(answer.error().kind, answer.error().detail);
   }
   if (answer.value().head.status != kRelayOk) {
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -196,7 +196,6 @@
     Log(node.log, EventKind::kStoreRefused, {{"cause", error.detail}});
     return;
   }
-  node.operator_copy.store_failed_at = base::BootClock::now();
   if (node.store.reachable) {
     node.store.reachable = false;
     ++node.store.losses;
--- a/src/eelgrassbridge/node/operator_confirmation.cpp
+++ b/src/eelgrassbridge/node/operator_confirmation.cpp
@@ -4,6 +4,10 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,10 +31,9 @@
 /// Time for which a daemon that was asked polls the store; longer than a few
 /// confirm intervals, so that it goes on while it is asked.
 constexpr base::Duration kAskedTime = base::seconds{8};
-/// Confirm intervals for which a relay holds a request without news, and time
-/// added for the answer to arrive.
+/// Confirm intervals for which a relay holds a request without news; longer
+/// than its asker waits.
 constexpr int kHeldIntervals = 2;
-constexpr std::chrono::milliseconds kAnswerTime{300};
 
 bool WasAskedLately(const Node& node) {
   const base::TimePoint asked_at = node.operator_copy.asked_at;
@@ -38,11 +41,18 @@
          base::BootClock::now() < asked_at + kAskedTime;
 }
 
-/// Relays that this daemon may ask, in the order in which it asks them.
+/// Relays that this daemon may ask, in the order in which it asks them. A large
+/// data centre has several first relays, each of which serves a part of it.
 std::vector<std::string> RelaysToAsk(const Node& node) {
-  auto relays =
-      RankRelays(RelayCandidates(node), FreshnessLimits(node).relays_asked + 1);
-  std::erase(relays, node.settings.peers);
+  const std::string& self = node.settings.peers;
+  const auto candidates = RelayCandidates(node);
+  auto relays = RankRelays(candidates, FreshnessLimits(node).relays_asked + 1);
+  const std::string first = RelayOf(candidates, self, DaemonIdOf(self).value);
+  std::erase(relays, self);
+  std::erase(relays, first);
+  if (!first.empty()) {
+    relays.insert(relays.begin(), first);
+  }
   return relays;
 }
 
@@ -73,6 +83,24 @@
                       sent_at + base::Duration{*held} - base::Duration{*age}};
 }
 
+struct PendingConfirmation {
+  explicit PendingConfirmation(asio::io_context& io) : done(io) {}
+  std::optional<base::Result<http::Response>> answer;
+  std::shared_ptr<http::CallProgress> progress =
+      std::make_shared<http::CallProgress>();
+  /// Notified when `answer` is set.
+  http::Event done;
+};
+
+awaitable<void> Send(Node& node,
+                     asio::ip::tcp::endpoint relay,
+                     http::BufferedRequest request,
+                     std::shared_ptr<PendingConfirmation> pending) {
+  pending->answer.emplace(
+      co_await http::Call(node.peers, relay, std::move(request)));
+  http::Notify(pending->done);
+}
+
 awaitable<base::Result<Confirmation>> AskRelay(Node& node,
                                                const std::string& relay) {
   const auto endpoint = http::ParseEndpoint(relay);
@@ -88,12 +116,24 @@
                      {std::string(kConfirmationHeader),
                       fmt::format("{};{};{}", node.store.era, known.version,
                                   (sent_at - known.as_of).count())}};
+  // The deadline also covers the time to open a connection, which the timeout
+  // of the call does not.
+  const base::TimePoint deadline = RelayDeadline(
+      node.operator_copy.freshness, sent_at, FreshnessLimits(node));
   request.timeout =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          kHeldIntervals * FreshnessLimits(node).confirm_interval) +
-      kAnswerTime;
-  const auto answer =
-      co_await http::Call(node.peers, *endpoint, std::move(request));
+      std::chrono::ceil<std::chrono::milliseconds>(deadline - sent_at);
+  auto pending = std::make_shared<PendingConfirmation>(node.io);
+  request.progress = pending->progress;
+  asio::co_spawn(node.io, Send(node, *endpoint, std::move(request), pending),
+                 asio::detached);
+  while (!pending->answer && base::BootClock::now() < deadline) {
+    co_await http::WaitUntil(pending->done, deadline);
+  }
+  if (!pending->answer) {
+    http::Cancel(*pending->progress);
+    co_return base::Fail(ErrorKind::kPeerTimeout, "the relay is silent");
+  }
+  const auto& answer = *pending->answer;
   if (!answer) {
     co_return base::Fail(answer.error().kind, answer.error().detail);
   }
@@ -116,7 +156,9 @@
                       statement.value().version);
     co_return;
   }
-  RecordRelayFailure(node, relay);
+  RecordRelayFailure(node, relay,
+                     statement ? std::string_view("it knows nothing later")
+                               : std::string_view(statement.error().detail));
   RecordRelayWithoutNews(freshness);
   Count(node, "operator_confirmations_failed_total");
   http::Notify(node.store.changed);
@@ -138,13 +180,22 @@
 }
 
 bool PollsOperatorRows(const Node& node) {
-  const auto first = RankRelays(RelayCandidates(node), 1);
-  return !node.routes || first.empty() ||
-         first.front() == node.settings.peers || WasAskedLately(node);
+  if (!node.routes) {
+    return true;
+  }
+  // Before the members are known, each daemon would hold a poll at the store.
+  const std::string& self = node.settings.peers;
+  const auto candidates = RelayCandidates(node);
+  return node.fleet.loaded &&
+         (WasAskedLately(node) ||
+          (!candidates.empty() &&
+           RelayOf(candidates, self, DaemonIdOf(self).value).empty()));
 }
 
 void RecordConfirmation(Node& node, const Confirmation& statement) {
-  Confirm(node.operator_copy.freshness, statement);
+  OperatorCopy& copy = node.operator_copy;
+  Confirm(copy.freshness, statement);
+  RecordApplied(copy.freshness, copy.table.version);
   http::Notify(node.operator_copy.changed);
 }
 
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -25,12 +25,6 @@
 using asio::awaitable;
 using base::ErrorKind;
 
-/// After a failed call or a restore, daemons that are no relays read the
-/// operator's rows this often for this time: a relay cannot announce a change
-/// while the store refuses its commits, and a change has to be in force
-/// within 2.5 s.
-constexpr base::Duration kDoubtfulReadInterval = base::milliseconds{1500};
-constexpr base::Duration kDoubtfulTime = base::seconds{15};
 /// Time after a restore of the store for which a data centre stays out of
 /// service although its row is missing. The row may be lost, and the operator
 /// writes lost rows again within seconds.
@@ -142,33 +136,36 @@
 }
 
 /// Waits until another daemon reports a change of the operator's rows, this
-/// daemon has to poll the store, the store was restored, or the time for a read
-/// without a report has come.
+/// daemon has to poll the store, the store was restored, or what this daemon
+/// knows is too old.
 awaitable<void> AwaitOperatorChange(Node& node, const FeedPosition& position) {
-  std::uniform_real_distribution<double> distribution(0.75, 1);
-  const double jitter = distribution(node.random);
-  const base::TimePoint started_at = base::BootClock::now();
+  std::uniform_real_distribution<double> distribution(0, 1);
+  const double spread = distribution(node.random);
   const std::uint64_t era = node.store.era;
   while (!PollsOperatorRows(node) && node.store.era == era &&
          !IsEraOutdated(node) &&
          node.store.operator_rows.peer_version <= position.after) {
-    const base::TimePoint now = base::BootClock::now();
-    const bool doubtful =
-        now < node.operator_copy.store_failed_at + kDoubtfulTime;
-    const base::TimePoint end = std::min(
-        StoreReadDue(node.operator_copy.freshness, FreshnessLimits(node)),
-        started_at +
-            std::chrono::duration_cast<base::Duration>(
-                (doubtful ? kDoubtfulReadInterval
-                          : UnreportedReadInterval(DaemonsOfDataCentre(node))) *
-                jitter));
-    if (now >= end) {
+    const base::TimePoint due = StoreReadDue(node.operator_copy.freshness,
+                                             FreshnessLimits(node), spread);
+    if (base::BootClock::now() >= due) {
+      Count(node, "operator_reads_due_total");
       break;
     }
-    co_await http::WaitUntil(node.store.changed, end);
+    co_await http::WaitUntil(node.store.changed, due);
   }
 }
 
+/// Time at which this daemon gives up fetching a change from relays, so that it
+/// can still read the store in time.
+base::TimePoint RelayFetchEnd(const Node& node, base::TimePoint now) {
+  const Freshness& freshness = node.operator_copy.freshness;
+  const FreshnessOptions options = FreshnessLimits(node);
+  return freshness.read_failing
+             ? base::TimePoint::max()
+             : std::max(freshness.applied_as_of + options.store_limit,
+                        now + options.relay_time);
+}
+
 /// Polls the store, and keeps what it returns and confirms for other daemons.
 awaitable<base::Result<RowPage>> PollOperatorRows(Node& node,
                                                   FeedPosition position,
@@ -207,12 +204,16 @@
   const std::uint64_t reported = node.store.operator_rows.peer_version;
   if (reported > position.after &&
       (!IsOperatorRelay(node) || freshness.read_failing)) {
-    auto page = co_await FetchFromRelays(node, position.after, reported);
+    auto page =
+        co_await FetchFromRelays(node, position.after, reported,
+                                 RelayFetchEnd(node, base::BootClock::now()));
     if (node.store.era != era) {
       co_return RestoredMeanwhile(ErrorKind::kStoreUnavailable);
     }
     if (page) {
       KeepOperatorPage(node, page.value());
+      RecordApplied(node.operator_copy.freshness,
+                    node.operator_copy.table.version);
       co_return page;
     }
     if (page.error().kind == ErrorKind::kNotFound) {
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -37,7 +37,8 @@
 awaitable<base::Result<RowPage>> FetchFromRelay(Node& node,
                                                 const std::string& address,
                                                 std::uint64_t after,
-                                                std::uint64_t needed) {
+                                                std::uint64_t needed,
+                                                base::TimePoint latest) {
   const auto endpoint = http::ParseEndpoint(address);
   if (!endpoint) {
     co_return base::Fail(ErrorKind::kPeerUnreachable, "invalid address");
@@ -48,9 +49,9 @@
   request.headers = {{"Host", address},
                      {std::string(kRowsHeader),
                       fmt::format("{};{};{}", after, needed, node.store.era)}};
-  request.timeout =
-      std::chrono::duration_cast<std::chrono::milliseconds>(kRelayWait) +
-      kRelayAnswerTime;
+  const base::Duration left = latest - base::BootClock::now();
+  request.timeout = std::chrono::ceil<std::chrono::milliseconds>(
+      std::min<base::Duration>(left, kRelayWait + kRelayAnswerTime));
   auto answer = co_await http::Call(node.peers, *endpoint, std::move(request));
   if (!answer) {
     co_return base::Fail(answer.error().kind, answer.error().detail);
@@ -119,7 +120,8 @@
 
 awaitable<base::Result<RowPage>> FetchFromRelays(Node& node,
                                                  std::uint64_t after,
-                                                 std::uint64_t needed) {
+                                                 std::uint64_t needed,
+                                                 base::TimePoint latest) {
   std::vector<std::string> relays = OperatorRelays(node);
   std::erase(relays, node.settings.peers);
   // Each relay serves about the same number of daemons first.
@@ -127,12 +129,15 @@
     std::ranges::reverse(relays);
   }
   for (const std::string& address : relays) {
-    auto page = co_await FetchFromRelay(node, address, after, needed);
+    if (base::BootClock::now() >= latest) {
+      break;
+    }
+    auto page = co_await FetchFromRelay(node, address, after, needed, latest);
     if (page || page.error().kind == ErrorKind::kNotFound) {
       co_return page;
     }
     if (page.error().kind != ErrorKind::kStoreUnavailable) {
-      RecordRelayFailure(node, address);
+      RecordRelayFailure(node, address, page.error().detail);
     }
   }
   co_return base::Fail(ErrorKind::kStoreUnavailable, "no relay has the change");
--- a/src/eelgrassbridge/node/row_freshness.cpp
+++ b/src/eelgrassbridge/node/row_freshness.cpp
@@ -7,8 +7,13 @@
 
 namespace {
 
-/// Part of the bound between two confirmations.
+/// Parts of the bound. A change that comes just after a confirmation is known
+/// to a follower of a silent relay after kStorePart and kSpreadPart at the
+/// latest, which leaves a fifth of the bound for the read of the store.
 constexpr double kConfirmPart = 0.4;
+constexpr double kRelayTimePart = 0.1;
+constexpr double kStorePart = 0.76;
+constexpr double kSpreadPart = 0.04;
 
 base::Duration PartOf(base::Duration bound, double part) {
   return std::chrono::duration_cast<base::Duration>(bound * part);
@@ -19,6 +24,9 @@
 FreshnessOptions FreshnessOptionsFor(base::Duration bound) {
   FreshnessOptions options;
   options.confirm_interval = PartOf(bound, kConfirmPart);
+  options.relay_time = PartOf(bound, kRelayTimePart);
+  options.store_limit = PartOf(bound, kStorePart);
+  options.read_spread = PartOf(bound, kSpreadPart);
   return options;
 }
 
@@ -38,6 +46,12 @@
   latest.version = std::max(latest.version, statement.version);
 }
 
+void RecordApplied(Freshness& freshness, std::uint64_t complete_version) {
+  if (freshness.latest.version <= complete_version) {
+    freshness.applied_as_of = freshness.latest.as_of;
+  }
+}
+
 void RecordRelayWithoutNews(Freshness& freshness) {
   ++freshness.failed_relays;
 }
@@ -63,18 +77,26 @@
                     base::Duration{0}, options.confirm_interval);
 }
 
+base::TimePoint RelayDeadline(const Freshness& freshness,
+                              base::TimePoint asked_at,
+                              const FreshnessOptions& options) {
+  return std::max(freshness.latest.as_of + options.store_limit,
+                  asked_at + options.relay_time);
+}
+
 bool AreRelaysExhausted(const Freshness& freshness,
                         const FreshnessOptions& options) {
   return freshness.failed_relays >= options.relays_asked;
 }
 
 base::TimePoint StoreReadDue(const Freshness& freshness,
-                             const FreshnessOptions& options) {
+                             const FreshnessOptions& options,
+                             double spread) {
   if (freshness.read_failing) {
     return freshness.read_failed_at + options.retry_interval;
   }
-  return AreRelaysExhausted(freshness, options) ? freshness.latest.as_of
-                                                : base::TimePoint::max();
+  return freshness.applied_as_of + options.store_limit +
+         PartOf(options.read_spread, spread);
 }
 
 }  // namespace eelgrassbridge::node
--- a/src/eelgrassbridge/node/row_relay.cpp
+++ b/src/eelgrassbridge/node/row_relay.cpp
@@ -14,19 +14,19 @@
 /// Time for which a daemon that did not answer is not used as a relay.
 constexpr base::Duration kRelayFailureTime = base::seconds{10};
 
-bool HasFailedLately(const Node& node, const std::string& address) {
+}  // namespace
+
+bool HasFailedAsRelay(const Node& node, const std::string& address) {
   const auto found = node.fleet.failed_relays.find(address);
   return found != node.fleet.failed_relays.end() &&
          base::BootClock::now() < found->second + kRelayFailureTime;
 }
 
-}  // namespace
-
 std::vector<RelayCandidate> RelayCandidates(const Node& node) {
   std::vector<RelayCandidate> candidates;
   for (const auto& [address, member] : node.fleet.members) {
     if (member.data_centre == node.settings.data_centre && member.serving &&
-        !HasFailedLately(node, address)) {
+        !HasFailedAsRelay(node, address)) {
       candidates.push_back({member.address, member.link_mbps});
     }
   }
@@ -40,8 +40,15 @@
       }));
 }
 
-void RecordRelayFailure(Node& node, const std::string& address) {
+void RecordRelayFailure(Node& node,
+                        const std::string& address,
+                        std::string_view cause) {
+  if (!HasFailedAsRelay(node, address)) {
+    Log(node.log, EventKind::kRelayFailed,
+        {{"relay", address}, {"cause", cause}});
+  }
   node.fleet.failed_relays[address] = base::BootClock::now();
+  http::Notify(node.store.changed);
 }
 
 base::Result<RowPage> PageOfAnswer(const http::Response& answer) {
--- a/src/eelgrassbridge/node/store_calls.cpp
+++ b/src/eelgrassbridge/node/store_calls.cpp
@@ -72,13 +72,19 @@
                                            : node.store.fleet_rows;
 }
 
+/// A poll with at most this wait is not abandoned when another call fails: it
+/// ends soon by itself.
+constexpr std::chrono::milliseconds kShortWait{2000};
+
 /// Waits until the poll has ended or is to be abandoned. Returns the reason to
 /// abandon it, or an empty string.
 ///
 /// A poll is abandoned if the store was restored, or may have lost it: another
 /// call has failed, or another daemon has reported a change that the poll
 /// should have returned. It is kept while its answer arrives, because the next
-/// one would have to send all of it again.
+/// one would have to send all of it again. A call that waits for no change is
+/// not abandoned for a report: it returns the change unless it is lost, and a
+/// second call would only add to a link that is full.
 awaitable<std::string_view> AwaitPage(Node& node,
                                       const FeedPosition& position,
                                       const PendingPoll& pending,
@@ -91,8 +97,9 @@
       co_return "the store was restored";
     }
     const TableProgress& table = ProgressOf(node, position.table);
-    const bool lost = node.store.losses != losses;
-    const bool behind = table.peer_version > position.after;
+    const bool lost = position.wait > kShortWait && node.store.losses != losses;
+    const bool behind =
+        position.wait.count() > 0 && table.peer_version > position.after;
     if (pending.progress->received_bytes > 0 || (!lost && !behind)) {
       co_await http::Wait(node.store.changed);
       continue;
--- a/src/eelgrassbridge/node/store_era.cpp
+++ b/src/eelgrassbridge/node/store_era.cpp
@@ -18,7 +18,6 @@
   node.fleet_copy.table = {};
   node.fleet_copy.encoded = {};
   node.operator_copy.announced_version = 0;
-  node.operator_copy.store_failed_at = base::BootClock::now();
   node.operator_copy.announcement_row_version = 0;
   node.operator_copy.freshness = {};
   node.fleet.versions.clear();
