Reject confirmations with numbers out of range

A daemon that answers with a wrong time could make another one believe that its rows are known up to a moment in the future, so that it would not ask again, and numbers near the limit overflow the clock's arithmetic. Numbers are limited, and a confirmation counts at most up to the moment at which it arrives.

Evidence: "malformed requests for a confirmation are refused" passes with the change; it was not run before it.

--- a/src/eelgrassbridge/node/operator_confirmation.cpp
+++ b/src/eelgrassbridge/node/operator_confirmation.cpp
@@ -56,11 +56,14 @@
   return relays;
 }
 
-/// Takes the next number from a list that is separated by semicolons.
+/// Takes the next number from a list that is separated by semicolons. Times as
+/// long as the limit, 285 years, can be added and subtracted.
 std::optional<std::int64_t> TakeNumber(std::string_view& text) {
+  constexpr std::uint64_t kLimit = std::uint64_t{1} << 53U;
   const auto number = http::ParseNumber(TakePart(text));
-  return number ? std::optional{static_cast<std::int64_t>(*number)}
-                : std::nullopt;
+  return number && *number < kLimit
+             ? std::optional{static_cast<std::int64_t>(*number)}
+             : std::nullopt;
 }
 
 base::Result<Confirmation> ConfirmationOfAnswer(const http::Response& answer,
@@ -79,8 +82,11 @@
   }
   // The request arrived after `sent_at` and was held before the answer, so the
   // moment is never too late, however long both were on their way.
-  return Confirmation{static_cast<std::uint64_t>(*version),
-                      sent_at + base::Duration{*held} - base::Duration{*age}};
+  // A daemon that states a wrong time must not seem to know the future.
+  return Confirmation{
+      static_cast<std::uint64_t>(*version),
+      std::min(sent_at + base::Duration{*held} - base::Duration{*age},
+               base::BootClock::now())};
 }
 
 struct PendingConfirmation {
