--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -32,9 +32,8 @@
 #include "eelgrassbridge/node/platform_port.hpp"
 #include "eelgrassbridge/node/quota_state.hpp"
 #include "eelgrassbridge/node/renewal_batch.hpp"
-#include "eelgrassbridge/node/row_freshness.hpp"
+#include "eelgrassbridge/node/row_copies.hpp"
 #include "eelgrassbridge/node/settings.hpp"
-#include "eelgrassbridge/node/table_copy.hpp"
 #include "eelgrassbridge/ranges/lease.hpp"
 #include "eelgrassbridge/ranges/planning.hpp"
 #include "eelgrassbridge/ranges/recovery.hpp"
@@ -212,48 +211,6 @@
   TableProgress fleet_rows;
 };
 
-/// @brief The operator's rows, for other daemons of the data centre.
-struct OperatorCopy {
-  explicit OperatorCopy(asio::io_context& io) : changed(io) {}
-  TableCopy table;
-  /// Latest version that a relay has announced, and the version of the row that
-  /// announces it.
-  std::uint64_t announced_version = 0;
-  std::uint64_t announcement_row_version = 0;
-  Freshness freshness;
-  /// When another daemon last asked for a confirmation.
-  base::TimePoint asked_at{};
-  /// Notified when the version of the copy has risen, when a confirmation has
-  /// arrived, when a read of the store has ended, and when a planned stop
-  /// begins.
-  http::Event changed;
-};
-
-/// @brief Changes of the fleet's rows, for other daemons of the data centre.
-struct FleetCopy {
-  explicit FleetCopy(asio::io_context& io) : changed(io) {}
-  TableCopy table;
-  /// When this daemon last received changes, and when it last received an
-  /// answer of the store itself.
-  base::TimePoint received_at{};
-  base::TimePoint store_read_at{};
-  /// When another daemon last asked for changes.
-  base::TimePoint asked_at{};
-  /// The last poll of the store by this daemon failed, so it cannot tell others
-  /// that nothing has changed.
-  bool read_failing = false;
-  /// The last answer that was encoded, which most followers get alike.
-  struct Encoded {
-    std::uint64_t after = 0;
-    std::uint64_t version = 0;
-    std::string text;
-  };
-  Encoded encoded;
-  /// Notified when changes have arrived, when polls of the store begin to fail,
-  /// and when a planned stop begins.
-  http::Event changed;
-};
-
 /// @brief A renewal of a lease that waits for the next batch.
 struct WaitingRenewal {
   WaitingRenewal(asio::io_context& io, Renewal waiting)
