Send all requests to relays by one function

The polls of the fleet's rows and the requests for confirmations each had a pending answer, a coroutine that fills it, and the time for which an asked daemon stays a relay. They share these in row_relay now. Comments that named one relay, a read after a few refusals and two polling relays are corrected, and limits that follow from the bound have no second value as a default.

--- a/include/eelgrassbridge/node/operator_confirmation.hpp
+++ b/include/eelgrassbridge/node/operator_confirmation.hpp
@@ -1,12 +1,13 @@
 // How a daemon that does not poll the store learns whether the operator's rows
 // have changed.
 //
-// One relay of the data centre polls the store for the operator's rows at short
-// intervals. The other daemons hold a request open at it, which it answers with
-// each confirmation and each change: with the version of the latest change and
-// the age of the read on which that rests. A relay whose reads of the store
-// fail refuses at once. A daemon that gets nothing more recent from a relay
-// asks the next one, and after a few it reads the store itself.
+// A relay polls the store for the operator's rows at short intervals; a data
+// centre has one for 64 daemons. The others hold a request open at it, which it
+// answers with each confirmation and each change: with the version of the
+// latest change and the age of the read on which that rests. A relay whose
+// reads of the store fail refuses at once. A daemon that gets nothing more
+// recent from a relay asks the next one, and it reads the store itself when
+// what it knows is too old.
 //
 // These answers carry no rows; see operator_relay.hpp for those.
 #ifndef EELGRASSBRIDGE_NODE_OPERATOR_CONFIRMATION_HPP
--- a/include/eelgrassbridge/node/operator_relay.hpp
+++ b/include/eelgrassbridge/node/operator_relay.hpp
@@ -23,8 +23,8 @@
 /// fastest links, apart from those that have failed to answer lately.
 std::vector<std::string> OperatorRelays(const Node& node);
 
-/// @brief Whether this daemon polls the store for the operator's rows: it is a
-/// relay of its data centre, knows none, or has no routes yet.
+/// @brief Whether this daemon reads changes of the operator's rows from the
+/// store: it is a relay of its data centre, knows none, or has no routes yet.
 bool IsOperatorRelay(const Node& node);
 
 /// @brief Keeps the rows of a page for other daemons of the data centre.
--- a/include/eelgrassbridge/node/row_freshness.hpp
+++ b/include/eelgrassbridge/node/row_freshness.hpp
@@ -19,20 +19,20 @@
 /// be in force.
 struct FreshnessOptions {
   /// Interval at which a relay reads the store though there is no change.
-  base::Duration confirm_interval{base::milliseconds{1000}};
+  base::Duration confirm_interval{};
   /// Least time for a relay that is asked: a read of the store across regions.
-  base::Duration relay_time{base::milliseconds{250}};
+  base::Duration relay_time{};
   /// Age of the latest statement at which the relay that is asked has failed,
   /// and of the applied rows at which a daemon reads the store itself. The rest
   /// of the bound is for the read.
-  base::Duration store_limit{base::milliseconds{1900}};
+  base::Duration store_limit{};
   /// Time over which the reads of daemons are spread that lose their relays at
   /// one moment.
-  base::Duration read_spread{base::milliseconds{100}};
+  base::Duration read_spread{};
   /// Pause between reads of the store that fail.
   base::Duration retry_interval{base::milliseconds{1500}};
-  /// Relays that are asked before a daemon reads the store itself. A relay that
-  /// refuses costs a round trip; more of them would use up the bound.
+  /// Relays that are asked between two confirmations. Without a limit, each
+  /// daemon would ask all others while the store is away.
   std::size_t relays_asked = 3;
 };
 
@@ -102,8 +102,8 @@
                               base::TimePoint asked_at,
                               const FreshnessOptions& options);
 
-/// @brief Whether as many relays have failed as are asked before this daemon
-/// reads the store.
+/// @brief Whether as many relays have failed as are asked; the next
+/// confirmation comes from a read of the store by this daemon.
 bool AreRelaysExhausted(const Freshness& freshness,
                         const FreshnessOptions& options);
 
--- a/include/eelgrassbridge/node/row_relay.hpp
+++ b/include/eelgrassbridge/node/row_relay.hpp
@@ -9,6 +9,9 @@
 #ifndef EELGRASSBRIDGE_NODE_ROW_RELAY_HPP
 #define EELGRASSBRIDGE_NODE_ROW_RELAY_HPP
 
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +39,23 @@
                         const std::string& address,
                         std::string_view cause);
 
+/// @brief Whether a daemon that another one asked at this time for rows or a
+/// confirmation still polls the store for it; zero if it was not asked.
+bool IsAskedRelay(base::TimePoint asked_at);
+
+/// @brief A request to a relay that is on its way.
+struct PendingAnswer {
+  std::optional<base::Result<http::Response>> answer;
+  std::shared_ptr<http::CallProgress> progress =
+      std::make_shared<http::CallProgress>();
+};
+
+/// @brief Sends a request to a relay; `node.store.changed` is notified when it
+/// has ended. It is ended by `http::Cancel(*pending->progress)`.
+std::shared_ptr<PendingAnswer> SendToRelay(Node& node,
+                                           asio::ip::tcp::endpoint relay,
+                                           http::BufferedRequest request);
+
 /// Statuses of a relay's answer.
 inline constexpr int kRelayOk = 200;
 /// The relay does not have all changes after the position.
--- a/src/eelgrassbridge/node/fleet_relay.cpp
+++ b/src/eelgrassbridge/node/fleet_relay.cpp
@@ -4,9 +4,6 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-#include <memory>
 #include <optional>
 #include <utility>
 
@@ -33,29 +30,6 @@
 /// pause between polls, a round trip between regions, and the way to the
 /// follower.
 constexpr base::Duration kDeliveryTime = base::milliseconds{1000};
-/// Time for which a daemon that was asked for changes stays a relay; longer
-/// than a hold, so that it stays one while it has followers.
-constexpr base::Duration kAskedTime = base::seconds{8};
-
-bool WasAskedLately(const Node& node) {
-  return node.fleet_copy.asked_at != base::TimePoint{} &&
-         base::BootClock::now() < node.fleet_copy.asked_at + kAskedTime;
-}
-
-struct PendingAnswer {
-  std::optional<base::Result<http::Response>> answer;
-  std::shared_ptr<http::CallProgress> progress =
-      std::make_shared<http::CallProgress>();
-};
-
-awaitable<void> Ask(Node& node,
-                    asio::ip::tcp::endpoint relay,
-                    http::BufferedRequest request,
-                    std::shared_ptr<PendingAnswer> pending) {
-  pending->answer.emplace(
-      co_await http::Call(node.peers, relay, std::move(request)));
-  http::Notify(node.store.changed);
-}
 
 /// Waits until the answer has arrived or is to be abandoned. Returns the reason
 /// to abandon it, or an empty string.
@@ -71,7 +45,7 @@
     if (node.store.era != era || IsEraOutdated(node)) {
       co_return "the store was restored";
     }
-    if (WasAskedLately(node)) {
+    if (IsAskedRelay(node.fleet_copy.asked_at)) {
       co_return "this daemon has become a relay";
     }
     if (HasFailedAsRelay(node, relay)) {
@@ -106,7 +80,7 @@
 }  // namespace
 
 std::string FleetRelayOf(const Node& node) {
-  return WasAskedLately(node)
+  return IsAskedRelay(node.fleet_copy.asked_at)
              ? std::string{}
              : RelayOf(RelayCandidates(node), node.settings.peers,
                        DaemonIdOf(node.settings.peers).value);
@@ -141,10 +115,7 @@
       {"Host", relay},
       {std::string(kRowsHeader), fmt::format("{};{}", after, node.store.era)}};
   request.timeout = kHoldTime + kAnswerTime;
-  auto pending = std::make_shared<PendingAnswer>();
-  request.progress = pending->progress;
-  asio::co_spawn(node.io, Ask(node, *endpoint, std::move(request), pending),
-                 asio::detached);
+  const auto pending = SendToRelay(node, *endpoint, std::move(request));
   const std::string_view cause =
       co_await AwaitAnswer(node, relay, after, *pending);
   if (!cause.empty()) {
--- a/src/eelgrassbridge/node/operator_confirmation.cpp
+++ b/src/eelgrassbridge/node/operator_confirmation.cpp
@@ -4,9 +4,6 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,19 +25,10 @@
 /// for which the request was held.
 constexpr std::string_view kConfirmationHeader =
     "Eelgrassbridge-Operator-Version";
-/// Time for which a daemon that was asked polls the store; longer than a few
-/// confirm intervals, so that it goes on while it is asked.
-constexpr base::Duration kAskedTime = base::seconds{8};
 /// Confirm intervals for which a relay holds a request without news; longer
 /// than its asker waits.
 constexpr int kHeldIntervals = 2;
 
-bool WasAskedLately(const Node& node) {
-  const base::TimePoint asked_at = node.operator_copy.asked_at;
-  return asked_at != base::TimePoint{} &&
-         base::BootClock::now() < asked_at + kAskedTime;
-}
-
 /// Relays that this daemon may ask, in the order in which it asks them. A large
 /// data centre has several first relays, each of which serves a part of it.
 std::vector<std::string> RelaysToAsk(const Node& node) {
@@ -81,32 +69,14 @@
     return base::Fail(ErrorKind::kFrameInvalid, "malformed confirmation");
   }
   // The request arrived after `sent_at` and was held before the answer, so the
-  // moment is never too late, however long both were on their way.
-  // A daemon that states a wrong time must not seem to know the future.
+  // moment is never too late, however long both were on their way. A daemon
+  // that states a wrong time must not seem to know the future.
   return Confirmation{
       static_cast<std::uint64_t>(*version),
       std::min(sent_at + base::Duration{*held} - base::Duration{*age},
                base::BootClock::now())};
 }
 
-struct PendingConfirmation {
-  explicit PendingConfirmation(asio::io_context& io) : done(io) {}
-  std::optional<base::Result<http::Response>> answer;
-  std::shared_ptr<http::CallProgress> progress =
-      std::make_shared<http::CallProgress>();
-  /// Notified when `answer` is set.
-  http::Event done;
-};
-
-awaitable<void> Send(Node& node,
-                     asio::ip::tcp::endpoint relay,
-                     http::BufferedRequest request,
-                     std::shared_ptr<PendingConfirmation> pending) {
-  pending->answer.emplace(
-      co_await http::Call(node.peers, relay, std::move(request)));
-  http::Notify(pending->done);
-}
-
 awaitable<base::Result<Confirmation>> AskRelay(Node& node,
                                                const std::string& relay) {
   const auto endpoint = http::ParseEndpoint(relay);
@@ -128,12 +98,9 @@
       node.operator_copy.freshness, sent_at, FreshnessLimits(node));
   request.timeout =
       std::chrono::ceil<std::chrono::milliseconds>(deadline - sent_at);
-  auto pending = std::make_shared<PendingConfirmation>(node.io);
-  request.progress = pending->progress;
-  asio::co_spawn(node.io, Send(node, *endpoint, std::move(request), pending),
-                 asio::detached);
+  const auto pending = SendToRelay(node, *endpoint, std::move(request));
   while (!pending->answer && base::BootClock::now() < deadline) {
-    co_await http::WaitUntil(pending->done, deadline);
+    co_await http::WaitUntil(node.store.changed, deadline);
   }
   if (!pending->answer) {
     http::Cancel(*pending->progress);
@@ -167,7 +134,6 @@
                                : std::string_view(statement.error().detail));
   RecordRelayWithoutNews(freshness);
   Count(node, "operator_confirmations_failed_total");
-  http::Notify(node.store.changed);
 }
 
 /// Whether this daemon is to ask relays: it does not read the store itself, or
@@ -193,7 +159,7 @@
   const std::string& self = node.settings.peers;
   const auto candidates = RelayCandidates(node);
   return node.fleet.loaded &&
-         (WasAskedLately(node) ||
+         (IsAskedRelay(node.operator_copy.asked_at) ||
           (!candidates.empty() &&
            RelayOf(candidates, self, DaemonIdOf(self).value).empty()));
 }
--- a/src/eelgrassbridge/node/operator_relay.cpp
+++ b/src/eelgrassbridge/node/operator_relay.cpp
@@ -21,7 +21,7 @@
 using asio::awaitable;
 using base::ErrorKind;
 
-/// Relays of a data centre. With two, the loss of one delays no change.
+/// Relays of a data centre. Each sends the rows to a half of the others.
 constexpr std::size_t kRelayCount = 2;
 /// Delay of an announcement by the relay of the next rank, so that mostly one
 /// relay makes it.
--- a/src/eelgrassbridge/node/row_relay.cpp
+++ b/src/eelgrassbridge/node/row_relay.cpp
@@ -2,7 +2,10 @@
 #include "eelgrassbridge/node/row_relay.hpp"
 
 #include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace eelgrassbridge::node {
 
@@ -13,6 +16,18 @@
 
 /// Time for which a daemon that did not answer is not used as a relay.
 constexpr base::Duration kRelayFailureTime = base::seconds{10};
+/// Time for which a daemon that was asked stays a relay; longer than a request
+/// is held, so that it stays one while it has followers.
+constexpr base::Duration kAskedTime = base::seconds{8};
+
+asio::awaitable<void> RunCall(Node& node,
+                              asio::ip::tcp::endpoint relay,
+                              http::BufferedRequest request,
+                              std::shared_ptr<PendingAnswer> pending) {
+  pending->answer.emplace(
+      co_await http::Call(node.peers, relay, std::move(request)));
+  http::Notify(node.store.changed);
+}
 
 }  // namespace
 
@@ -51,6 +66,21 @@
   http::Notify(node.store.changed);
 }
 
+bool IsAskedRelay(base::TimePoint asked_at) {
+  return asked_at != base::TimePoint{} &&
+         base::BootClock::now() < asked_at + kAskedTime;
+}
+
+std::shared_ptr<PendingAnswer> SendToRelay(Node& node,
+                                           asio::ip::tcp::endpoint relay,
+                                           http::BufferedRequest request) {
+  auto pending = std::make_shared<PendingAnswer>();
+  request.progress = pending->progress;
+  asio::co_spawn(node.io, RunCall(node, relay, std::move(request), pending),
+                 asio::detached);
+  return pending;
+}
+
 base::Result<RowPage> PageOfAnswer(const http::Response& answer) {
   if (answer.head.status == kRelayGone) {
     return base::Fail(ErrorKind::kNotFound,
