Give up polls of the store that a relay makes unnecessary

Cause: when a site starts, each daemon takes itself for the relay until it knows the other members, and keeps the poll that it began then. A change right after the start is sent to all of them.

Why it works: a daemon abandons a held poll once another daemon polls the store for it, unless the answer has begun to arrive. It learns a change from its relay, and still reads the store when what it knows is too old. The abandoned poll does not count as a failed read.

The stand-in of the store ends a poll whose caller has closed the connection, as it ends answers over its link, so rows that are never sent are not counted as sent.

--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -204,8 +204,8 @@
   /// How often the store has become unreachable.
   std::uint64_t losses = 0;
   /// Notified when the store becomes unreachable, when a poll ends, when an era
-  /// begins, and when another daemon reports a later era, or a later version of
-  /// a table.
+  /// begins, when another daemon reports a later era, or a later version of a
+  /// table, and when the members have changed.
   http::Event changed;
   TableProgress operator_rows;
   TableProgress fleet_rows;
--- a/include/eelgrassbridge/node/store_calls.hpp
+++ b/include/eelgrassbridge/node/store_calls.hpp
@@ -69,11 +69,16 @@
                                                      std::string table,
                                                      std::string partition);
 
+/// @brief Whether a daemon still has to make a poll.
+using PollCondition = bool (*)(const Node& node);
+
 /// @brief Polls for changes, and abandons the poll if the store may have lost
-/// it.
+/// it, or if it is no longer needed. Without a condition it is needed until it
+/// ends.
 asio::awaitable<base::Result<RowPage>> Poll(Node& node,
                                             FeedPosition position,
-                                            Backoff& backoff);
+                                            Backoff& backoff,
+                                            PollCondition is_needed = nullptr);
 
 /// @brief Commits a transaction. Fails as RowStore::commit does.
 asio::awaitable<base::Result<CommitResult>> Commit(Node& node,
--- a/src/eelgrassbridge/node/node.cpp
+++ b/src/eelgrassbridge/node/node.cpp
@@ -135,6 +135,8 @@
 void RebuildStaleTargetTables(Node& node) {
   if (node.fleet.target_tables_stale) {
     RebuildTargetTables(node);
+    // Relays are chosen among the members.
+    http::Notify(node.store.changed);
   }
 }
 
--- a/src/eelgrassbridge/node/operator_feed.cpp
+++ b/src/eelgrassbridge/node/operator_feed.cpp
@@ -172,8 +172,13 @@
                                                   Backoff& backoff) {
   const base::TimePoint sent_at = base::BootClock::now();
   const base::Duration wait = position.wait;
-  auto page = co_await Poll(node, std::move(position), backoff);
-  RecordOperatorRead(node, page.has_value());
+  const bool waits = wait.count() > 0;
+  auto page = co_await Poll(node, std::move(position), backoff,
+                            waits ? &PollsOperatorRows : nullptr);
+  // A poll that is no longer needed ends without an answer of the store.
+  if (page || !waits || PollsOperatorRows(node)) {
+    RecordOperatorRead(node, page.has_value());
+  }
   if (page) {
     const bool has_changes = !page.value().rows.empty();
     KeepOperatorPage(node, page.value());
--- a/src/eelgrassbridge/node/store_calls.cpp
+++ b/src/eelgrassbridge/node/store_calls.cpp
@@ -81,14 +81,17 @@
 ///
 /// A poll is abandoned if the store was restored, or may have lost it: another
 /// call has failed, or another daemon has reported a change that the poll
-/// should have returned. It is kept while its answer arrives, because the next
-/// one would have to send all of it again. A call that waits for no change is
-/// not abandoned for a report: it returns the change unless it is lost, and a
-/// second call would only add to a link that is full.
+/// should have returned. So is one that is no longer needed: the store would
+/// answer it with a change that this daemon gets from its relay, over a link
+/// that the relay's answer needs. It is kept while its answer arrives, because
+/// the next one would have to send all of it again. A call that waits for no
+/// change is not abandoned for a report: it returns the change unless it is
+/// lost, and a second call would only add to a link that is full.
 awaitable<std::string_view> AwaitPage(Node& node,
                                       const FeedPosition& position,
                                       const PendingPoll& pending,
-                                      base::Duration grace) {
+                                      base::Duration grace,
+                                      PollCondition is_needed) {
   const std::uint64_t losses = node.store.losses;
   const std::uint64_t era = node.store.era;
   const base::TimePoint started_at = base::BootClock::now();
@@ -97,10 +100,14 @@
       co_return "the store was restored";
     }
     const TableProgress& table = ProgressOf(node, position.table);
+    const bool begun = pending.progress->received_bytes > 0;
+    if (!begun && is_needed != nullptr && !is_needed(node)) {
+      co_return "another daemon polls the store";
+    }
     const bool lost = position.wait > kShortWait && node.store.losses != losses;
     const bool behind =
         position.wait.count() > 0 && table.peer_version > position.after;
-    if (pending.progress->received_bytes > 0 || (!lost && !behind)) {
+    if (begun || (!lost && !behind)) {
       co_await http::Wait(node.store.changed);
       continue;
     }
@@ -179,7 +186,8 @@
 // waited for any time between `sent_at` and the answer.
 awaitable<base::Result<RowPage>> Poll(Node& node,
                                       FeedPosition position,
-                                      Backoff& backoff) {
+                                      Backoff& backoff,
+                                      PollCondition is_needed) {
   const base::TimePoint sent_at = base::BootClock::now();
   const auto sent_in = EraOfCall(node);
   const StorePurpose purpose = position.table == node.port.operator_table
@@ -189,7 +197,7 @@
   auto pending = std::make_shared<PendingPoll>();
   asio::co_spawn(node.io, RunPoll(node, position, pending), asio::detached);
   const std::string_view cause =
-      co_await AwaitPage(node, position, *pending, backoff.grace);
+      co_await AwaitPage(node, position, *pending, backoff.grace, is_needed);
   if (!cause.empty()) {
     http::Cancel(*pending->progress);
     backoff.grace = std::min(backoff.grace * 2, kMaxGrace);
--- a/standins/platform/row_standin.cpp
+++ b/standins/platform/row_standin.cpp
@@ -187,9 +187,12 @@
   return rows;
 }
 
-/// Returns nothing if the store was restored while the poll was waiting.
-awaitable<std::optional<Reply>> FollowRows(RowStandin& standin,
-                                           std::string target) {
+/// Returns nothing if the store was restored, or the caller has closed the
+/// connection, while the poll was waiting.
+awaitable<std::optional<Reply>> FollowRows(
+    RowStandin& standin,
+    std::string target,
+    const http::ServerConnection& connection) {
   auto query = QueryOf(target);
   const std::uint64_t era = standin.era;
   const std::uint64_t after = http::ParseNumber(query["after"]).value_or(0);
@@ -202,7 +205,7 @@
   json rows = ChangedRows(standin, query["table"], after);
   while (rows.empty() && base::BootClock::now() < end) {
     co_await http::WaitUntil(standin.changed, end);
-    if (standin.era != era) {
+    if (standin.era != era || connection.caller_disconnected) {
       co_return std::nullopt;
     }
     rows = ChangedRows(standin, query["table"], after);
@@ -220,9 +223,11 @@
 }
 
 /// Returns nothing if the call gets no response.
-awaitable<std::optional<Reply>> Dispatch(RowStandin& standin,
-                                         std::string target,
-                                         std::string body) {
+awaitable<std::optional<Reply>> Dispatch(
+    RowStandin& standin,
+    std::string target,
+    std::string body,
+    const http::ServerConnection& connection) {
   const std::string_view path = http::PathWithoutQuery(target);
   if (path == "/api/rows-tx") {
     if (standin.fault == StoreFault::kRefusesWrites) {
@@ -240,7 +245,7 @@
     co_return GetRows(standin, target);
   }
   if (path == "/api/rows-feed") {
-    co_return co_await FollowRows(standin, target);
+    co_return co_await FollowRows(standin, target, connection);
   }
   co_return Reply{kBadRequest, json::object()};
 }
@@ -301,7 +306,8 @@
     co_return;
   }
   const std::string target = exchange.head.target;
-  const auto reply = co_await Dispatch(standin, target, body);
+  const auto reply =
+      co_await Dispatch(standin, target, body, *exchange.connection);
   const bool faulty = standin.fault != StoreFault::kNone &&
                       standin.fault != StoreFault::kRefusesWrites;
   if (!reply || faulty) {
