--- a/src/eelgrassbridge/node/row_relay.cpp
+++ b/src/eelgrassbridge/node/row_relay.cpp
@@ -76,7 +76,8 @@
                                            http::BufferedRequest request) {
   auto pending = std::make_shared<PendingAnswer>();
   request.progress = pending->progress;
-  asio::co_spawn(node.io, RunCall(node, relay, std::move(request), pending),
+  asio::co_spawn(node.io,
+                 RunCall(node, std::move(relay), std::move(request), pending),
                  asio::detached);
   return pending;
 }
