Count a failed relay as one again only after it has answered

Cause: the member row of a lost VM stays, so it stays a candidate for the relay of its data centre. A daemon that failed as a relay was left out for 10 s and counted as one again after that, although nobody had heard from it. It was asked on the path on which changes arrive, and waited for.

Processes that have ended refuse at once; this order held before.

Why it works: an entry in `failed_relays` stays until the daemon answers a probe with a statement that is recent enough to be of use. Probes have a loop of their own, so no change waits for them, and a daemon that is probed does not begin to poll the store. A daemon that has recovered is used again after 5 to 6 s.

--- a/include/eelgrassbridge/node/event_log.hpp
+++ b/include/eelgrassbridge/node/event_log.hpp
@@ -32,6 +32,7 @@
   kStoreRefused,
   kPollAbandoned,
   kRelayFailed,
+  kRelayRegained,
   kRoutesInForce,
   kRoutesRejected,
   kRowRejected,
--- a/include/eelgrassbridge/node/node.hpp
+++ b/include/eelgrassbridge/node/node.hpp
@@ -62,7 +62,8 @@
   /// all rows of a page are applied, because each rebuild takes time linear in
   /// the number of members.
   bool target_tables_stale = false;
-  /// When daemons did not answer as relays, by address.
+  /// When daemons failed as relays or did not answer a probe, by address. An
+  /// entry stays until the daemon answers a probe.
   std::map<std::string, base::TimePoint, std::less<>> failed_relays;
 };
 
--- a/include/eelgrassbridge/node/operator_confirmation.hpp
+++ b/include/eelgrassbridge/node/operator_confirmation.hpp
@@ -38,6 +38,11 @@
 /// not read the store itself, until the process ends.
 asio::awaitable<void> FollowConfirmations(Node& node);
 
+/// @brief Asks daemons that have failed as relays whether they can answer
+/// again, until the process ends. Changes do not arrive on this way, so a
+/// daemon that stays silent delays none.
+asio::awaitable<void> ProbeFailedRelays(Node& node);
+
 /// @brief Whether the request of another daemon asks for a confirmation.
 bool IsConfirmationRequest(const http::RequestHead& head);
 
--- a/include/eelgrassbridge/node/row_relay.hpp
+++ b/include/eelgrassbridge/node/row_relay.hpp
@@ -23,14 +23,16 @@
 namespace eelgrassbridge::node {
 
 /// @brief Members of this daemon's data centre that may serve as relays: those
-/// whose targets are serving, apart from those that have failed to answer
-/// lately. The views are valid until the members change.
+/// whose targets are serving, apart from those that have failed as relays. The
+/// views are valid until the members change.
 std::vector<RelayCandidate> RelayCandidates(const Node& node);
 
 /// @brief Number of members in this daemon's data centre.
 std::size_t DaemonsOfDataCentre(const Node& node);
 
-/// @brief Whether a daemon has failed to answer as a relay lately.
+/// @brief Whether a daemon has failed as a relay and has not answered a probe
+/// since. The row of a daemon that is lost stays, so the time since the failure
+/// does not make it a relay again.
 bool HasFailedAsRelay(const Node& node, const std::string& address);
 
 /// @brief Notes that a daemon did not answer as a relay, and ends the polls of
@@ -39,6 +41,16 @@
                         const std::string& address,
                         std::string_view cause);
 
+/// @brief Daemons that have failed as relays and are to be probed now.
+std::vector<std::string> RelaysToProbe(const Node& node, base::TimePoint now);
+
+/// @brief Records the end of a probe. A daemon that answered counts as a relay
+/// again; one that is no longer a member is forgotten.
+void RecordProbe(Node& node,
+                 const std::string& address,
+                 bool succeeded,
+                 base::TimePoint sent_at);
+
 /// @brief Whether a daemon that another one asked at this time for rows or a
 /// confirmation still polls the store for it; zero if it was not asked.
 bool IsAskedRelay(base::TimePoint asked_at);
--- a/src/eelgrassbridge/node/event_log.cpp
+++ b/src/eelgrassbridge/node/event_log.cpp
@@ -28,6 +28,7 @@
     "store_refused",
     "poll_abandoned",
     "relay_failed",
+    "relay_regained",
     "routes_in_force",
     "routes_rejected",
     "row_rejected",
--- a/src/eelgrassbridge/node/operator_confirmation.cpp
+++ b/src/eelgrassbridge/node/operator_confirmation.cpp
@@ -20,14 +20,18 @@
 using asio::awaitable;
 using base::ErrorKind;
 
-/// In a request: era, version and age in microseconds of what the asker knows.
-/// In an answer: version and age of the statement, and the time in microseconds
-/// for which the request was held.
+/// In a request: era, version and age in microseconds of what the asker knows,
+/// and 1 for a probe. In an answer: version and age of the statement, and the
+/// time in microseconds for which the request was held.
 constexpr std::string_view kConfirmationHeader =
     "Eelgrassbridge-Operator-Version";
 /// Confirm intervals for which a relay holds a request without news; longer
 /// than its asker waits.
 constexpr int kHeldIntervals = 2;
+/// Interval at which failed relays are looked for, before jitter, and maximum
+/// time for the answer of one.
+constexpr base::Duration kProbePause = base::seconds{1};
+constexpr std::chrono::milliseconds kProbeTimeout{500};
 
 /// Relays that this daemon may ask, in the order in which it asks them. A large
 /// data centre has several first relays, each of which serves a part of it.
@@ -77,6 +81,29 @@
                base::BootClock::now())};
 }
 
+enum class RequestKind : std::uint8_t {
+  /// Held until there is news.
+  kConfirmation,
+  /// Answered at once.
+  kProbe,
+};
+
+http::BufferedRequest RequestToRelay(const Node& node,
+                                     const std::string& relay,
+                                     base::TimePoint sent_at,
+                                     RequestKind kind) {
+  const Confirmation& known = node.operator_copy.freshness.latest;
+  http::BufferedRequest request;
+  request.method = "GET";
+  request.target = "/operator-version";
+  request.headers = {{"Host", relay},
+                     {std::string(kConfirmationHeader),
+                      fmt::format("{};{};{};{}", node.store.era, known.version,
+                                  (sent_at - known.as_of).count(),
+                                  kind == RequestKind::kProbe ? 1 : 0)}};
+  return request;
+}
+
 awaitable<base::Result<Confirmation>> AskRelay(Node& node,
                                                const std::string& relay) {
   const auto endpoint = http::ParseEndpoint(relay);
@@ -84,14 +111,8 @@
     co_return base::Fail(ErrorKind::kPeerUnreachable, "invalid address");
   }
   const base::TimePoint sent_at = base::BootClock::now();
-  const Confirmation known = node.operator_copy.freshness.latest;
-  http::BufferedRequest request;
-  request.method = "GET";
-  request.target = "/operator-version";
-  request.headers = {{"Host", relay},
-                     {std::string(kConfirmationHeader),
-                      fmt::format("{};{};{}", node.store.era, known.version,
-                                  (sent_at - known.as_of).count())}};
+  http::BufferedRequest request =
+      RequestToRelay(node, relay, sent_at, RequestKind::kConfirmation);
   // The deadline also covers the time to open a connection, which the timeout
   // of the call does not.
   const base::TimePoint deadline = RelayDeadline(
@@ -136,6 +157,32 @@
   Count(node, "operator_confirmations_failed_total");
 }
 
+/// Whether a relay that has failed can answer again, with a statement that is
+/// recent enough to be of use.
+awaitable<bool> ProbeRelay(Node& node,
+                           const std::string& relay,
+                           base::TimePoint sent_at) {
+  const auto endpoint = http::ParseEndpoint(relay);
+  if (!endpoint) {
+    co_return false;
+  }
+  http::BufferedRequest request =
+      RequestToRelay(node, relay, sent_at, RequestKind::kProbe);
+  request.timeout = kProbeTimeout;
+  const auto answer =
+      co_await http::Call(node.peers, *endpoint, std::move(request));
+  if (!answer) {
+    co_return false;
+  }
+  const auto statement = ConfirmationOfAnswer(answer.value(), sent_at);
+  if (!statement) {
+    co_return false;
+  }
+  const base::TimePoint too_old_at =
+      statement.value().as_of + FreshnessLimits(node).store_limit;
+  co_return base::BootClock::now() < too_old_at;
+}
+
 /// Whether this daemon is to ask relays: it does not read the store itself, or
 /// cannot.
 bool IsToAskRelays(const Node& node) {
@@ -197,6 +244,20 @@
   }
 }
 
+awaitable<void> ProbeFailedRelays(Node& node) {
+  std::uniform_real_distribution<double> jitter(0.5, 1);
+  while (true) {
+    co_await http::Sleep(node.io, std::chrono::duration_cast<base::Duration>(
+                                      kProbePause * jitter(node.random)));
+    for (const std::string& relay :
+         RelaysToProbe(node, base::BootClock::now())) {
+      const base::TimePoint sent_at = base::BootClock::now();
+      const bool succeeded = co_await ProbeRelay(node, relay, sent_at);
+      RecordProbe(node, relay, succeeded, sent_at);
+    }
+  }
+}
+
 bool IsConfirmationRequest(const http::RequestHead& head) {
   return http::Find(head.headers, kConfirmationHeader) != nullptr;
 }
@@ -208,17 +269,21 @@
   const auto era = TakeNumber(text);
   const auto version = TakeNumber(text);
   const auto age = TakeNumber(text);
+  const bool is_probe = TakeNumber(text).value_or(0) != 0;
   const auto asked_era = static_cast<std::uint64_t>(era.value_or(0));
   RecordPeerEra(node, asked_era);
   const base::TimePoint asked_at = base::BootClock::now();
   OperatorCopy& copy = node.operator_copy;
-  copy.asked_at = asked_at;
-  http::Notify(node.store.changed);
+  if (!is_probe) {
+    copy.asked_at = asked_at;
+    http::Notify(node.store.changed);
+  }
   const Confirmation known{static_cast<std::uint64_t>(version.value_or(0)),
                            asked_at - base::Duration{age.value_or(0)}};
   const FreshnessOptions options = FreshnessLimits(node);
   const base::TimePoint latest =
-      asked_at + kHeldIntervals * options.confirm_interval;
+      is_probe ? asked_at
+               : asked_at + kHeldIntervals * options.confirm_interval;
   const bool valid = era && version && age;
   // A relay that learns of a later era here has to read the rows first.
   while (valid && asked_era >= node.store.era && !node.stopping &&
@@ -231,7 +296,8 @@
   }
   const Confirmation& statement = copy.freshness.latest;
   if (!valid || asked_era != node.store.era || node.stopping ||
-      copy.freshness.read_failing || !IsNews(statement, known, options)) {
+      copy.freshness.read_failing ||
+      (!is_probe && !IsNews(statement, known, options))) {
     co_await http::Respond(exchange, kRelayUnavailable, {}, {});
     co_return;
   }
--- a/src/eelgrassbridge/node/row_relay.cpp
+++ b/src/eelgrassbridge/node/row_relay.cpp
@@ -14,8 +14,8 @@
 using base::ErrorKind;
 using nlohmann::json;
 
-/// Time for which a daemon that did not answer is not used as a relay.
-constexpr base::Duration kRelayFailureTime = base::seconds{10};
+/// Time after a failure or a probe without success until a daemon is probed.
+constexpr base::Duration kProbeInterval = base::seconds{5};
 /// Time for which a daemon that was asked stays a relay; longer than a request
 /// is held, so that it stays one while it has followers.
 constexpr base::Duration kAskedTime = base::seconds{8};
@@ -32,9 +32,7 @@
 }  // namespace
 
 bool HasFailedAsRelay(const Node& node, const std::string& address) {
-  const auto found = node.fleet.failed_relays.find(address);
-  return found != node.fleet.failed_relays.end() &&
-         base::BootClock::now() < found->second + kRelayFailureTime;
+  return node.fleet.failed_relays.contains(address);
 }
 
 std::vector<RelayCandidate> RelayCandidates(const Node& node) {
@@ -66,6 +64,37 @@
   http::Notify(node.store.changed);
 }
 
+std::vector<std::string> RelaysToProbe(const Node& node, base::TimePoint now) {
+  std::vector<std::string> relays;
+  for (const auto& [address, failed_at] : node.fleet.failed_relays) {
+    if (now >= failed_at + kProbeInterval) {
+      relays.push_back(address);
+    }
+  }
+  return relays;
+}
+
+void RecordProbe(Node& node,
+                 const std::string& address,
+                 bool succeeded,
+                 base::TimePoint sent_at) {
+  auto& failed = node.fleet.failed_relays;
+  const auto found = failed.find(address);
+  // A failure that came after the probe was sent is not undone by it.
+  if (found == failed.end() || found->second > sent_at) {
+    return;
+  }
+  if (!node.fleet.members.contains(address)) {
+    failed.erase(found);
+  } else if (succeeded) {
+    failed.erase(found);
+    Log(node.log, EventKind::kRelayRegained, {{"relay", address}});
+    http::Notify(node.store.changed);
+  } else {
+    found->second = base::BootClock::now();
+  }
+}
+
 bool IsAskedRelay(base::TimePoint asked_at) {
   return asked_at != base::TimePoint{} &&
          base::BootClock::now() < asked_at + kAskedTime;
--- a/src/eelgrassbridge/node/run_node.cpp
+++ b/src/eelgrassbridge/node/run_node.cpp
@@ -301,9 +301,9 @@
        {"address", node.settings.peers},
        {"process", node.process}});
   for (auto* loop :
-       {FollowOperator, FollowConfirmations, FollowFleet, PublishMember,
-        PublishCrashes, KeepLease, PlanRanges, HandOverRanges, CoordinateQuotas,
-        ReportQuotas, FlushLog}) {
+       {FollowOperator, FollowConfirmations, ProbeFailedRelays, FollowFleet,
+        PublishMember, PublishCrashes, KeepLease, PlanRanges, HandOverRanges,
+        CoordinateQuotas, ReportQuotas, FlushLog}) {
     StartLoop(node, loop(node));
   }
 }
